--- /dev/null
+++ b/benchlink/src/door.rs
@@ -0,0 +1,179 @@
+//! One door behind the wire: its decisions, and the names it has met under the ids given them.
+
+use crate::launch::Told;
+use crate::wire::{Line, Malformed, Millis};
+use std::collections::HashMap;
+use std::fmt::Write;
+use vanewharf::decide::Door;
+use vanewharf::interface::{
+    Action, Arrival, BackendId, CustomerId, Ending, Event, GroupId, Listed, Outcome, PlaceId, PlanId,
+    ProductId, Standing, SubmissionNo, TimerId, TxnId,
+};
+
+#[derive(Default)]
+struct Names {
+    ids: HashMap<String, u32>,
+    in_order: Vec<String>,
+}
+
+impl Names {
+    fn id(&mut self, name: &str) -> u32 {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = self.in_order.len() as u32;
+        self.ids.insert(name.to_owned(), id);
+        self.in_order.push(name.to_owned());
+        id
+    }
+}
+
+pub struct Host {
+    pub door: Door,
+    pub events: Vec<Event>,
+    told: Told,
+    backends: Names,
+    customers: Names,
+    places: Names,
+}
+
+fn outcome(line: &Line<'_>) -> Result<Outcome, Malformed> {
+    Ok(match line.whole::<u32>("state_code")? {
+        0 => Outcome::Settled,
+        1 => Outcome::Error,
+        2 => Outcome::TurnedAway,
+        3 => Outcome::TimedOut,
+        4 => Outcome::NoConnection,
+        5 => Outcome::Broken,
+        6 => Outcome::Cancelled,
+        7 => Outcome::Moot,
+        other => return Err(line.fault(format!("field state_code is no outcome: '{other}'"))),
+    })
+}
+
+impl Host {
+    pub fn new(door: Door, told: Told) -> Host {
+        Host {
+            door,
+            told,
+            events: Vec::new(),
+            backends: Names::default(),
+            customers: Names::default(),
+            places: Names::default(),
+        }
+    }
+
+    pub fn entry(&mut self, line: &Line<'_>) -> Result<Listed, Malformed> {
+        let standing = match line.whole::<u32>("mode")? {
+            2 => Standing::Ready,
+            1 => Standing::Draining,
+            3 => Standing::Gone,
+            other => return Err(line.fault(format!("field mode is no standing: '{other}'"))),
+        };
+        Ok(Listed {
+            backend: BackendId(self.backends.id(line.need("backend")?)),
+            standing,
+            size: line.number("scale")?.unwrap_or(1.0),
+            place: PlaceId(self.places.id(line.text("hall").unwrap_or_default())),
+            group: GroupId(line.whole_or("unit_group", 0)?),
+            booted: line.time("boot_time")?.filter(|at| at.0 > 0),
+        })
+    }
+
+    pub fn arrival(&mut self, line: &Line<'_>) -> Result<Arrival, Malformed> {
+        let named = |field: &str, names: &HashMap<String, usize>| {
+            let name = line.need(field)?;
+            let fault = || line.fault(format!("field {field} names nothing told: '{name}'"));
+            names.get(name).copied().ok_or_else(fault)
+        };
+        Ok(Arrival {
+            txn: TxnId(line.whole("txn")?),
+            product: ProductId(named("band", &self.told.products)?),
+            customer: CustomerId(self.customers.id(line.need("client_id")?)),
+            plan: PlanId(named("plan", &self.told.plans)?),
+            width: line.number("width")?.unwrap_or_default() as u32,
+            cost: line.number("cost_units")?.unwrap_or_default(),
+            expiry: line.need_time("client_deadline")?,
+        })
+    }
+
+    pub fn ending(&self, line: &Line<'_>) -> Result<Ending, Malformed> {
+        let mut reported_out = None;
+        if let Some(row) = line.text("telemetry") {
+            for (name, value) in self.told.report_fields.iter().zip(row.split(',')) {
+                let fault = || line.fault(format!("field telemetry cannot be read: '{row}'"));
+                let number: f64 = value.parse().map_err(|_| fault())?;
+                if name == "outstanding" {
+                    reported_out = Some(number);
+                }
+            }
+        }
+        let metered = line.number("quota_use")?.filter(|&told| told >= 1.0);
+        Ok(Ending {
+            txn: TxnId(line.whole("txn")?),
+            no: SubmissionNo(line.whole("leg")?),
+            outcome: outcome(line)?,
+            took: line.time("delay_seen")?.unwrap_or_default(),
+            complete: line.flag("complete")?,
+            metered: metered.map(|told| (told - 1.0) / 100.0),
+            true_cost: line.number("billed")?.filter(|&cost| cost > 0.0),
+            reported_out,
+        })
+    }
+
+    /// Only what the decisions hear; the other messages are checked and end here.
+    pub fn event(&mut self, line: &Line<'_>) -> Result<Option<Event>, Malformed> {
+        Ok(match line.message {
+            "ORDER" => Some(Event::Arrived(self.arrival(line)?)),
+            "ATTEMPT_END" => Some(Event::Ended(self.ending(line)?)),
+            "HEAD_RECEIVED" => Some(Event::Begun(TxnId(line.whole("txn")?))),
+            "CLIENT_LEFT" => Some(Event::Left(TxnId(line.whole("txn")?))),
+            "DUE" => Some(Event::Due(TimerId(line.whole("ctx")?))),
+            "CHECKED" => {
+                outcome(line)?;
+                None
+            }
+            "COUNTER_REPLY" => {
+                outcome(line)?;
+                line.whole::<u64>("name")?;
+                None
+            }
+            "INBOX" => {
+                line.need("by")?;
+                None
+            }
+            _ => return Err(line.fault("unknown message".to_owned())),
+        })
+    }
+
+    pub fn write(&self, actions: &[Action], reply: &mut String) {
+        for action in actions {
+            let written = match *action {
+                Action::Submit { txn, backend, time_out } => {
+                    let name = &self.backends.in_order[backend.0 as usize];
+                    let begun = write!(reply, "TRANSMIT txn={} backend={name}", txn.0);
+                    match time_out {
+                        Some(span) => begun.and_then(|()| write!(reply, " cap={}", Millis(span))),
+                        None => begun,
+                    }
+                }
+                Action::Cancel { txn, no } => {
+                    write!(reply, "CANCEL txn={} leg={}", txn.0, no.0)
+                }
+                Action::Decline { txn, retry_after: None } => {
+                    write!(reply, "DECLINE txn={}", txn.0)
+                }
+                Action::Decline { txn, retry_after: Some(span) } => {
+                    write!(reply, "DECLINE txn={} stay_away={}", txn.0, Millis(span))
+                }
+                Action::Void { txn } => write!(reply, "REPORT_FAILURE txn={}", txn.0),
+                Action::Wake { after, timer } => {
+                    write!(reply, "SCHEDULE after={} ctx={}", Millis(after), timer.0)
+                }
+                Action::Watch => write!(reply, "WATCH on=1"),
+            };
+            written.expect("a string takes all that is written to it");
+            reply.push('\n');
+        }
+    }
+}
--- /dev/null
+++ b/benchlink/src/main.rs
@@ -0,0 +1,26 @@
+//! The bench's wire on standard input and output, with the decisions behind it.
+
+mod door;
+mod launch;
+mod link;
+mod wire;
+
+use link::{Broken, Link};
+use std::io::{self, BufReader, BufWriter};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let input = BufReader::with_capacity(1 << 20, io::stdin().lock());
+    let output = BufWriter::with_capacity(1 << 20, io::stdout().lock());
+    match Link::default().run(input, output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Broken::Input(fault)) => {
+            eprintln!("vanewharf-benchlink: {fault}");
+            ExitCode::FAILURE
+        }
+        Err(Broken::Stream(fault)) => {
+            eprintln!("vanewharf-benchlink: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,717 @@
+//! All decisions of one door. `Door::start` takes what the door is told at its start; then each batch of
+//! events goes through `Door::decide`, which gives the actions to carry out, in order. Ids, events and
+//! actions are in `interface.rs`, the data kept between batches in `state.rs`.
+//!
+//! Each backend is an actor with an inbox; so are the till (the design: what each customer may spend) and
+//! the desk (the txns). They talk only by notes, and the loop in `settle_mail` empties all inboxes.
+//!
+//! Beside the design stand six mechanisms:
+//! 1. ceiling: a second, even-split bucket that knows nothing but this instance's own time (`Till`)
+//! 2. open at once: a cap on submissions out, by weighing value inside against cost beyond (`Till`)
+//! 3. room: one backend drawn at random in step with its room; declines what cannot be in time (`Desk`)
+//! 4. set aside: a backend that is silent, fails or is outlyingly slow rests for a while (`Backend`)
+//! 5. cold: a backend that has just started gets this door's part of its budget (`Backend`)
+//! 6. resubmission: second tries and second copies out of a budget that first submissions fill (`Desk`)
+
+use crate::interface::*;
+use crate::state::{Account, Backend, Desk, Norm, Offer, Submission, Till, Txn};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{Hash, Hasher};
+
+/// Spans a few meter readings and their delay, so that one late reading moves a slice little.
+const SLICE_SPAN: f64 = 4.0;
+const SLICE_FLOOR: f64 = 0.25;
+const REST: Tenths = Tenths(20_000);
+const STRIKES: f64 = 3.0;
+const OUTLYING: f64 = 4.0;
+const COPY_SHARE: f64 = 0.15;
+const COPY_DEPTH: f64 = 12.0;
+
+pub enum ToBackend {
+    Listed(Listed),
+    Tick { patience: Tenths, warm_rate: f64, cold: ColdFigures, rest: Tenths },
+    Sent { txn: TxnId, no: SubmissionNo, work: f64 },
+    Ended { txn: TxnId, no: SubmissionNo, outcome: Outcome, relative: f64 },
+}
+
+pub enum ToDesk {
+    Arrived(Arrival),
+    Granted(TxnId),
+    Refused(TxnId, Option<Tenths>),
+    Ended(Ending),
+    Begun(TxnId),
+    Left(TxnId),
+    Due(TimerId),
+    Offer(BackendId, Option<Offer>),
+}
+
+pub enum ToTill {
+    Ask { txn: TxnId, customer: CustomerId, plan: PlanId, width: u32, cost: f64 },
+    Returned { customer: CustomerId, cost: f64 },
+    Opened(CustomerId),
+    Closed { customer: CustomerId, metered: Option<f64>, owed: f64 },
+}
+
+pub struct Door {
+    told: Start,
+    now: Tenths,
+    draws: u64,
+    desk: Desk<ToDesk>,
+    till: Till<ToTill>,
+    yard: BTreeMap<BackendId, Backend<ToBackend>>,
+    actions: Vec<Action>,
+}
+
+impl Door {
+    pub fn start(told: Start) -> Door {
+        let guess = |product: &Product| product.sla_time.seconds() / 4.0;
+        let norms = told.products.iter().map(guess);
+        let desk = Desk {
+            inbox: VecDeque::new(),
+            txns: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            next_timer: 1,
+            board: BTreeMap::new(),
+            norms: norms.map(|mean| Norm { mean, spread: mean, seen: 0.0 }).collect(),
+            settle_rate: 0.0,
+            rated_at: told.at,
+            mean_value: 0.0,
+            spare: COPY_DEPTH,
+        };
+        let till = Till { inbox: VecDeque::new(), accounts: BTreeMap::new(), swept: told.at };
+        let mut door =
+            Door { now: told.at, draws: 0, desk, till, yard: BTreeMap::new(), actions: Vec::new(), told };
+        door.watch();
+        door
+    }
+
+    pub fn decide(&mut self, now: Tenths, events: Vec<Event>) -> Vec<Action> {
+        self.now = self.now.max(now);
+        self.tick();
+        self.settle_mail();
+        for event in events {
+            match event {
+                Event::Listing(entries) => {
+                    let named = |id: &BackendId| entries.iter().any(|entry| entry.backend == *id);
+                    let missing: Vec<_> = self.yard.keys().copied().filter(|id| !named(id)).collect();
+                    self.list(entries);
+                    for id in missing {
+                        let Some(actor) = self.yard.get_mut(&id) else {
+                            continue;
+                        };
+                        let (size, place, group) = (actor.size, actor.place, actor.group);
+                        let (standing, booted) = (Standing::Gone, actor.booted);
+                        let gone = Listed { backend: id, standing, size, place, group, booted };
+                        actor.inbox.push_back(ToBackend::Listed(gone));
+                    }
+                }
+                Event::Changes(entries) => self.list(entries),
+                Event::ListingFailed => self.watch(),
+                Event::Arrived(arrival) => self.desk.inbox.push_back(ToDesk::Arrived(arrival)),
+                Event::Begun(txn) => self.desk.inbox.push_back(ToDesk::Begun(txn)),
+                Event::Ended(ending) => self.desk.inbox.push_back(ToDesk::Ended(ending)),
+                Event::Left(txn) => self.desk.inbox.push_back(ToDesk::Left(txn)),
+                Event::Due(TimerId(0)) => self.watch(),
+                Event::Due(timer) => self.desk.inbox.push_back(ToDesk::Due(timer)),
+            }
+        }
+        self.settle_mail();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Where lists come only when asked for, a door that stops asking is held to what it was not told.
+    fn watch(&mut self) {
+        if let Some(within) = self.told.ask_within {
+            let after = within.times(0.5).max(Tenths::SECOND);
+            self.actions.push(Action::Watch);
+            self.actions.push(Action::Wake { after, timer: TimerId(0) });
+        }
+    }
+
+    fn list(&mut self, entries: Vec<Listed>) {
+        for entry in entries {
+            let actor = self.yard.entry(entry.backend).or_insert_with(|| Backend::new(self.now));
+            actor.inbox.push_back(ToBackend::Listed(entry));
+        }
+    }
+
+    fn tick(&mut self) {
+        let warm = self.desk.board.values().filter(|offer| !offer.cold && !offer.bad);
+        let (rate, size) =
+            warm.fold((0.0, 0.0), |(rate, size), offer| (rate + offer.sent_rate, size + offer.size));
+        let warm_rate = if size > 0.0 { rate / size } else { 0.0 };
+        let patience = self.desk.patience();
+        for id in self.yard.keys().copied().collect::<Vec<_>>() {
+            // The random part keeps doors that rested a backend together from returning to it together.
+            let rest = REST.times(1.0 + 0.5 * self.chance());
+            let cold = self.told.cold.clone();
+            if let Some(actor) = self.yard.get_mut(&id) {
+                actor.inbox.push_back(ToBackend::Tick { patience, warm_rate, cold, rest });
+            }
+        }
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.draws += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.told.seed, self.draws).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Backends first, then the till, so that the desk never acts on a board that is behind.
+    fn settle_mail(&mut self) {
+        loop {
+            for (&id, actor) in &mut self.yard {
+                while let Some(note) = actor.inbox.pop_front() {
+                    actor.hear(note, self.now);
+                    let offer = actor.listed.then(|| actor.offer(self.now, &self.told.cold));
+                    self.desk.inbox.push_front(ToDesk::Offer(id, offer));
+                }
+            }
+            if let Some(note) = self.till.inbox.pop_front() {
+                if let Some(answer) = self.till.hear(note, self.now, &self.told) {
+                    self.desk.inbox.push_front(answer);
+                }
+            } else if let Some(note) = self.desk.inbox.pop_front() {
+                self.hear(note);
+            } else {
+                return;
+            }
+        }
+    }
+
+    fn hear(&mut self, note: ToDesk) {
+        match note {
+            ToDesk::Offer(id, Some(offer)) => drop(self.desk.board.insert(id, offer)),
+            ToDesk::Offer(id, None) => drop(self.desk.board.remove(&id)),
+            ToDesk::Arrived(arrival) => self.arrived(arrival),
+            ToDesk::Granted(id) => {
+                if !self.submit(id) {
+                    let Some(txn) = self.desk.txns.get(&id) else {
+                        return;
+                    };
+                    let returned = ToTill::Returned { customer: txn.customer, cost: txn.cost };
+                    self.till.inbox.push_back(returned);
+                    self.give_up(id, None);
+                }
+            }
+            ToDesk::Refused(id, wait) => self.give_up(id, wait),
+            ToDesk::Ended(ending) => self.ended(ending),
+            ToDesk::Begun(id) => {
+                if let Some(txn) = self.desk.txns.get_mut(&id) {
+                    txn.begun = true;
+                }
+            }
+            ToDesk::Left(id) => self.conclude(id),
+            ToDesk::Due(timer) => {
+                if let Some(id) = self.desk.timers.remove(&timer) {
+                    self.overdue(id);
+                }
+            }
+        }
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        let Arrival { txn: id, product, customer, plan, width, cost, expiry } = arrival;
+        let txn = Txn {
+            product,
+            customer,
+            plan,
+            width,
+            cost,
+            arrived: self.now,
+            expiry,
+            answered: false,
+            begun: false,
+            submissions: Vec::new(),
+        };
+        let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
+        let sla_time = self.told.products[product.0].sla_time;
+        let pressed = self.desk.pressed(product, value, sla_time);
+        self.desk.txns.insert(id, txn);
+        if pressed || self.desk.board.is_empty() {
+            self.give_up(id, None);
+        } else {
+            self.till.inbox.push_back(ToTill::Ask { txn: id, customer, plan, width, cost });
+        }
+    }
+
+    /// A decline says that another try is harmless, so it is kept from what may have run and must not again.
+    fn give_up(&mut self, id: TxnId, wait: Option<Tenths>) {
+        let Some(txn) = self.desk.txns.get(&id) else {
+            return;
+        };
+        let harmless = match self.told.products[txn.product.0].repeat {
+            Repeat::InquiryLike | Repeat::Referenced { among: Among::All, .. } => true,
+            _ => !txn.submissions.iter().any(|submission| submission.may_have_run),
+        };
+        let allowances = &self.told.allowances;
+        let advice = wait.filter(|_| allowances.retry_after);
+        let retry_after = advice.map(|span| span.min(allowances.max_retry_after));
+        self.actions.push(if harmless {
+            Action::Decline { txn: id, retry_after }
+        } else {
+            Action::Void { txn: id }
+        });
+        self.conclude(id);
+    }
+
+    fn conclude(&mut self, id: TxnId) {
+        let Some(txn) = self.desk.txns.get_mut(&id) else {
+            return;
+        };
+        txn.answered = true;
+        let out = txn.submissions.iter().enumerate().filter(|(_, submission)| submission.out);
+        let out: Vec<_> = out.map(|(no, _)| SubmissionNo(no as u32)).collect();
+        if out.is_empty() {
+            self.desk.txns.remove(&id);
+        } else if self.told.allowances.cancel && !txn.begun {
+            self.actions.extend(out.into_iter().map(|no| Action::Cancel { txn: id, no }));
+        }
+    }
+
+    fn ended(&mut self, ending: Ending) {
+        let id = ending.txn;
+        let no = ending.no;
+        let Some(txn) = self.desk.txns.get_mut(&id) else {
+            return;
+        };
+        let Some(submission) = txn.submissions.get_mut(no.0 as usize) else {
+            return;
+        };
+        if !std::mem::replace(&mut submission.out, false) {
+            return;
+        }
+        submission.may_have_run = !ending.outcome.never_ran();
+        let settled = ending.outcome == Outcome::Settled;
+        let owed = ending.true_cost.filter(|_| settled).map_or(0.0, |cost| cost - txn.cost);
+        let (customer, product, backend) = (txn.customer, txn.product, submission.backend);
+        let waiting = txn.submissions.iter().any(|submission| submission.out);
+        let answered = txn.answered;
+        self.till.inbox.push_back(ToTill::Closed { customer, metered: ending.metered, owed });
+        let took = ending.took.seconds();
+        let relative = took / self.desk.norms[product.0].mean.max(1e-4);
+        if settled {
+            self.desk.learn(product, took, self.now);
+        }
+        if let Some(actor) = self.yard.get_mut(&backend) {
+            let outcome = ending.outcome;
+            actor.inbox.push_back(ToBackend::Ended { txn: id, no, outcome, relative });
+        }
+        if answered || ending.complete {
+            self.conclude(id);
+        } else if !(waiting || self.may_resubmit(id) && self.submit(id)) {
+            self.give_up(id, None);
+        }
+    }
+
+    fn overdue(&mut self, id: TxnId) {
+        let Some(txn) = self.desk.txns.get(&id) else {
+            return;
+        };
+        if !txn.answered && !txn.begun && self.told.allowances.second_copies && self.may_resubmit(id) {
+            self.submit(id);
+        }
+    }
+
+    /// Against effects twice, and against retries that feed an overload or come too late to be of worth.
+    fn may_resubmit(&mut self, id: TxnId) -> bool {
+        let Some(txn) = self.desk.txns.get(&id) else {
+            return false;
+        };
+        let product = &self.told.products[txn.product.0];
+        let may_have_run = txn.submissions.iter().any(|submission| submission.may_have_run);
+        let in_time = txn.arrived + product.sla_time;
+        let answer = self.now + Tenths::SECOND.times(self.desk.norms[txn.product.0].mean);
+        let allowed = !(may_have_run && product.repeat == Repeat::OnceOnly)
+            && txn.submissions.len() < self.told.allowances.most_submissions
+            && answer <= in_time.min(txn.expiry)
+            && self.desk.spare >= 1.0;
+        if allowed {
+            self.desk.spare -= 1.0;
+        }
+        allowed
+    }
+
+    /// One draw at random, odds in step with room; false where no backend may take the txn.
+    fn submit(&mut self, id: TxnId) -> bool {
+        let chance = self.chance();
+        let Some(txn) = self.desk.txns.get_mut(&id) else {
+            return false;
+        };
+        let product = &self.told.products[txn.product.0];
+        let Some((backend, offer)) = draw(&self.desk.board, txn, product.repeat, self.now, chance) else {
+            return false;
+        };
+        let no = SubmissionNo(txn.submissions.len() as u32);
+        let (place, group, sent) = (offer.place, offer.group, self.now);
+        // Until its outcome says otherwise a submission may run at any moment.
+        let (out, may_have_run) = (true, true);
+        txn.submissions.push(Submission { backend, place, group, sent, out, may_have_run });
+        let norm = self.desk.norms[txn.product.0];
+        let wait = Tenths::SECOND.times(norm.mean + 2.5 * norm.spread);
+        let repeatable = product.repeat != Repeat::OnceOnly;
+        let copies = self.told.allowances.second_copies;
+        let time_out = (repeatable && !copies).then_some(wait.times(2.0));
+        self.actions.push(Action::Submit { txn: id, backend, time_out });
+        if repeatable && copies {
+            let timer = TimerId(self.desk.next_timer);
+            self.desk.next_timer += 1;
+            self.desk.timers.insert(timer, id);
+            self.actions.push(Action::Wake { after: wait.max(Tenths(10)), timer });
+        }
+        if no.0 == 0 {
+            self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
+        }
+        let work = self.desk.norms[txn.product.0].mean;
+        self.till.inbox.push_back(ToTill::Opened(txn.customer));
+        if let Some(actor) = self.yard.get_mut(&backend) {
+            actor.inbox.push_back(ToBackend::Sent { txn: id, no, work });
+        }
+        true
+    }
+}
+
+fn draw(
+    board: &BTreeMap<BackendId, Offer>,
+    txn: &Txn,
+    repeat: Repeat,
+    now: Tenths,
+    chance: f64,
+) -> Option<(BackendId, Offer)> {
+    let ran = txn.submissions.iter().find(|submission| submission.may_have_run);
+    let fits = |offer: &Offer| match (repeat, ran) {
+        (Repeat::Referenced { among, window }, Some(first)) => {
+            now - first.sent < window
+                && match among {
+                    Among::All => true,
+                    Among::Place => offer.place == first.place,
+                    Among::Group => offer.group == first.group,
+                }
+        }
+        _ => true,
+    };
+    // When most look bad the cause is shared, and sparing them would only crowd the rest.
+    let bad = board.values().filter(|offer| offer.bad).count();
+    let spare_bad = 2 * bad <= board.len();
+    let tried = |id: &BackendId| txn.submissions.iter().any(|submission| submission.backend == *id);
+    let open: Vec<_> = board
+        .iter()
+        .filter(|(id, offer)| !(offer.shut || offer.bad && spare_bad || tried(id)) && fits(offer))
+        .collect();
+    let out: f64 = open.iter().map(|(_, offer)| offer.out).sum();
+    let strength: f64 = open.iter().map(|(_, offer)| offer.strength).sum();
+    let limit = out + open.len() as f64;
+    let room = |offer: &Offer| (offer.strength / strength * limit - offer.out).max(0.0);
+    let mut left = chance * open.iter().map(|(_, offer)| room(offer)).sum::<f64>();
+    for (id, offer) in &open {
+        left -= room(offer);
+        if left < 0.0 {
+            return Some((**id, **offer));
+        }
+    }
+    open.last().map(|(id, offer)| (**id, **offer))
+}
+
+impl Desk<ToDesk> {
+    fn learn(&mut self, product: ProductId, took: f64, now: Tenths) {
+        let norm = &mut self.norms[product.0];
+        norm.seen += 1.0;
+        let weight = (1.0 / norm.seen).max(0.03);
+        norm.spread += weight * ((took - norm.mean).abs() - norm.spread);
+        norm.mean += weight * (took - norm.mean);
+        let gap = (now - self.rated_at).seconds();
+        self.settle_rate = self.settle_rate * (-gap / 2.0).exp() + 0.5;
+        self.rated_at = now;
+    }
+
+    /// Longer than nearly all answers take, so that silence is not mistaken for a long txn.
+    fn patience(&self) -> Tenths {
+        let longest = self.norms.iter().map(|norm| norm.mean + 3.0 * norm.spread);
+        Tenths::SECOND.times(longest.fold(0.1, f64::max))
+    }
+
+    /// What is out over what settles is how long a newcomer would wait; the cheaper give way first.
+    fn pressed(&mut self, product: ProductId, value: f64, sla_time: Tenths) -> bool {
+        self.mean_value += 0.02 * (value - self.mean_value);
+        let out: f64 = self.board.values().map(|offer| offer.out).sum();
+        if out < 4.0 * self.board.len() as f64 {
+            return false;
+        }
+        let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
+        let wait = out / self.settle_rate.max(1.0) * self.norms[product.0].mean / mean;
+        let patience = 0.5 + 0.5 * value / (value + self.mean_value);
+        wait > sla_time.seconds() * patience
+    }
+}
+
+impl Backend<ToBackend> {
+    fn new(now: Tenths) -> Self {
+        Backend {
+            inbox: VecDeque::new(),
+            size: 1.0,
+            place: PlaceId(0),
+            group: GroupId(0),
+            booted: None,
+            listed: false,
+            out: BTreeMap::new(),
+            heard: now,
+            since: now,
+            pace: 1.0,
+            strikes: 0.0,
+            aside_until: None,
+            on_trial: false,
+            sent_rate: 0.0,
+            rated_at: now,
+            cold_credit: 0.0,
+        }
+    }
+
+    fn warmth(&self, now: Tenths, cold: &ColdFigures) -> f64 {
+        let Some(booted) = self.booted else {
+            return 1.0;
+        };
+        let age = (now - booted).seconds() / cold.ramp_time.seconds().max(1e-4);
+        (cold.from + (1.0 - cold.from) * age.max(0.0)).min(1.0)
+    }
+
+    fn hear(&mut self, note: ToBackend, now: Tenths) {
+        match note {
+            ToBackend::Listed(entry) => {
+                if entry.booted != self.booted && entry.booted.is_some() {
+                    self.cold_credit = 0.0;
+                    self.strikes = 0.0;
+                    self.pace = 1.0;
+                    self.aside_until = None;
+                    self.on_trial = false;
+                    self.since = now;
+                }
+                self.listed = entry.standing == Standing::Ready;
+                self.size = if entry.size > 0.0 { entry.size } else { 1.0 };
+                (self.place, self.group, self.booted) = (entry.place, entry.group, entry.booted);
+            }
+            ToBackend::Sent { txn, no, work } => {
+                self.out.insert((txn, no), now);
+                self.sent_rate += work / 2.0;
+                self.cold_credit -= work;
+            }
+            ToBackend::Ended { txn, no, outcome, relative } => {
+                let Some(sent) = self.out.remove(&(txn, no)) else {
+                    return;
+                };
+                match outcome {
+                    Outcome::Settled => {
+                        self.heard = now;
+                        self.strikes *= 0.5;
+                        self.on_trial = false;
+                        self.pace += 0.1 * (relative.min(20.0) - self.pace);
+                    }
+                    Outcome::Cancelled | Outcome::Moot => {}
+                    Outcome::TurnedAway => self.heard = now,
+                    _ if sent >= self.since => self.strikes += 1.0,
+                    _ => {}
+                }
+            }
+            ToBackend::Tick { patience, warm_rate, cold, rest } => {
+                let gap = (now - self.rated_at).seconds();
+                self.rated_at = now;
+                self.sent_rate *= (-gap / 2.0).exp();
+                let budget = warm_rate * self.size * self.warmth(now, &cold);
+                self.cold_credit = (self.cold_credit + budget * gap).min(budget * 0.5);
+                if self.aside_until.is_some_and(|until| now >= until) {
+                    self.aside_until = None;
+                    self.on_trial = true;
+                    self.strikes = STRIKES - 1.0;
+                    self.pace = self.pace.min(2.0);
+                    self.since = now;
+                }
+                if self.aside_until.is_none() && self.ails(now, patience) {
+                    self.aside_until = Some(now + rest);
+                }
+            }
+        }
+    }
+
+    fn ails(&self, now: Tenths, patience: Tenths) -> bool {
+        let waiting = self.out.values().filter(|&&sent| sent >= self.since && now - sent > patience);
+        let silent = now - self.heard > patience && waiting.count() >= if self.on_trial { 1 } else { 2 };
+        silent || self.strikes >= STRIKES || self.pace > OUTLYING
+    }
+
+    fn offer(&self, now: Tenths, cold: &ColdFigures) -> Offer {
+        let warmth = self.warmth(now, cold);
+        let out = self.out.len() as f64;
+        let is_cold = warmth < 1.0;
+        Offer {
+            place: self.place,
+            group: self.group,
+            size: self.size,
+            strength: self.size * warmth / self.pace.max(0.1),
+            out,
+            cold: is_cold,
+            bad: self.aside_until.is_some(),
+            shut: (is_cold && self.cold_credit <= 0.0) || (self.on_trial && out >= 1.0),
+            sent_rate: self.sent_rate,
+        }
+    }
+}
+
+impl Till<ToTill> {
+    fn hear(&mut self, note: ToTill, now: Tenths, told: &Start) -> Option<ToDesk> {
+        match note {
+            ToTill::Ask { txn, customer, plan, width, cost } => {
+                let figures = &told.plans[plan.0];
+                let fresh = || Account::new(plan, width, now, told);
+                let account = self.accounts.entry(customer).or_insert_with(fresh);
+                account.refill(now, figures, told);
+                let verdict = account.ask(cost, figures);
+                self.sweep(now, told);
+                return Some(match verdict {
+                    Ok(()) => ToDesk::Granted(txn),
+                    Err(wait) => ToDesk::Refused(txn, wait),
+                });
+            }
+            ToTill::Returned { customer, cost } => {
+                if let Some(account) = self.accounts.get_mut(&customer) {
+                    account.tokens += cost;
+                    account.ceiling += cost;
+                    account.let_since -= cost;
+                }
+            }
+            ToTill::Opened(customer) => {
+                if let Some(account) = self.accounts.get_mut(&customer) {
+                    account.open += 1.0;
+                    account.open_peak = account.open_peak.max(account.open);
+                }
+            }
+            ToTill::Closed { customer, metered, owed } => {
+                if let Some(account) = self.accounts.get_mut(&customer) {
+                    account.refill(now, &told.plans[account.plan.0], told);
+                    account.open -= 1.0;
+                    account.tokens -= owed;
+                    account.let_since += owed;
+                    if let Some(reading) = metered {
+                        account.reading = reading;
+                        account.read_at = Some(now);
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Idle full buckets are what a customer not yet seen gets anyway.
+    fn sweep(&mut self, now: Tenths, told: &Start) {
+        if now - self.swept < Tenths::SECOND {
+            return;
+        }
+        self.swept = now;
+        self.accounts.retain(|_, account| {
+            let plan = &told.plans[account.plan.0];
+            account.refill(now, plan, told);
+            let full = account.tokens >= plan.burst * account.slice;
+            let even = (account.slice * account.width - 1.0).abs() < 0.05;
+            !(full && even && account.open <= 0.0 && account.ceiling >= account.ceiling_most(plan))
+        });
+    }
+}
+
+impl Account {
+    fn new(plan: PlanId, width: u32, now: Tenths, told: &Start) -> Account {
+        let width = f64::from(if width == 0 { told.doors.max(1) } else { width });
+        let figures = &told.plans[plan.0];
+        let mut account = Account {
+            plan,
+            width,
+            slice: 1.0 / width,
+            tokens: figures.burst / width,
+            ceiling: 0.0,
+            filled: now,
+            open: 0.0,
+            open_peak: 0.0,
+            let_since: 0.0,
+            let_through: 0.0,
+            metered: 0.0,
+            reading: 0.0,
+            read_at: None,
+            reviewed: now,
+        };
+        // What was spent before this instance began is unknown, so only time since then counts as refilled.
+        let since = (now - told.at).seconds();
+        account.ceiling = (since * figures.ceiling_rate / width).min(account.ceiling_most(figures));
+        account
+    }
+
+    fn ceiling_most(&self, plan: &Plan) -> f64 {
+        plan.ceiling_depth / self.width
+    }
+
+    fn refill(&mut self, now: Tenths, plan: &Plan, told: &Start) {
+        let gap = (now - self.filled).seconds();
+        self.filled = now;
+        self.tokens = (self.tokens + plan.rate * self.slice * gap).min(plan.burst * self.slice);
+        let ceiling = self.ceiling + plan.ceiling_rate / self.width * gap;
+        self.ceiling = ceiling.min(self.ceiling_most(plan));
+        self.open_peak = self.open.max(self.open_peak * (-gap).exp());
+        let period = told.meter_period.max(Tenths::SECOND.times(0.5));
+        if now - self.reviewed >= period {
+            self.review(now, plan);
+        }
+    }
+
+    /// The design's slice: this door's share of what all doors let through.
+    fn review(&mut self, now: Tenths, plan: &Plan) {
+        let gap = (now - self.reviewed).seconds();
+        self.reviewed = now;
+        let weight = 1.0 - (-gap / SLICE_SPAN).exp();
+        self.let_through += weight * (self.let_since / gap - self.let_through);
+        self.let_since = 0.0;
+        let current = self.read_at.is_some_and(|at| (now - at).seconds() < SLICE_SPAN);
+        if current {
+            self.metered += weight * (self.reading - self.metered);
+        }
+        let even = 1.0 / self.width;
+        if current && self.metered > 0.05 && plan.rate > 0.0 {
+            let share = self.let_through / (self.metered * plan.rate);
+            self.slice = share.clamp(SLICE_FLOOR * even, (2.0 * self.slice).min(1.0));
+        } else {
+            self.slice += weight * (even - self.slice);
+        }
+    }
+
+    fn ask(&mut self, cost: f64, plan: &Plan) -> Result<(), Option<Tenths>> {
+        let wait = |missing: f64, rate: f64| Some(Tenths::SECOND.times(missing / rate.max(1e-6)));
+        if plan.ceiling_rate > 0.0 && self.ceiling < cost {
+            return Err(wait(cost - self.ceiling, plan.ceiling_rate / self.width));
+        }
+        // A slice can lie below one txn's cost and would never admit it: a full one may go into debt.
+        let needed = cost.min(plan.burst * self.slice);
+        if plan.rate > 0.0 && self.tokens < needed - 1e-9 {
+            return Err(wait(needed - self.tokens, plan.rate * self.slice));
+        }
+        if plan.open_at_once > 0.0 {
+            let others = (self.metered * plan.open_at_once - self.open_peak).max(0.0) * 0.5;
+            let left = plan.open_at_once - self.open;
+            let inside = chance_below(others, left);
+            if inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0 {
+                return Err(None);
+            }
+        }
+        self.tokens -= cost;
+        self.ceiling -= cost;
+        self.let_since += cost;
+        Ok(())
+    }
+}
+
+/// The chance that fewer than `limit` are out elsewhere, where `mean` are on the average.
+fn chance_below(mean: f64, limit: f64) -> f64 {
+    let (mut term, mut sum, mut count) = ((-mean).exp(), 0.0, 0.0);
+    while count < limit {
+        sum += term;
+        count += 1.0;
+        term *= mean / count;
+    }
+    sum.min(1.0)
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,222 @@
+//! What passes between the decisions and whatever carries them: ids, times, events, actions and
+//! what a door is told at start.
+
+use std::ops::{Add, Sub};
+
+/// An instant or a span, in tenths of a millisecond.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Tenths(pub i64);
+
+impl Tenths {
+    pub const SECOND: Tenths = Tenths(10_000);
+
+    pub fn seconds(self) -> f64 {
+        self.0 as f64 / Self::SECOND.0 as f64
+    }
+
+    pub fn times(self, factor: f64) -> Tenths {
+        Tenths((self.0 as f64 * factor) as i64)
+    }
+}
+
+impl Add for Tenths {
+    type Output = Tenths;
+    fn add(self, other: Tenths) -> Tenths {
+        Tenths(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Tenths {
+    type Output = Tenths;
+    fn sub(self, other: Tenths) -> Tenths {
+        Tenths(self.0.saturating_sub(other.0))
+    }
+}
+
+macro_rules! ids {
+    ($($name:ident($inner:ty)),* $(,)?) => {$(
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids!(
+    TxnId(u64),
+    BackendId(u32),
+    CustomerId(u32),
+    PlanId(usize),
+    ProductId(usize),
+    PlaceId(u32),
+    GroupId(u64),
+    SubmissionNo(u32),
+    TimerId(u64),
+);
+
+/// How far a product may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    InquiryLike,
+    Referenced { among: Among, window: Tenths },
+    OnceOnly,
+}
+
+/// The backends that drop each other's repeats of a referenced txn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Among {
+    All,
+    Place,
+    Group,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Product {
+    pub sla_time: Tenths,
+    pub value: f64,
+    pub repeat: Repeat,
+}
+
+/// One plan's figures; each customer of the plan has them over all doors together. Zero: no such
+/// limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub rate: f64,
+    pub burst: f64,
+    pub open_at_once: f64,
+    pub value_factor: f64,
+    pub beyond_worth: f64,
+    pub beyond_cost: f64,
+    pub ceiling_rate: f64,
+    pub ceiling_depth: f64,
+}
+
+/// The figures a cold backend is judged by.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ColdFigures {
+    pub from: f64,
+    pub ramp_time: Tenths,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Allowances {
+    pub cancel: bool,
+    pub second_copies: bool,
+    pub retry_after: bool,
+    pub max_retry_after: Tenths,
+    pub most_submissions: usize,
+}
+
+/// What a door is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    pub seed: u64,
+    pub at: Tenths,
+    pub doors: u32,
+    pub products: Vec<Product>,
+    pub plans: Vec<Plan>,
+    pub allowances: Allowances,
+    pub cold: ColdFigures,
+    /// Zero: answers tell nothing of a customer's use.
+    pub meter_period: Tenths,
+    /// Where lists come only when asked for: how often the door must ask.
+    pub ask_within: Option<Tenths>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub backend: BackendId,
+    pub standing: Standing,
+    pub size: f64,
+    pub place: PlaceId,
+    pub group: GroupId,
+    pub booted: Option<Tenths>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    pub txn: TxnId,
+    pub product: ProductId,
+    pub customer: CustomerId,
+    pub plan: PlanId,
+    pub width: u32,
+    pub cost: f64,
+    pub expiry: Tenths,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Settled,
+    Error,
+    TurnedAway,
+    TimedOut,
+    NoConnection,
+    Broken,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::Moot)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ending {
+    pub txn: TxnId,
+    pub no: SubmissionNo,
+    pub outcome: Outcome,
+    pub took: Tenths,
+    pub complete: bool,
+    /// The customer's use over all doors, as a share of its quota.
+    pub metered: Option<f64>,
+    pub true_cost: Option<f64>,
+    /// What the backend says it holds, over all doors.
+    pub reported_out: Option<f64>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The whole list: what it does not name is gone.
+    Listing(Vec<Listed>),
+    Changes(Vec<Listed>),
+    ListingFailed,
+    Arrived(Arrival),
+    /// The answer of a streamed product has begun: the submission is the client's now.
+    Begun(TxnId),
+    Ended(Ending),
+    Left(TxnId),
+    Due(TimerId),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Without a time-out the submission runs until the client gives up.
+    Submit {
+        txn: TxnId,
+        backend: BackendId,
+        time_out: Option<Tenths>,
+    },
+    Cancel {
+        txn: TxnId,
+        no: SubmissionNo,
+    },
+    Decline {
+        txn: TxnId,
+        retry_after: Option<Tenths>,
+    },
+    Void {
+        txn: TxnId,
+    },
+    Wake {
+        after: Tenths,
+        timer: TimerId,
+    },
+    Watch,
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,120 @@
+//! The data that the decisions keep, grouped by how long it lives.
+
+use crate::interface::{
+    BackendId, CustomerId, GroupId, PlaceId, PlanId, ProductId, SubmissionNo, Tenths, TimerId, TxnId,
+};
+use std::collections::{BTreeMap, VecDeque};
+
+// For one submission.
+
+#[derive(Clone, Debug)]
+pub struct Submission {
+    pub backend: BackendId,
+    pub place: PlaceId,
+    pub group: GroupId,
+    pub sent: Tenths,
+    pub out: bool,
+    pub may_have_run: bool,
+}
+
+// For one txn.
+
+#[derive(Clone, Debug)]
+pub struct Txn {
+    pub product: ProductId,
+    pub customer: CustomerId,
+    pub plan: PlanId,
+    pub width: u32,
+    pub cost: f64,
+    pub arrived: Tenths,
+    pub expiry: Tenths,
+    pub answered: bool,
+    pub begun: bool,
+    pub submissions: Vec<Submission>,
+}
+
+// For one backend.
+
+#[derive(Clone, Debug)]
+pub struct Backend<Note> {
+    pub inbox: VecDeque<Note>,
+    pub size: f64,
+    pub place: PlaceId,
+    pub group: GroupId,
+    pub booted: Option<Tenths>,
+    pub listed: bool,
+    pub out: BTreeMap<(TxnId, SubmissionNo), Tenths>,
+    pub heard: Tenths,
+    pub since: Tenths,
+    pub pace: f64,
+    pub strikes: f64,
+    pub aside_until: Option<Tenths>,
+    pub on_trial: bool,
+    pub sent_rate: f64,
+    pub rated_at: Tenths,
+    pub cold_credit: f64,
+}
+
+/// What a backend last told the desk of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    pub place: PlaceId,
+    pub group: GroupId,
+    pub size: f64,
+    pub strength: f64,
+    pub out: f64,
+    pub cold: bool,
+    pub bad: bool,
+    pub shut: bool,
+    pub sent_rate: f64,
+}
+
+// For the instance.
+
+/// One customer's store at this door.
+#[derive(Clone, Debug)]
+pub struct Account {
+    pub plan: PlanId,
+    pub width: f64,
+    pub slice: f64,
+    pub tokens: f64,
+    pub ceiling: f64,
+    pub filled: Tenths,
+    pub open: f64,
+    pub open_peak: f64,
+    pub let_since: f64,
+    pub let_through: f64,
+    pub metered: f64,
+    pub reading: f64,
+    pub read_at: Option<Tenths>,
+    pub reviewed: Tenths,
+}
+
+/// How long a product's answers take at this door.
+#[derive(Clone, Copy, Debug)]
+pub struct Norm {
+    pub mean: f64,
+    pub spread: f64,
+    pub seen: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Desk<Note> {
+    pub inbox: VecDeque<Note>,
+    pub txns: BTreeMap<TxnId, Txn>,
+    pub timers: BTreeMap<TimerId, TxnId>,
+    pub next_timer: u64,
+    pub board: BTreeMap<BackendId, Offer>,
+    pub norms: Vec<Norm>,
+    pub settle_rate: f64,
+    pub rated_at: Tenths,
+    pub mean_value: f64,
+    pub spare: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Till<Note> {
+    pub inbox: VecDeque<Note>,
+    pub accounts: BTreeMap<CustomerId, Account>,
+    pub swept: Tenths,
+}
