--- a/src/decide.rs
+++ b/src/decide.rs
@@ -691,10 +691,7 @@
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
         if plan.open_at_once > 0.0 {
-            let others = (self.metered * plan.open_at_once - self.open_peak).max(0.0) * 0.5;
-            let left = plan.open_at_once - self.open;
-            let inside = chance_below(others, left);
-            if inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0 {
+            if self.open >= (plan.open_at_once / self.width).max(1.0).floor() {
                 return Err(None);
             }
         }
