Give slices a prior of even txns, so that few txns move them little

Also covers readings that jump. Harm: a small customer that comes through one door only gets its share late.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,6 +22,7 @@
 /// Spans a few meter readings and their delay, so that one late reading moves a slice little.
 const SLICE_SPAN: f64 = 4.0;
 const SLICE_FLOOR: f64 = 0.25;
+const PRIOR_TXNS: f64 = 12.0;
 const REST: Tenths = Tenths(20_000);
 const STRIKES: f64 = 3.0;
 const OUTLYING: f64 = 4.0;
@@ -630,6 +631,7 @@
             filled: now,
             open: 0.0,
             open_peak: 0.0,
+            mean_cost: 0.0,
             let_since: 0.0,
             let_through: 0.0,
             metered: 0.0,
@@ -672,8 +674,10 @@
             self.metered += weight * (self.reading - self.metered);
         }
         let even = 1.0 / self.width;
-        if current && self.metered > 0.05 && plan.rate > 0.0 {
-            let share = self.let_through / (self.metered * plan.rate);
+        if current && plan.rate > 0.0 {
+            // Few txns tell little of a share: the even one counts as so many more of them.
+            let prior = PRIOR_TXNS * self.mean_cost / SLICE_SPAN;
+            let share = (self.let_through + prior * even) / (self.metered * plan.rate + prior);
             self.slice = share.clamp(SLICE_FLOOR * even, (2.0 * self.slice).min(1.0));
         } else {
             self.slice += weight * (even - self.slice);
@@ -695,6 +699,8 @@
                 return Err(None);
             }
         }
+        let weight = if self.mean_cost > 0.0 { 0.1 } else { 1.0 };
+        self.mean_cost += weight * (cost - self.mean_cost);
         self.tokens -= cost;
         self.ceiling -= cost;
         self.let_since += cost;
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,6 +82,7 @@
     pub filled: Tenths,
     pub open: f64,
     pub open_peak: f64,
+    pub mean_cost: f64,
     pub let_since: f64,
     pub let_through: f64,
     pub metered: f64,
