Let the pressed guard act from 8 submissions out, whatever the fleet's size

Cause: the guard asked for four out for each backend, which one door among many never has, so on wide fleets nothing was declined early and answers took several times the SLA time. Also: notes moved to state.rs, no change in figures. Covers any shortage of capacity, whatever its cause. Harm: a burst of long txns at a quiet door may decline a few.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -14,9 +14,9 @@
 //! 6. resubmission: second tries and second copies out of a budget that first submissions fill (`Desk`)
 
 use crate::interface::*;
-use crate::state::{Account, Backend, Desk, Norm, Offer, Submission, Till, Txn};
+use crate::state::{Account, Backend, Desk, Norm, Offer, Submission, Till, ToBackend, ToDesk, ToTill, Txn};
+use std::collections::BTreeMap;
 use std::collections::hash_map::DefaultHasher;
-use std::collections::{BTreeMap, VecDeque};
 use std::hash::{Hash, Hasher};
 
 /// Spans a few meter readings and their delay, so that one late reading moves a slice little.
@@ -29,38 +29,13 @@
 const COPY_SHARE: f64 = 0.15;
 const COPY_DEPTH: f64 = 12.0;
 
-pub enum ToBackend {
-    Listed(Listed),
-    Tick { patience: Tenths, warm_rate: f64, cold: ColdFigures, rest: Tenths },
-    Sent { txn: TxnId, no: SubmissionNo, work: f64 },
-    Ended { txn: TxnId, no: SubmissionNo, outcome: Outcome, relative: f64 },
-}
-
-pub enum ToDesk {
-    Arrived(Arrival),
-    Granted(TxnId),
-    Refused(TxnId, Option<Tenths>),
-    Ended(Ending),
-    Begun(TxnId),
-    Left(TxnId),
-    Due(TimerId),
-    Offer(BackendId, Option<Offer>),
-}
-
-pub enum ToTill {
-    Ask { txn: TxnId, customer: CustomerId, plan: PlanId, width: u32, cost: f64 },
-    Returned { customer: CustomerId, cost: f64 },
-    Opened(CustomerId),
-    Closed { customer: CustomerId, metered: Option<f64>, owed: f64 },
-}
-
 pub struct Door {
     told: Start,
     now: Tenths,
     draws: u64,
-    desk: Desk<ToDesk>,
-    till: Till<ToTill>,
-    yard: BTreeMap<BackendId, Backend<ToBackend>>,
+    desk: Desk,
+    till: Till,
+    yard: BTreeMap<BackendId, Backend>,
     actions: Vec<Action>,
 }
 
@@ -68,21 +43,12 @@
     pub fn start(told: Start) -> Door {
         let guess = |product: &Product| product.sla_time.seconds() / 4.0;
         let norms = told.products.iter().map(guess);
-        let desk = Desk {
-            inbox: VecDeque::new(),
-            txns: BTreeMap::new(),
-            timers: BTreeMap::new(),
-            next_timer: 1,
-            board: BTreeMap::new(),
-            norms: norms.map(|mean| Norm { mean, spread: mean, seen: 0.0 }).collect(),
-            settle_rate: 0.0,
-            rated_at: told.at,
-            mean_value: 0.0,
-            spare: COPY_DEPTH,
-        };
-        let till = Till { inbox: VecDeque::new(), accounts: BTreeMap::new(), swept: told.at };
-        let mut door =
-            Door { now: told.at, draws: 0, desk, till, yard: BTreeMap::new(), actions: Vec::new(), told };
+        let norms = norms.map(|mean| Norm { mean, spread: mean, seen: 0.0 }).collect();
+        let (next_timer, rated_at, spare) = (1, told.at, COPY_DEPTH);
+        let desk = Desk { norms, next_timer, rated_at, spare, ..Desk::default() };
+        let till = Till { swept: told.at, ..Till::default() };
+        let (now, yard) = (told.at, BTreeMap::new());
+        let mut door = Door { now, told, desk, till, yard, draws: 0, actions: Vec::new() };
         door.watch();
         door
     }
@@ -192,7 +158,7 @@
                     let Some(txn) = self.desk.txns.get(&id) else {
                         return;
                     };
-                    let returned = ToTill::Returned { customer: txn.customer, cost: txn.cost };
+                    let returned = ToTill::Returned { customer: txn.asked.customer, cost: txn.asked.cost };
                     self.till.inbox.push_back(returned);
                     self.give_up(id, None);
                 }
@@ -214,19 +180,8 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { txn: id, product, customer, plan, width, cost, expiry } = arrival;
-        let txn = Txn {
-            product,
-            customer,
-            plan,
-            width,
-            cost,
-            arrived: self.now,
-            expiry,
-            answered: false,
-            begun: false,
-            submissions: Vec::new(),
-        };
+        let Arrival { txn: id, product, customer, plan, width, cost, .. } = arrival;
+        let txn = Txn { asked: arrival, arrived: self.now, ..Txn::default() };
         let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
         let sla_time = self.told.products[product.0].sla_time;
         let pressed = self.desk.pressed(product, value, sla_time);
@@ -243,7 +198,7 @@
         let Some(txn) = self.desk.txns.get(&id) else {
             return;
         };
-        let harmless = match self.told.products[txn.product.0].repeat {
+        let harmless = match self.told.products[txn.asked.product.0].repeat {
             Repeat::InquiryLike | Repeat::Referenced { among: Among::All, .. } => true,
             _ => !txn.submissions.iter().any(|submission| submission.may_have_run),
         };
@@ -286,8 +241,8 @@
         }
         submission.may_have_run = !ending.outcome.never_ran();
         let settled = ending.outcome == Outcome::Settled;
-        let owed = ending.true_cost.filter(|_| settled).map_or(0.0, |cost| cost - txn.cost);
-        let (customer, product, backend) = (txn.customer, txn.product, submission.backend);
+        let owed = ending.true_cost.filter(|_| settled).map_or(0.0, |cost| cost - txn.asked.cost);
+        let (customer, product, backend) = (txn.asked.customer, txn.asked.product, submission.backend);
         let waiting = txn.submissions.iter().any(|submission| submission.out);
         let answered = txn.answered;
         self.till.inbox.push_back(ToTill::Closed { customer, metered: ending.metered, owed });
@@ -321,13 +276,13 @@
         let Some(txn) = self.desk.txns.get(&id) else {
             return false;
         };
-        let product = &self.told.products[txn.product.0];
+        let product = &self.told.products[txn.asked.product.0];
         let may_have_run = txn.submissions.iter().any(|submission| submission.may_have_run);
         let in_time = txn.arrived + product.sla_time;
-        let answer = self.now + Tenths::SECOND.times(self.desk.norms[txn.product.0].mean);
+        let answer = self.now + Tenths::SECOND.times(self.desk.norms[txn.asked.product.0].mean);
         let allowed = !(may_have_run && product.repeat == Repeat::OnceOnly)
             && txn.submissions.len() < self.told.allowances.most_submissions
-            && answer <= in_time.min(txn.expiry)
+            && answer <= in_time.min(txn.asked.expiry)
             && self.desk.spare >= 1.0;
         if allowed {
             self.desk.spare -= 1.0;
@@ -341,7 +296,7 @@
         let Some(txn) = self.desk.txns.get_mut(&id) else {
             return false;
         };
-        let product = &self.told.products[txn.product.0];
+        let product = &self.told.products[txn.asked.product.0];
         let Some((backend, offer)) = draw(&self.desk.board, txn, product.repeat, self.now, chance) else {
             return false;
         };
@@ -350,7 +305,7 @@
         // Until its outcome says otherwise a submission may run at any moment.
         let (out, may_have_run) = (true, true);
         txn.submissions.push(Submission { backend, place, group, sent, out, may_have_run });
-        let norm = self.desk.norms[txn.product.0];
+        let norm = self.desk.norms[txn.asked.product.0];
         let wait = Tenths::SECOND.times(norm.mean + 2.5 * norm.spread);
         let repeatable = product.repeat != Repeat::OnceOnly;
         let copies = self.told.allowances.second_copies;
@@ -365,8 +320,8 @@
         if no.0 == 0 {
             self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
         }
-        let work = self.desk.norms[txn.product.0].mean;
-        self.till.inbox.push_back(ToTill::Opened(txn.customer));
+        let work = self.desk.norms[txn.asked.product.0].mean;
+        self.till.inbox.push_back(ToTill::Opened(txn.asked.customer));
         if let Some(actor) = self.yard.get_mut(&backend) {
             actor.inbox.push_back(ToBackend::Sent { txn: id, no, work });
         }
@@ -415,7 +370,7 @@
     open.last().map(|(id, offer)| (**id, **offer))
 }
 
-impl Desk<ToDesk> {
+impl Desk {
     fn learn(&mut self, product: ProductId, took: f64, now: Tenths) {
         let norm = &mut self.norms[product.0];
         norm.seen += 1.0;
@@ -437,7 +392,7 @@
     fn pressed(&mut self, product: ProductId, value: f64, sla_time: Tenths) -> bool {
         self.mean_value += 0.02 * (value - self.mean_value);
         let out: f64 = self.board.values().map(|offer| offer.out).sum();
-        if out < 4.0 * self.board.len() as f64 {
+        if out < 8.0 {
             return false;
         }
         let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
@@ -447,26 +402,9 @@
     }
 }
 
-impl Backend<ToBackend> {
+impl Backend {
     fn new(now: Tenths) -> Self {
-        Backend {
-            inbox: VecDeque::new(),
-            size: 1.0,
-            place: PlaceId(0),
-            group: GroupId(0),
-            booted: None,
-            listed: false,
-            out: BTreeMap::new(),
-            heard: now,
-            since: now,
-            pace: 1.0,
-            strikes: 0.0,
-            aside_until: None,
-            on_trial: false,
-            sent_rate: 0.0,
-            rated_at: now,
-            cold_credit: 0.0,
-        }
+        Backend { size: 1.0, heard: now, since: now, pace: 1.0, rated_at: now, ..Backend::default() }
     }
 
     fn warmth(&self, now: Tenths, cold: &ColdFigures) -> f64 {
@@ -558,7 +496,7 @@
     }
 }
 
-impl Till<ToTill> {
+impl Till {
     fn hear(&mut self, note: ToTill, now: Tenths, told: &Start) -> Option<ToDesk> {
         match note {
             ToTill::Ask { txn, customer, plan, width, cost } => {
@@ -622,23 +560,9 @@
     fn new(plan: PlanId, width: u32, now: Tenths, told: &Start) -> Account {
         let width = f64::from(if width == 0 { told.doors.max(1) } else { width });
         let figures = &told.plans[plan.0];
-        let mut account = Account {
-            plan,
-            width,
-            slice: 1.0 / width,
-            tokens: figures.burst / width,
-            ceiling: 0.0,
-            filled: now,
-            open: 0.0,
-            open_peak: 0.0,
-            mean_cost: 0.0,
-            let_since: 0.0,
-            let_through: 0.0,
-            metered: 0.0,
-            reading: 0.0,
-            read_at: None,
-            reviewed: now,
-        };
+        let (slice, tokens) = (1.0 / width, figures.burst / width);
+        let (filled, reviewed) = (now, now);
+        let mut account = Account { plan, width, slice, tokens, filled, reviewed, ..Account::default() };
         // What was spent before this instance began is unknown, so only time since then counts as refilled.
         let since = (now - told.at).seconds();
         account.ceiling = (since * figures.ceiling_rate / width).min(account.ceiling_most(figures));
@@ -694,10 +618,8 @@
         if plan.rate > 0.0 && self.tokens < needed - 1e-9 {
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
-        if plan.open_at_once > 0.0 {
-            if self.open >= (plan.open_at_once / self.width).max(1.0).floor() {
-                return Err(None);
-            }
+        if plan.open_at_once > 0.0 && self.open >= (plan.open_at_once / self.width).max(1.0).floor() {
+            return Err(None);
         }
         let weight = if self.mean_cost > 0.0 { 0.1 } else { 1.0 };
         self.mean_cost += weight * (cost - self.mean_cost);
@@ -707,14 +629,3 @@
         Ok(())
     }
 }
-
-/// The chance that fewer than `limit` are out elsewhere, where `mean` are on the average.
-fn chance_below(mean: f64, limit: f64) -> f64 {
-    let (mut term, mut sum, mut count) = ((-mean).exp(), 0.0, 0.0);
-    while count < limit {
-        sum += term;
-        count += 1.0;
-        term *= mean / count;
-    }
-    sum.min(1.0)
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -138,7 +138,7 @@
     pub booted: Option<Tenths>,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Arrival {
     pub txn: TxnId,
     pub product: ProductId,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,38 @@
 //! The data that the decisions keep, grouped by how long it lives.
 
-use crate::interface::{
-    BackendId, CustomerId, GroupId, PlaceId, PlanId, ProductId, SubmissionNo, Tenths, TimerId, TxnId,
-};
+use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
+// Notes between the parts.
+
+#[derive(Clone, Debug)]
+pub enum ToBackend {
+    Listed(Listed),
+    Tick { patience: Tenths, warm_rate: f64, cold: ColdFigures, rest: Tenths },
+    Sent { txn: TxnId, no: SubmissionNo, work: f64 },
+    Ended { txn: TxnId, no: SubmissionNo, outcome: Outcome, relative: f64 },
+}
+
+#[derive(Clone, Debug)]
+pub enum ToDesk {
+    Arrived(Arrival),
+    Granted(TxnId),
+    Refused(TxnId, Option<Tenths>),
+    Ended(Ending),
+    Begun(TxnId),
+    Left(TxnId),
+    Due(TimerId),
+    Offer(BackendId, Option<Offer>),
+}
+
+#[derive(Clone, Debug)]
+pub enum ToTill {
+    Ask { txn: TxnId, customer: CustomerId, plan: PlanId, width: u32, cost: f64 },
+    Returned { customer: CustomerId, cost: f64 },
+    Opened(CustomerId),
+    Closed { customer: CustomerId, metered: Option<f64>, owed: f64 },
+}
+
 // For one submission.
 
 #[derive(Clone, Debug)]
@@ -19,15 +47,10 @@
 
 // For one txn.
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Txn {
-    pub product: ProductId,
-    pub customer: CustomerId,
-    pub plan: PlanId,
-    pub width: u32,
-    pub cost: f64,
+    pub asked: Arrival,
     pub arrived: Tenths,
-    pub expiry: Tenths,
     pub answered: bool,
     pub begun: bool,
     pub submissions: Vec<Submission>,
@@ -35,9 +58,9 @@
 
 // For one backend.
 
-#[derive(Clone, Debug)]
-pub struct Backend<Note> {
-    pub inbox: VecDeque<Note>,
+#[derive(Clone, Debug, Default)]
+pub struct Backend {
+    pub inbox: VecDeque<ToBackend>,
     pub size: f64,
     pub place: PlaceId,
     pub group: GroupId,
@@ -72,7 +95,7 @@
 // For the instance.
 
 /// One customer's store at this door.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Account {
     pub plan: PlanId,
     pub width: f64,
@@ -99,9 +122,9 @@
     pub seen: f64,
 }
 
-#[derive(Clone, Debug)]
-pub struct Desk<Note> {
-    pub inbox: VecDeque<Note>,
+#[derive(Clone, Debug, Default)]
+pub struct Desk {
+    pub inbox: VecDeque<ToDesk>,
     pub txns: BTreeMap<TxnId, Txn>,
     pub timers: BTreeMap<TimerId, TxnId>,
     pub next_timer: u64,
@@ -113,9 +136,9 @@
     pub spare: f64,
 }
 
-#[derive(Clone, Debug)]
-pub struct Till<Note> {
-    pub inbox: VecDeque<Note>,
+#[derive(Clone, Debug, Default)]
+pub struct Till {
+    pub inbox: VecDeque<ToTill>,
     pub accounts: BTreeMap<CustomerId, Account>,
     pub swept: Tenths,
 }
