Weigh value inside the open cap against cost beyond where slices are under one

Now a door also asks how likely the others, taken to be as busy as itself lately, leave room. Covers wide customers and slow answers that keep more out. Harm: a door that alone serves a customer thinks others are as busy.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,6 +22,7 @@
 /// Spans a few meter readings and their delay, so that one late reading moves a slice little.
 const SLICE_SPAN: f64 = 4.0;
 const SLICE_FLOOR: f64 = 0.25;
+const OPEN_SPAN: f64 = 1.5;
 const PRIOR_TXNS: f64 = 12.0;
 const REST: Tenths = Tenths(20_000);
 const STRIKES: f64 = 3.0;
@@ -520,8 +521,8 @@
             }
             ToTill::Opened(customer) => {
                 if let Some(account) = self.accounts.get_mut(&customer) {
+                    account.refill(now, &told.plans[account.plan.0], told);
                     account.open += 1.0;
-                    account.open_peak = account.open_peak.max(account.open);
                 }
             }
             ToTill::Closed { customer, metered, owed } => {
@@ -579,7 +580,7 @@
         self.tokens = (self.tokens + plan.rate * self.slice * gap).min(plan.burst * self.slice);
         let ceiling = self.ceiling + plan.ceiling_rate / self.width * gap;
         self.ceiling = ceiling.min(self.ceiling_most(plan));
-        self.open_peak = self.open.max(self.open_peak * (-gap).exp());
+        self.open_mean += (1.0 - (-gap / OPEN_SPAN).exp()) * (self.open - self.open_mean);
         let period = told.meter_period.max(Tenths::SECOND.times(0.5));
         if now - self.reviewed >= period {
             self.review(now, plan);
@@ -618,8 +619,12 @@
         if plan.rate > 0.0 && self.tokens < needed - 1e-9 {
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
-        if plan.open_at_once > 0.0 && self.open >= (plan.open_at_once / self.width).max(1.0).floor() {
-            return Err(None);
+        if plan.open_at_once > 0.0 {
+            let inside = chance_below(self.open_mean * (self.width - 1.0), plan.open_at_once - self.open);
+            let slice = (plan.open_at_once / self.width).max(1.0).floor();
+            if self.open >= slice || inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0 {
+                return Err(None);
+            }
         }
         let weight = if self.mean_cost > 0.0 { 0.1 } else { 1.0 };
         self.mean_cost += weight * (cost - self.mean_cost);
@@ -629,3 +634,14 @@
         Ok(())
     }
 }
+
+/// The chance that fewer than `limit` are out elsewhere, where `mean` are on the average.
+fn chance_below(mean: f64, limit: f64) -> f64 {
+    let (mut term, mut sum, mut count) = ((-mean).exp(), 0.0, 0.0);
+    while count < limit {
+        sum += term;
+        count += 1.0;
+        term *= mean / count;
+    }
+    sum
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -104,7 +104,7 @@
     pub ceiling: f64,
     pub filled: Tenths,
     pub open: f64,
-    pub open_peak: f64,
+    pub open_mean: f64,
     pub mean_cost: f64,
     pub let_since: f64,
     pub let_through: f64,
