--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,7 +27,7 @@
 const REST: Tenths = Tenths(20_000);
 const STRIKES: f64 = 3.0;
 const OUTLYING: f64 = 4.0;
-const COPY_SHARE: f64 = 0.15;
+const COPY_SHARE: f64 = 0.0;
 const COPY_DEPTH: f64 = 12.0;
 
 pub struct Door {
