Send second copies only for what waits at a backend just set aside

Cause: copies on a timer went out for merely long txns. Covers silence and failure of a backend, whatever the cause. Harm: a wrong set-aside sends a burst of copies, held by the budget.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,7 +27,7 @@
 const REST: Tenths = Tenths(20_000);
 const STRIKES: f64 = 3.0;
 const OUTLYING: f64 = 4.0;
-const COPY_SHARE: f64 = 0.0;
+const COPY_SHARE: f64 = 0.1;
 const COPY_DEPTH: f64 = 12.0;
 
 pub struct Door {
@@ -45,8 +45,8 @@
         let guess = |product: &Product| product.sla_time.seconds() / 4.0;
         let norms = told.products.iter().map(guess);
         let norms = norms.map(|mean| Norm { mean, spread: mean, seen: 0.0 }).collect();
-        let (next_timer, rated_at, spare) = (1, told.at, COPY_DEPTH);
-        let desk = Desk { norms, next_timer, rated_at, spare, ..Desk::default() };
+        let (rated_at, spare) = (told.at, COPY_DEPTH);
+        let desk = Desk { norms, rated_at, spare, ..Desk::default() };
         let till = Till { swept: told.at, ..Till::default() };
         let (now, yard) = (told.at, BTreeMap::new());
         let mut door = Door { now, told, desk, till, yard, draws: 0, actions: Vec::new() };
@@ -81,7 +81,7 @@
                 Event::Ended(ending) => self.desk.inbox.push_back(ToDesk::Ended(ending)),
                 Event::Left(txn) => self.desk.inbox.push_back(ToDesk::Left(txn)),
                 Event::Due(TimerId(0)) => self.watch(),
-                Event::Due(timer) => self.desk.inbox.push_back(ToDesk::Due(timer)),
+                Event::Due(_) => {}
             }
         }
         self.settle_mail();
@@ -151,7 +151,12 @@
 
     fn hear(&mut self, note: ToDesk) {
         match note {
-            ToDesk::Offer(id, Some(offer)) => drop(self.desk.board.insert(id, offer)),
+            ToDesk::Offer(id, Some(offer)) => {
+                let before = self.desk.board.insert(id, offer);
+                if offer.bad && !before.is_some_and(|before| before.bad) {
+                    self.rescue(id);
+                }
+            }
             ToDesk::Offer(id, None) => drop(self.desk.board.remove(&id)),
             ToDesk::Arrived(arrival) => self.arrived(arrival),
             ToDesk::Granted(id) => {
@@ -172,11 +177,6 @@
                 }
             }
             ToDesk::Left(id) => self.conclude(id),
-            ToDesk::Due(timer) => {
-                if let Some(id) = self.desk.timers.remove(&timer) {
-                    self.overdue(id);
-                }
-            }
         }
     }
 
@@ -263,12 +263,17 @@
         }
     }
 
-    fn overdue(&mut self, id: TxnId) {
-        let Some(txn) = self.desk.txns.get(&id) else {
-            return;
+    /// Against silence: what waits at a backend just set aside gets a second copy elsewhere.
+    fn rescue(&mut self, id: BackendId) {
+        let waits = |txn: &Txn| {
+            !(txn.answered || txn.begun) && txn.submissions.iter().any(|one| one.out && one.backend == id)
         };
-        if !txn.answered && !txn.begun && self.told.allowances.second_copies && self.may_resubmit(id) {
-            self.submit(id);
+        let waiting = self.desk.txns.iter().filter(|(_, txn)| waits(txn));
+        let waiting: Vec<_> = waiting.map(|(&txn, _)| txn).collect();
+        for txn in waiting {
+            if self.told.allowances.second_copies && self.may_resubmit(txn) {
+                self.submit(txn);
+            }
         }
     }
 
@@ -306,18 +311,12 @@
         // Until its outcome says otherwise a submission may run at any moment.
         let (out, may_have_run) = (true, true);
         txn.submissions.push(Submission { backend, place, group, sent, out, may_have_run });
+        // Without second copies only a time-out frees a txn from a silent backend.
         let norm = self.desk.norms[txn.asked.product.0];
-        let wait = Tenths::SECOND.times(norm.mean + 2.5 * norm.spread);
-        let repeatable = product.repeat != Repeat::OnceOnly;
-        let copies = self.told.allowances.second_copies;
-        let time_out = (repeatable && !copies).then_some(wait.times(2.0));
+        let wait = Tenths::SECOND.times(2.0 * norm.mean + 5.0 * norm.spread);
+        let waits = product.repeat == Repeat::OnceOnly || self.told.allowances.second_copies;
+        let time_out = (!waits).then_some(wait.max(Tenths(10)));
         self.actions.push(Action::Submit { txn: id, backend, time_out });
-        if repeatable && copies {
-            let timer = TimerId(self.desk.next_timer);
-            self.desk.next_timer += 1;
-            self.desk.timers.insert(timer, id);
-            self.actions.push(Action::Wake { after: wait.max(Tenths(10)), timer });
-        }
         if no.0 == 0 {
             self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,7 +21,6 @@
     Ended(Ending),
     Begun(TxnId),
     Left(TxnId),
-    Due(TimerId),
     Offer(BackendId, Option<Offer>),
 }
 
@@ -126,8 +125,6 @@
 pub struct Desk {
     pub inbox: VecDeque<ToDesk>,
     pub txns: BTreeMap<TxnId, Txn>,
-    pub timers: BTreeMap<TimerId, TxnId>,
-    pub next_timer: u64,
     pub board: BTreeMap<BackendId, Offer>,
     pub norms: Vec<Norm>,
     pub settle_rate: f64,
