--- /dev/null
+++ b/benchlink/tests/transcript.rs
@@ -0,0 +1,75 @@
+//! The adapter over its standard streams, with a transcript of our own.
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+const START: &str = "SYNC t=100.0
+ON door=door_0
+LAUNCH init_seed=5 balancers=1 allowed.most_tries=3 allowed.cancel=true allowed.second_copies=true allowed.retry_after=true \
+allowed.max_retry_after=500.0 classes.count=1 classes.0.name=look classes.0.aim=400.0 classes.0.gain=1.0 \
+classes.0.idempotency=retryable tiers_of_service.count=1 tiers_of_service.0.name=basic \
+tiers_of_service.0.rate=1.0 tiers_of_service.0.store_size=1.0 tiers_of_service.0.value_factor=1.0 odd.key=3
+MEMBERS scope=2 seq_no=1 hosts=1
+M scale=1 unit_group=0 backend=10.0.0.1:80 mode=2 hall=north generation_hw=small
+EOF_BATCH
+";
+
+const TXNS: &str = "SYNC t=104.5
+ON door=door_0
+ORDER txn=9 band=look client_id=key:a width=1 plan=basic cost_units=1 state_bits=0 from_no=0 client_deadline=900.25
+ORDER txn=10 band=look client_id=key:a width=1 plan=basic cost_units=1 state_bits=0 from_no=0 client_deadline=900.25
+EOF_BATCH
+";
+
+fn play(input: &str) -> Output {
+    let mut link = Command::new(env!("CARGO_BIN_EXE_vanewharf-benchlink"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the adapter starts");
+    // It may give up before it has read all.
+    let _ = link.stdin.take().expect("its input").write_all(input.as_bytes());
+    link.wait_with_output().expect("the adapter ends")
+}
+
+#[test]
+fn answers_each_batch_and_ends_with_the_input() {
+    let end = "SYNC t=125\nON door=door_0\nATTEMPT_END txn=9 leg=0 backend=10.0.0.1:80 state_code=0 \
+               delay_seen=20.5 complete=1 quota_use=86\nDUE ctx=4\nEOF_BATCH\n\
+               SYNC t=126\nON door=door_0\nKILLED\nEOF_BATCH\n";
+    let output = play(&format!("{START}{TXNS}{end}"));
+    let replies = String::from_utf8(output.stdout).expect("text");
+    let wanted = "EOR\nINSTANCE door=door_0\nTRANSMIT txn=9 backend=10.0.0.1:80\n\
+                  DECLINE txn=10 stay_away=500.0\nEOR\nEOR\nEOR\n";
+    assert_eq!(replies, wanted);
+    assert!(output.status.success() && output.stderr.is_empty());
+}
+
+#[test]
+fn names_line_message_and_field_of_what_is_malformed() {
+    let body = |line: &str| format!("{START}SYNC t=104\nON door=door_0\n{line}\nEOF_BATCH\n");
+    let cases = [
+        (body("HELLO x=1"), ["line 9", "HELLO", "unknown message"]),
+        (body("ATTEMPT_END txn=9 state_code=0 leg=x"), ["line 9", "ATTEMPT_END", "leg"]),
+        (body("ATTEMPT_END txn=9 state_code=9 leg=0"), ["line 9", "ATTEMPT_END", "state_code"]),
+        (body("ORDER txn=9 band=look plan=basic"), ["line 9", "ORDER", "client_id"]),
+        (body("ORDER txn=9 band=look plan=gold client_id=a"), ["line 9", "ORDER", "plan"]),
+        (body("M backend=10.0.0.2:80 mode=2"), ["line 9", "M", "out of place"]),
+        (body("MEMBERS scope=0 hosts=1"), ["line 10", "EOF_BATCH", "out of place"]),
+        (body("CLIENT_LEFT txn"), ["line 9", "CLIENT_LEFT", "txn"]),
+        (body("ON door=door_9\nDUE ctx=1"), ["line 10", "DUE", "door_9"]),
+        (format!("{START}DUE ctx=1\n"), ["line 7", "DUE", "out of place"]),
+        (format!("{START}SYNC t=104\n"), ["line 7", "EOF_BATCH", "mid-batch"]),
+        (format!("{START}SYNC now=104\n"), ["line 7", "SYNC", "field t"]),
+        (START.replace("gain=1.0", "gain=much"), ["line 3", "LAUNCH", "classes.0.gain"]),
+    ];
+    for (input, words) in cases {
+        let output = play(&input);
+        let said = String::from_utf8(output.stderr).expect("text");
+        assert!(words.iter().all(|word| said.contains(word)), "{words:?} not in: {said}");
+        assert_eq!(said.lines().count(), 1, "{said}");
+        assert!(!output.status.success());
+        assert!(["", "EOR\n"].contains(&String::from_utf8_lossy(&output.stdout).as_ref()));
+    }
+}
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,296 @@
+//! Plays every file of `tests/scenarios/` against one door; `tests/scenarios/README.md` has the notation.
+
+use std::collections::HashMap;
+use std::path::Path;
+use vanewharf::decide::Door;
+use vanewharf::interface::*;
+
+struct Play {
+    door: Option<Door>,
+    told: Start,
+    products: Vec<String>,
+    plans: Vec<String>,
+    names: Vec<String>,
+    /// The txn, number and backend of each submission that has no outcome yet.
+    out: Vec<(u64, u32, u32)>,
+    tries: HashMap<u64, u32>,
+    next_txn: u64,
+}
+
+fn ms(text: &str) -> Tenths {
+    Tenths((number(text) * 10.0) as i64)
+}
+
+fn number(text: &str) -> f64 {
+    text.parse().unwrap_or_else(|_| panic!("'{text}' is no number"))
+}
+
+fn place(names: &[String], name: &str) -> usize {
+    names.iter().position(|known| known == name).unwrap_or_else(|| panic!("'{name}' is not known"))
+}
+
+/// The value of `key=value` among the words.
+fn given<'a>(words: &[&'a str], key: &str) -> Option<&'a str> {
+    words.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='))
+}
+
+fn figure(words: &[&str], key: &str, absent: f64) -> f64 {
+    given(words, key).map_or(absent, number)
+}
+
+impl Play {
+    fn new() -> Play {
+        let allowances = Allowances {
+            cancel: true,
+            second_copies: true,
+            retry_after: true,
+            max_retry_after: Tenths(10_000),
+            most_submissions: 3,
+        };
+        let told = Start {
+            seed: 7,
+            at: Tenths(0),
+            doors: 2,
+            products: Vec::new(),
+            plans: Vec::new(),
+            allowances,
+            cold: ColdFigures { from: 0.25, ramp_time: Tenths(100_000) },
+            meter_period: Tenths(5_000),
+            ask_within: None,
+        };
+        let (products, plans, names) = (Vec::new(), Vec::new(), Vec::new());
+        let (out, tries) = (Vec::new(), HashMap::new());
+        Play { door: None, told, products, plans, names, out, tries, next_txn: 1000 }
+    }
+
+    fn id(&mut self, name: &str) -> u32 {
+        if !self.names.iter().any(|known| known == name) {
+            self.names.push(name.to_owned());
+        }
+        place(&self.names, name) as u32
+    }
+
+    fn tell(&mut self, words: &[&str]) {
+        match words[0] {
+            "told" => {
+                let flag = |key, known| given(words, key).map_or(known, |value| value == "yes");
+                let allowances = &mut self.told.allowances;
+                allowances.cancel = flag("cancel", allowances.cancel);
+                allowances.second_copies = flag("copies", allowances.second_copies);
+                allowances.retry_after = flag("advice", allowances.retry_after);
+                self.told.doors = figure(words, "doors", f64::from(self.told.doors)) as u32;
+                self.told.ask_within = given(words, "ask").map(ms);
+            }
+            "product" => {
+                let repeat = match *words.last().expect("a kind of repeat") {
+                    "inquiry-like" => Repeat::InquiryLike,
+                    "once-only" => Repeat::OnceOnly,
+                    kind => {
+                        let mut parts = kind.split(':').skip(1);
+                        let among = match parts.next() {
+                            Some("place") => Among::Place,
+                            Some("group") => Among::Group,
+                            _ => Among::All,
+                        };
+                        Repeat::Referenced { among, window: ms(parts.next().expect("a window")) }
+                    }
+                };
+                let sla_time = ms(given(words, "sla").expect("an SLA time"));
+                self.told.products.push(Product { sla_time, value: figure(words, "value", 1.0), repeat });
+                self.products.push(words[1].to_owned());
+            }
+            _ => {
+                self.told.plans.push(Plan {
+                    rate: figure(words, "rate", 0.0),
+                    burst: figure(words, "burst", 0.0),
+                    open_at_once: figure(words, "open", 0.0),
+                    value_factor: 1.0,
+                    beyond_worth: 0.0,
+                    beyond_cost: figure(words, "beyond", 1.0),
+                    ceiling_rate: figure(words, "ceiling_rate", 0.0),
+                    ceiling_depth: figure(words, "ceiling_depth", 0.0),
+                });
+                self.plans.push(words[1].to_owned());
+            }
+        }
+    }
+
+    /// `name[!drain|!gone][@booted][#group]`
+    fn listed(&mut self, word: &str) -> Listed {
+        let (word, group) = word.split_once('#').unwrap_or((word, "0"));
+        let (word, booted) = word.split_once('@').map_or((word, None), |(name, at)| (name, Some(ms(at))));
+        let (name, standing) = match word.split_once('!') {
+            Some((name, "drain")) => (name, Standing::Draining),
+            Some((name, _)) => (name, Standing::Gone),
+            None => (word, Standing::Ready),
+        };
+        let group: u32 = group.parse().expect("a group");
+        let (backend, place, group) = (BackendId(self.id(name)), PlaceId(group), GroupId(group.into()));
+        Listed { backend, standing, size: 1.0, place, group, booted }
+    }
+
+    fn event(&mut self, now: Tenths, words: &[&str]) -> Event {
+        let txn = || TxnId(words[1].parse().expect("a txn"));
+        match words[0] {
+            "list" => Event::Listing(words[1..].iter().map(|word| self.listed(word)).collect()),
+            "change" => Event::Changes(words[1..].iter().map(|word| self.listed(word)).collect()),
+            "txn" => Event::Arrived(Arrival {
+                txn: txn(),
+                product: ProductId(place(&self.products, words[2])),
+                plan: PlanId(place(&self.plans, words[3])),
+                customer: CustomerId(self.id(words[4])),
+                width: figure(words, "width", 1.0) as u32,
+                cost: figure(words, "cost", 1.0),
+                expiry: now + ms(given(words, "expiry").unwrap_or("4000")),
+            }),
+            "left" => Event::Left(txn()),
+            "begun" => Event::Begun(txn()),
+            _ => {
+                let (txn, no) = words[1].split_once('.').expect("txn.number");
+                let (txn, no) = (txn.parse().expect("a txn"), no.parse().expect("a number"));
+                self.out.retain(|&(id, number, _)| (id, number) != (txn, no));
+                let outcome = match words[2] {
+                    "settled" => Outcome::Settled,
+                    "error" => Outcome::Error,
+                    "turned-away" => Outcome::TurnedAway,
+                    "timed-out" => Outcome::TimedOut,
+                    "no-connection" => Outcome::NoConnection,
+                    "broken" => Outcome::Broken,
+                    "cancelled" => Outcome::Cancelled,
+                    other => panic!("'{other}' is no outcome"),
+                };
+                Event::Ended(Ending {
+                    txn: TxnId(txn),
+                    no: SubmissionNo(no),
+                    outcome,
+                    took: ms(given(words, "took").unwrap_or("20")),
+                    complete: outcome == Outcome::Settled,
+                    metered: given(words, "use").map(number),
+                    true_cost: given(words, "true").map(number),
+                    reported_out: None,
+                })
+            }
+        }
+    }
+
+    fn batch(&mut self, now: Tenths, events: Vec<Event>) -> Vec<Action> {
+        let told = &self.told;
+        let door = self.door.get_or_insert_with(|| Door::start(Start { at: now, ..told.clone() }));
+        let actions = door.decide(now, events);
+        for action in &actions {
+            if let Action::Submit { txn, backend, .. } = action {
+                let no = self.tries.entry(txn.0).or_default();
+                self.out.push((txn.0, *no, backend.0));
+                *no += 1;
+            }
+        }
+        actions
+    }
+
+    /// A run of equal txns; with `settling`, each is settled before the next one comes.
+    fn run(&mut self, span: &str, words: &[&str], expected: &str) {
+        let (from, rest) = span.split_once("..").expect("from..to/step");
+        let (to, step) = rest.split_once('/').expect("from..to/step");
+        let (mut now, to, step) = (ms(from), ms(to), ms(step));
+        let mut submits = Vec::new();
+        while now < to {
+            if words.contains(&"settling") {
+                let mute = given(words, "mute").map(|name| self.id(name));
+                let out = self.out.clone();
+                for (txn, no, _) in out.into_iter().filter(|(_, _, at)| Some(*at) != mute) {
+                    let (id, used) =
+                        (format!("{txn}.{no}"), given(words, "use").map(|use_| format!("use={use_}")));
+                    let mut told = vec!["end", &id, "settled"];
+                    told.extend(used.as_deref());
+                    let event = self.event(now, &told);
+                    self.batch(now, vec![event]);
+                }
+            }
+            self.next_txn += 1;
+            let id = self.next_txn.to_string();
+            let mut one = vec!["txn", &id];
+            one.extend(&words[1..]);
+            let event = self.event(now, &one);
+            submits.extend(self.batch(now, vec![event]).iter().filter_map(|action| match action {
+                Action::Submit { backend, .. } => Some(self.names[backend.0 as usize].clone()),
+                _ => None,
+            }));
+            now = now + step;
+        }
+        if let Some((wanted, range)) = expected.rsplit_once(' ') {
+            let to = wanted.strip_prefix("submits to ");
+            let count = submits.iter().filter(|name| to.is_none_or(|to| to == *name)).count() as f64;
+            let (least, most) = range.split_once("..").expect("a range");
+            assert!(number(least) <= count && count <= number(most), "{count} submits, not {range}");
+        }
+    }
+
+    fn step(&mut self, line: &str) {
+        let (does, expected) = line.split_once("=>").unwrap_or((line, ""));
+        let words: Vec<_> = does.split_whitespace().collect();
+        let expected = expected.trim();
+        if ["told", "product", "plan"].contains(&words[0]) {
+            return self.tell(&words);
+        }
+        if words[0].contains("..") {
+            return self.run(words[0], &words[1..], expected);
+        }
+        let now = ms(words[0]);
+        if words[1] == "restart" {
+            (self.door, self.out) = (None, Vec::new());
+            return;
+        }
+        let events = if words[1] == "tick" { Vec::new() } else { vec![self.event(now, &words[1..])] };
+        let actions = self.batch(now, events);
+        let said: Vec<_> = actions.iter().filter_map(|action| self.say(action)).collect();
+        let agrees = |(said, wanted): (&String, &str)| {
+            said == wanted || said.strip_prefix(wanted).is_some_and(|rest| rest.starts_with(' '))
+        };
+        let wanted: Vec<_> = expected.split(", ").filter(|word| !["", "nothing"].contains(word)).collect();
+        let same = said.len() == wanted.len() && said.iter().zip(wanted).all(agrees);
+        assert!(expected.is_empty() || same, "{said:?}, not '{expected}'");
+    }
+
+    fn say(&self, action: &Action) -> Option<String> {
+        Some(match action {
+            Action::Submit { txn, backend, .. } => {
+                format!("submit {} {}", txn.0, self.names[backend.0 as usize])
+            }
+            Action::Cancel { txn, no } => format!("cancel {}.{}", txn.0, no.0),
+            Action::Decline { txn, retry_after: None } => format!("decline {}", txn.0),
+            Action::Decline { txn, retry_after: Some(span) } => {
+                format!("decline {} after {}", txn.0, span.0 / 10)
+            }
+            Action::Void { txn } => format!("void {}", txn.0),
+            Action::Watch => "watch".to_owned(),
+            Action::Wake { .. } => return None,
+        })
+    }
+}
+
+#[test]
+fn scenarios() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let files = std::fs::read_dir(folder).expect("the folder of scenarios").map(|file| file.unwrap().path());
+    let mut files: Vec<_> = files.filter(|path| path.extension().is_some_and(|end| end == "txt")).collect();
+    files.sort();
+    assert!(!files.is_empty());
+    let mut failed = Vec::new();
+    for path in &files {
+        let text = std::fs::read_to_string(path).expect("a scenario");
+        let mut play = Play::new();
+        for (number, line) in text.lines().enumerate() {
+            let line = line.split("# ").next().unwrap_or_default().trim();
+            if line == "anew" {
+                play = Play::new();
+            } else if !line.is_empty() {
+                let step = std::panic::AssertUnwindSafe(|| play.step(line));
+                if std::panic::catch_unwind(step).is_err() {
+                    failed.push(format!("{}:{}: {line}", path.display(), number + 1));
+                    break;
+                }
+            }
+        }
+    }
+    assert!(failed.is_empty(), "failed:\n{}", failed.join("\n"));
+}
