Let a fleet that is all cold take one submission at a time

A door with no warm backend to go by had no cold budget at all and would have declined everything. Harm: on very many doors one each may still be much for one cold backend.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -458,6 +458,10 @@
                 self.sent_rate *= (-gap / 2.0).exp();
                 let budget = warm_rate * self.size * self.warmth(now, &cold);
                 self.cold_credit = (self.cold_credit + budget * gap).min(budget * 0.5);
+                // Against a whole fleet started anew: nobody to go by, so one at a time shows what it can do.
+                if warm_rate == 0.0 && self.out.is_empty() {
+                    self.cold_credit = self.cold_credit.max(1e-6);
+                }
                 if self.aside_until.is_some_and(|until| now >= until) {
                     self.aside_until = None;
                     self.on_trial = true;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -192,7 +192,7 @@
         let (from, rest) = span.split_once("..").expect("from..to/step");
         let (to, step) = rest.split_once('/').expect("from..to/step");
         let (mut now, to, step) = (ms(from), ms(to), ms(step));
-        let mut submits = Vec::new();
+        let mut actions = Vec::new();
         while now < to {
             if words.contains(&"settling") {
                 let mute = given(words, "mute").map(|name| self.id(name));
@@ -203,7 +203,7 @@
                     let mut told = vec!["end", &id, "settled"];
                     told.extend(used.as_deref());
                     let event = self.event(now, &told);
-                    self.batch(now, vec![event]);
+                    actions.extend(self.batch(now, vec![event]));
                 }
             }
             self.next_txn += 1;
@@ -211,15 +211,16 @@
             let mut one = vec!["txn", &id];
             one.extend(&words[1..]);
             let event = self.event(now, &one);
-            submits.extend(self.batch(now, vec![event]).iter().filter_map(|action| match action {
-                Action::Submit { backend, .. } => Some(self.names[backend.0 as usize].clone()),
-                _ => None,
-            }));
+            actions.extend(self.batch(now, vec![event]));
             now = now + step;
         }
         if let Some((wanted, range)) = expected.rsplit_once(' ') {
             let to = wanted.strip_prefix("submits to ");
-            let count = submits.iter().filter(|name| to.is_none_or(|to| to == *name)).count() as f64;
+            let count = actions.iter().filter(|action| match action {
+                Action::Submit { backend, .. } => to.is_none_or(|to| to == self.names[backend.0 as usize]),
+                _ => false,
+            });
+            let count = count.count() as f64;
             let (least, most) = range.split_once("..").expect("a range");
             assert!(number(least) <= count && count <= number(most), "{count} submits, not {range}");
         }
@@ -257,7 +258,7 @@
                 format!("submit {} {}", txn.0, self.names[backend.0 as usize])
             }
             Action::Cancel { txn, no } => format!("cancel {}.{}", txn.0, no.0),
-            Action::Decline { txn, retry_after: None } => format!("decline {}", txn.0),
+            Action::Decline { txn, retry_after: None } => format!("decline {} unadvised", txn.0),
             Action::Decline { txn, retry_after: Some(span) } => {
                 format!("decline {} after {}", txn.0, span.0 / 10)
             }
