--- a/src/decide.rs
+++ b/src/decide.rs
@@ -24,6 +24,7 @@
 const SLICE_FLOOR: f64 = 0.25;
 const OPEN_SPAN: f64 = 1.5;
 const PRIOR_TXNS: f64 = 12.0;
+const PATIENCE: f64 = 0.2;
 const REST: Tenths = Tenths(20_000);
 const STRIKES: f64 = 3.0;
 const OUTLYING: f64 = 4.0;
@@ -184,8 +185,7 @@
         let Arrival { txn: id, product, customer, plan, width, cost, .. } = arrival;
         let txn = Txn { asked: arrival, arrived: self.now, ..Txn::default() };
         let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
-        let sla_time = self.told.products[product.0].sla_time;
-        let pressed = self.desk.pressed(product, value, sla_time);
+        let pressed = self.desk.pressed(value, &self.told);
         self.desk.txns.insert(id, txn);
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
@@ -388,17 +388,17 @@
         Tenths::SECOND.times(longest.fold(0.1, f64::max))
     }
 
-    /// What is out over what settles is how long a newcomer would wait; the cheaper give way first.
-    fn pressed(&mut self, product: ProductId, value: f64, sla_time: Tenths) -> bool {
+    /// What is out over what settles is how long a newcomer would wait. All products wait in the same lines, so
+    /// the one tightest on time says when; the cheaper give way first.
+    fn pressed(&mut self, value: f64, told: &Start) -> bool {
         self.mean_value += 0.02 * (value - self.mean_value);
         let out: f64 = self.board.values().map(|offer| offer.out).sum();
-        if out < 8.0 {
-            return false;
-        }
         let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
-        let wait = out / self.settle_rate.max(1.0) * self.norms[product.0].mean / mean;
-        let patience = 0.5 + 0.5 * value / (value + self.mean_value);
-        wait > sla_time.seconds() * patience
+        let crowding = out / self.settle_rate.max(1.0) / mean;
+        let times = told.products.iter().zip(&self.norms);
+        let times = times.map(|(product, norm)| norm.mean / product.sla_time.seconds());
+        let patience = PATIENCE + 0.5 * value / (value + self.mean_value);
+        out >= 8.0 && crowding * times.fold(0.0, f64::max) > patience
     }
 }
 
