--- a/src/decide.rs
+++ b/src/decide.rs
@@ -618,7 +618,9 @@
             return Err(wait(cost - self.ceiling, plan.ceiling_rate / self.width));
         }
         // A slice can lie below one txn's cost and would never admit it: a full one may go into debt.
-        let needed = cost.min(plan.burst * self.slice);
+        let idle = (1.0 - self.metered).max(0.0);
+        let worth = (1.0 + plan.beyond_worth - plan.beyond_cost).max(0.0);
+        let needed = cost.min(plan.burst * self.slice) - worth * idle * plan.burst * (1.0 - self.slice);
         if plan.rate > 0.0 && self.tokens < needed - 1e-9 {
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
