--- a/src/decide.rs
+++ b/src/decide.rs
@@ -392,7 +392,8 @@
     /// the one tightest on time says when; the cheaper give way first.
     fn pressed(&mut self, value: f64, told: &Start) -> bool {
         self.mean_value += 0.02 * (value - self.mean_value);
-        let out: f64 = self.board.values().map(|offer| offer.out).sum();
+        // What is stuck at a silent backend stands in nobody's way.
+        let out: f64 = self.board.values().map(|offer| offer.out - offer.stuck).sum();
         let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
         let crowding = out / self.settle_rate.max(1.0) / mean;
         let times = told.products.iter().zip(&self.norms);
@@ -453,6 +454,7 @@
                 }
             }
             ToBackend::Tick { patience, warm_rate, cold, rest } => {
+                self.stuck = self.out.values().filter(|&&sent| now - sent > patience).count() as f64;
                 let gap = (now - self.rated_at).seconds();
                 self.rated_at = now;
                 self.sent_rate *= (-gap / 2.0).exp();
@@ -492,6 +494,7 @@
             size: self.size,
             strength: self.size * warmth / self.pace.max(0.1),
             out,
+            stuck: self.stuck.min(out),
             cold: is_cold,
             bad: self.aside_until.is_some(),
             shut: (is_cold && self.cold_credit <= 0.0) || (self.on_trial && out >= 1.0),
