--- a/src/decide.rs
+++ b/src/decide.rs
@@ -388,8 +388,8 @@
         Tenths::SECOND.times(longest.fold(0.1, f64::max))
     }
 
-    /// What is out over what settles is how long a newcomer would wait. All products wait in the same lines, so
-    /// the one tightest on time says when; the cheaper give way first.
+    /// What is out over what settles is how long a newcomer would wait. All products wait in the same lines,
+    /// so the one tightest on time says when; the cheaper give way first.
     fn pressed(&mut self, value: f64, told: &Start) -> bool {
         self.mean_value += 0.02 * (value - self.mean_value);
         // What is stuck at a silent backend stands in nobody's way.
@@ -479,8 +479,11 @@
     }
 
     fn ails(&self, now: Tenths, patience: Tenths) -> bool {
-        let waiting = self.out.values().filter(|&&sent| sent >= self.since && now - sent > patience);
-        let silent = now - self.heard > patience && waiting.count() >= if self.on_trial { 1 } else { 2 };
+        // One txn long overdue tells as much as several a little: in a wide fleet a door has only one there.
+        let ages = self.out.values().filter(|&&sent| sent >= self.since).map(|&sent| now - sent);
+        let overdue = ages.filter(|&age| age > patience).map(|age| age.seconds() / patience.seconds());
+        let silent =
+            now - self.heard > patience && overdue.sum::<f64>() >= if self.on_trial { 1.0 } else { 2.0 };
         silent || self.strikes >= STRIKES || self.pace > OUTLYING
     }
 
