--- a/src/decide.rs
+++ b/src/decide.rs
@@ -448,7 +448,7 @@
                         self.pace += 0.1 * (relative.min(20.0) - self.pace);
                     }
                     Outcome::Cancelled | Outcome::Moot => {}
-                    Outcome::TurnedAway => self.heard = now,
+                    // A server that turns all away at once has nothing out and would look the emptiest.
                     _ if sent >= self.since => self.strikes += 1.0,
                     _ => {}
                 }
