--- a/src/decide.rs
+++ b/src/decide.rs
@@ -22,6 +22,8 @@
 /// Spans a few meter readings and their delay, so that one late reading moves a slice little.
 const SLICE_SPAN: f64 = 4.0;
 const SLICE_FLOOR: f64 = 0.25;
+/// What is let in inside a cap takes the place of another that would have been inside too.
+const CROWDED: f64 = 0.35;
 const OPEN_SPAN: f64 = 1.5;
 const PRIOR_TXNS: f64 = 12.0;
 const PATIENCE: f64 = 0.2;
@@ -633,7 +635,9 @@
         if plan.open_at_once > 0.0 {
             let inside = chance_below(self.open_mean * (self.width - 1.0), plan.open_at_once - self.open);
             let slice = (plan.open_at_once / self.width).max(1.0).floor();
-            if self.open >= slice || inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0 {
+            if self.open >= slice
+                || CROWDED * inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0
+            {
                 return Err(None);
             }
         }
