--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -98,16 +98,6 @@
     }
 
     pub fn ending(&self, line: &Line<'_>) -> Result<Ending, Malformed> {
-        let mut reported_out = None;
-        if let Some(row) = line.text("telemetry") {
-            for (name, value) in self.told.report_fields.iter().zip(row.split(',')) {
-                let fault = || line.fault(format!("field telemetry cannot be read: '{row}'"));
-                let number: f64 = value.parse().map_err(|_| fault())?;
-                if name == "outstanding" {
-                    reported_out = Some(number);
-                }
-            }
-        }
         let metered = line.number("quota_use")?.filter(|&told| told >= 1.0);
         Ok(Ending {
             txn: TxnId(line.whole("txn")?),
@@ -117,7 +107,6 @@
             complete: line.flag("complete")?,
             metered: metered.map(|told| (told - 1.0) / 100.0),
             true_cost: line.number("billed")?.filter(|&cost| cost > 0.0),
-            reported_out,
         })
     }
 
--- a/benchlink/src/launch.rs
+++ b/benchlink/src/launch.rs
@@ -10,7 +10,6 @@
 pub struct Told {
     pub plans: HashMap<String, usize>,
     pub products: HashMap<String, usize>,
-    pub report_fields: Vec<String>,
 }
 
 struct Options<'a> {
@@ -93,8 +92,6 @@
             ceiling_depth: options.number(&key("never_over_depth"))?,
         });
     }
-    let fields = options.text("reporting.fields").split(',').filter(|name| !name.is_empty());
-    told.report_fields = fields.map(str::to_owned).collect();
     let on_request = options.text("membership_mode") == "on_request";
     let start = Start {
         seed: line.whole("init_seed")?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -177,8 +177,6 @@
     /// The customer's use over all doors, as a share of its quota.
     pub metered: Option<f64>,
     pub true_cost: Option<f64>,
-    /// What the backend says it holds, over all doors.
-    pub reported_out: Option<f64>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -167,7 +167,6 @@
                     complete: outcome == Outcome::Settled,
                     metered: given(words, "use").map(number),
                     true_cost: given(words, "true").map(number),
-                    reported_out: None,
                 })
             }
         }
