--- a/src/decide.rs
+++ b/src/decide.rs
@@ -20,11 +20,12 @@
 use std::hash::{Hash, Hasher};
 
 /// Spans a few meter readings and their delay, so that one late reading moves a slice little.
-const SLICE_SPAN: f64 = 4.0;
+const SLICE_SPAN: f64 = 2.0;
 const SLICE_FLOOR: f64 = 0.25;
 /// What is let in inside a cap takes the place of another that would have been inside too.
 const CROWDED: f64 = 0.35;
 const OPEN_SPAN: f64 = 1.5;
+const METER_LAG: f64 = 1.5;
 const PRIOR_TXNS: f64 = 12.0;
 const PATIENCE: f64 = 0.2;
 const REST: Tenths = Tenths(20_000);
@@ -605,6 +606,9 @@
         let weight = 1.0 - (-gap / SLICE_SPAN).exp();
         self.let_through += weight * (self.let_since / gap - self.let_through);
         self.let_since = 0.0;
+        // Readings come late: what is compared with them is held back as long.
+        let lag = 1.0 - (-gap / METER_LAG).exp();
+        self.let_aligned += lag * (self.let_through - self.let_aligned);
         let current = self.read_at.is_some_and(|at| (now - at).seconds() < SLICE_SPAN);
         if current {
             self.metered += weight * (self.reading - self.metered);
@@ -613,7 +617,7 @@
         if current && plan.rate > 0.0 {
             // Few txns tell little of a share: the even one counts as so many more of them.
             let prior = PRIOR_TXNS * self.mean_cost / SLICE_SPAN;
-            let share = (self.let_through + prior * even) / (self.metered * plan.rate + prior);
+            let share = (self.let_aligned + prior * even) / (self.metered * plan.rate + prior);
             self.slice = share.clamp(SLICE_FLOOR * even, (2.0 * self.slice).min(1.0));
         } else {
             self.slice += weight * (even - self.slice);
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,6 +109,7 @@
     pub mean_cost: f64,
     pub let_since: f64,
     pub let_through: f64,
+    pub let_aligned: f64,
     pub metered: f64,
     pub reading: f64,
     pub read_at: Option<Tenths>,
