Take no crowd from a door's first seconds

Told apart from a real crowd: it is there before any trouble and passes by itself. Now the average is corrected for its age. Covers every restart of a door. Harm: a door that starts into a real crowd sends its first txns blindly.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -399,11 +399,15 @@
         // What is stuck at a silent backend stands in nobody's way.
         let out: f64 = self.board.values().map(|offer| offer.out - offer.stuck).sum();
         let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
-        let crowding = out / self.settle_rate.max(1.0) / mean;
+        // Against taking a door's first seconds, when little can have settled yet, for a crowd.
+        let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
+        let age = (self.rated_at - told.at).seconds();
+        let rate = self.settle_rate / (1.0 - (-age / 2.0).exp()).max(0.05);
+        let crowding = out / rate.max(1.0) / mean;
         let times = told.products.iter().zip(&self.norms);
         let times = times.map(|(product, norm)| norm.mean / product.sla_time.seconds());
         let patience = PATIENCE + 0.5 * value / (value + self.mean_value);
-        out >= 8.0 && crowding * times.fold(0.0, f64::max) > patience
+        out >= 8.0 && seen >= 8.0 && crowding * times.fold(0.0, f64::max) > patience
     }
 }
 
