Judge health after a batch's events

Told apart from slow servers: no server stands out in the tenths. Harm: what depends on time is as old as the last batch.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -61,8 +61,6 @@
 
     pub fn decide(&mut self, now: Tenths, events: Vec<Event>) -> Vec<Action> {
         self.now = self.now.max(now);
-        self.tick();
-        self.settle_mail();
         for event in events {
             match event {
                 Event::Listing(entries) => {
@@ -90,6 +88,9 @@
             }
         }
         self.settle_mail();
+        // Judged after the events: a door held up itself must not take its own backlog for silence.
+        self.tick();
+        self.settle_mail();
         std::mem::take(&mut self.actions)
     }
 
