Count the higher of two settle rates, over 0.6 s and over 2 s

Cause: when traffic rises, what is out rises at once and the settle rate seconds later, so the door took good traffic for a crowd; after a shared slowness the same. Harm: a burst of answers after a stall hides a crowd for half a second.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -384,6 +384,7 @@
         norm.mean += weight * (took - norm.mean);
         let gap = (now - self.rated_at).seconds();
         self.settle_rate = self.settle_rate * (-gap / 2.0).exp() + 0.5;
+        self.quick_rate = self.quick_rate * (-gap / 0.6).exp() + 1.0 / 0.6;
         self.rated_at = now;
     }
 
@@ -404,7 +405,7 @@
         let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
         let age = (self.rated_at - told.at).seconds();
         let rate = self.settle_rate / (1.0 - (-age / 2.0).exp()).max(0.05);
-        let crowding = out / rate.max(1.0) / mean;
+        let crowding = out / rate.max(self.quick_rate).max(1.0) / mean;
         let times = told.products.iter().zip(&self.norms);
         let times = times.map(|(product, norm)| norm.mean / product.sla_time.seconds());
         let patience = PATIENCE + 0.5 * value / (value + self.mean_value);
--- a/src/state.rs
+++ b/src/state.rs
@@ -131,6 +131,7 @@
     pub board: BTreeMap<BackendId, Offer>,
     pub norms: Vec<Norm>,
     pub settle_rate: f64,
+    pub quick_rate: f64,
     pub rated_at: Tenths,
     pub mean_value: f64,
     pub spare: f64,
