Share what is lent from unclaimed quota over the other doors

Cause: each door lent as if it were alone, so on wide customers the loans summed past what is unclaimed.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -640,7 +640,7 @@
         let worth = (1.0 + plan.beyond_worth - plan.beyond_cost).max(0.0);
         // A slice below one txn's cost would never admit it, and one little above it seldom: a fair part of a
         // full one is enough, the rest is debt.
-        let lent = worth * idle * plan.burst * (1.0 - self.slice);
+        let lent = worth * idle * plan.burst * (1.0 - self.slice) / (self.width - 1.0).max(1.0);
         let needed = cost.min(ENOUGH * plan.burst * self.slice) - lent;
         if plan.rate > 0.0 && self.tokens < needed - 1e-9 {
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
