--- a/src/decide.rs
+++ b/src/decide.rs
@@ -647,7 +647,7 @@
         }
         if plan.open_at_once > 0.0 {
             let inside = chance_below(self.open_mean * (self.width - 1.0), plan.open_at_once - self.open);
-            let slice = (plan.open_at_once / self.width).max(1.0).floor();
+            let slice = (plan.open_at_once / self.width).ceil();
             if self.open >= slice
                 || CROWDED * inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0
             {
