Give each figure its reason; count only new submissions on a trial

A server back from rest was held shut by what was stuck there before it; a capped customer's mean was dropped with its idle bucket; cancels went out twice where two copies ended.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,19 +19,33 @@
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
 
-/// Spans a few meter readings and their delay, so that one late reading moves a slice little.
+// Figures without a site of their own; docs/results.md and the journal have what else was tried.
+/// Seconds over a few meter readings, so that one reading moves a slice little.
 const SLICE_SPAN: f64 = 2.0;
-const ENOUGH: f64 = 0.5;
+/// Seconds that readings come late; longer than most, as an early share sums past the quota.
+const METER_LAG: f64 = 1.5;
+/// A share out of fewer txns than this is mostly chance.
+const PRIOR_TXNS: f64 = 12.0;
+/// A door must be able to learn that traffic has come back to it.
 const SLICE_FLOOR: f64 = 0.25;
+/// The part of a slice's burst that lets in a txn of any size.
+const ENOUGH: f64 = 0.5;
 /// What is let in inside a cap takes the place of another that would have been inside too.
 const CROWDED: f64 = 0.35;
+/// Seconds of a burst, in which the other doors are as busy as this one.
 const OPEN_SPAN: f64 = 1.5;
-const METER_LAG: f64 = 1.5;
-const PRIOR_TXNS: f64 = 12.0;
+/// The part of the SLA time that the cheapest may be expected to take; the dearest get half of it more.
 const PATIENCE: f64 = 0.1;
+/// Seconds of settling that tell the pace of the fleet, and those that show it rising.
+const SETTLE_SPAN: f64 = 2.0;
+const QUICK_SPAN: f64 = 0.6;
+/// Long against an answer, short against a failure.
 const REST: Tenths = Tenths(20_000);
+/// One failure is chance, three with nothing settled between are not.
 const STRIKES: f64 = 3.0;
+/// Beyond what unlike machines or an uneven load explain.
 const OUTLYING: f64 = 4.0;
+/// Further submissions for each first one, and the most saved up: enough for one silent backend's txns.
 const COPY_SHARE: f64 = 0.1;
 const COPY_DEPTH: f64 = 12.0;
 
@@ -223,12 +237,12 @@
         let Some(txn) = self.desk.txns.get_mut(&id) else {
             return;
         };
-        txn.answered = true;
+        let first = !std::mem::replace(&mut txn.answered, true);
         let out = txn.submissions.iter().enumerate().filter(|(_, submission)| submission.out);
         let out: Vec<_> = out.map(|(no, _)| SubmissionNo(no as u32)).collect();
         if out.is_empty() {
             self.desk.txns.remove(&id);
-        } else if self.told.allowances.cancel && !txn.begun {
+        } else if first && self.told.allowances.cancel && !txn.begun {
             self.actions.extend(out.into_iter().map(|no| Action::Cancel { txn: id, no }));
         }
     }
@@ -383,8 +397,8 @@
         norm.spread += weight * ((took - norm.mean).abs() - norm.spread);
         norm.mean += weight * (took - norm.mean);
         let gap = (now - self.rated_at).seconds();
-        self.settle_rate = self.settle_rate * (-gap / 2.0).exp() + 0.5;
-        self.quick_rate = self.quick_rate * (-gap / 0.6).exp() + 1.0 / 0.6;
+        self.settle_rate = self.settle_rate * (-gap / SETTLE_SPAN).exp() + 1.0 / SETTLE_SPAN;
+        self.quick_rate = self.quick_rate * (-gap / QUICK_SPAN).exp() + 1.0 / QUICK_SPAN;
         self.rated_at = now;
     }
 
@@ -404,7 +418,7 @@
         // Against taking a door's first seconds, when little can have settled yet, for a crowd.
         let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
         let age = (self.rated_at - told.at).seconds();
-        let rate = self.settle_rate / (1.0 - (-age / 2.0).exp()).max(0.05);
+        let rate = self.settle_rate / (1.0 - (-age / SETTLE_SPAN).exp()).max(0.05);
         let crowding = out / rate.max(self.quick_rate).max(1.0) / mean;
         let times = told.products.iter().zip(&self.norms);
         let times = times.map(|(product, norm)| norm.mean / product.sla_time.seconds());
@@ -443,7 +457,7 @@
             }
             ToBackend::Sent { txn, no, work } => {
                 self.out.insert((txn, no), now);
-                self.sent_rate += work / 2.0;
+                self.sent_rate += work / SETTLE_SPAN;
                 self.cold_credit -= work;
             }
             ToBackend::Ended { txn, no, outcome, relative } => {
@@ -467,7 +481,7 @@
                 self.stuck = self.out.values().filter(|&&sent| now - sent > patience).count() as f64;
                 let gap = (now - self.rated_at).seconds();
                 self.rated_at = now;
-                self.sent_rate *= (-gap / 2.0).exp();
+                self.sent_rate *= (-gap / SETTLE_SPAN).exp();
                 let budget = warm_rate * self.size * self.warmth(now, &cold);
                 self.cold_credit = (self.cold_credit + budget * gap).min(budget * 0.5);
                 // Against a whole fleet started anew: nobody to go by, so one at a time shows what it can do.
@@ -501,6 +515,7 @@
         let warmth = self.warmth(now, cold);
         let out = self.out.len() as f64;
         let is_cold = warmth < 1.0;
+        let tried = self.on_trial && self.out.values().any(|&sent| sent >= self.since);
         Offer {
             place: self.place,
             group: self.group,
@@ -510,7 +525,7 @@
             stuck: self.stuck.min(out),
             cold: is_cold,
             bad: self.aside_until.is_some(),
-            shut: (is_cold && self.cold_credit <= 0.0) || (self.on_trial && out >= 1.0),
+            shut: (is_cold && self.cold_credit <= 0.0) || tried,
             sent_rate: self.sent_rate,
         }
     }
@@ -571,7 +586,8 @@
             account.refill(now, plan, told);
             let full = account.tokens >= plan.burst * account.slice;
             let even = (account.slice * account.width - 1.0).abs() < 0.05;
-            !(full && even && account.open <= 0.0 && account.ceiling >= account.ceiling_most(plan))
+            let idle = account.open <= 0.0 && account.open_mean < 0.05;
+            !(full && even && idle && account.ceiling >= account.ceiling_most(plan))
         });
     }
 }
