Count others busier under an open cap where the meter shows use past it

The others' likely use is taken times the metered use where that is above the cap. Acts only on plans with an open cap. Harm: late readings hold a plan down for seconds after a burst.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -662,7 +662,10 @@
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
         if plan.open_at_once > 0.0 {
-            let inside = chance_below(self.open_mean * (self.width - 1.0), plan.open_at_once - self.open);
+            let inside = chance_below(
+                self.open_mean * (self.width - 1.0) * self.metered.max(1.0),
+                plan.open_at_once - self.open,
+            );
             let slice = (plan.open_at_once / self.width).ceil();
             if self.open >= slice
                 || CROWDED * inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0
