Ask again a second after a failed call for the list, on no second chain of timers

Each failure asked again at once and set a further periodic timer, so a list service that fails would have been flooded. Harm: a second longer with the old list after a failure.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -92,12 +92,16 @@
                     }
                 }
                 Event::Changes(entries) => self.list(entries),
-                Event::ListingFailed => self.watch(),
+                // Asked again later, on no second chain of timers: failing calls must not flood the list.
+                Event::ListingFailed => {
+                    self.actions.push(Action::Wake { after: Tenths::SECOND, timer: TimerId(1) });
+                }
                 Event::Arrived(arrival) => self.desk.inbox.push_back(ToDesk::Arrived(arrival)),
                 Event::Begun(txn) => self.desk.inbox.push_back(ToDesk::Begun(txn)),
                 Event::Ended(ending) => self.desk.inbox.push_back(ToDesk::Ended(ending)),
                 Event::Left(txn) => self.desk.inbox.push_back(ToDesk::Left(txn)),
                 Event::Due(TimerId(0)) => self.watch(),
+                Event::Due(TimerId(1)) => self.actions.push(Action::Watch),
                 Event::Due(_) => {}
             }
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -145,6 +145,8 @@
             }),
             "left" => Event::Left(txn()),
             "begun" => Event::Begun(txn()),
+            "unlisted" => Event::ListingFailed,
+            "due" => Event::Due(TimerId(words[1].parse().expect("a timer"))),
             _ => {
                 let (txn, no) = words[1].split_once('.').expect("txn.number");
                 let (txn, no) = (txn.parse().expect("a txn"), no.parse().expect("a number"));
@@ -263,7 +265,7 @@
             }
             Action::Void { txn } => format!("void {}", txn.0),
             Action::Watch => "watch".to_owned(),
-            Action::Wake { .. } => return None,
+            Action::Wake { after, timer } => format!("wake {} after {}", timer.0, after.0 / 10),
         })
     }
 }
