--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -4,28 +4,11 @@
 use crate::launch;
 use crate::wire::{Line, Malformed};
 use std::collections::BTreeMap;
-use std::io::{self, BufRead, Write};
+use std::error::Error;
+use std::io::{BufRead, Write};
 use vanewharf::decide::Door;
 use vanewharf::interface::{Event, Listed, Tenths};
 
-#[derive(Debug)]
-pub enum Broken {
-    Input(Malformed),
-    Stream(io::Error),
-}
-
-impl From<Malformed> for Broken {
-    fn from(fault: Malformed) -> Broken {
-        Broken::Input(fault)
-    }
-}
-
-impl From<io::Error> for Broken {
-    fn from(fault: io::Error) -> Broken {
-        Broken::Stream(fault)
-    }
-}
-
 /// A list under way: how many entries are still to come.
 struct Listing {
     whole: bool,
@@ -48,7 +31,7 @@
 }
 
 impl Link {
-    pub fn run(&mut self, mut input: impl BufRead, mut output: impl Write) -> Result<(), Broken> {
+    pub fn run(&mut self, mut input: impl BufRead, mut output: impl Write) -> Result<(), Box<dyn Error>> {
         let mut text = String::new();
         let mut number = 0;
         loop {
@@ -67,7 +50,7 @@
         }
     }
 
-    fn end(&self, number: u64) -> Result<(), Broken> {
+    fn end(&self, number: u64) -> Result<(), Box<dyn Error>> {
         if self.batch.now.is_none() {
             return Ok(());
         }
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -5,7 +5,7 @@
 mod link;
 mod wire;
 
-use link::{Broken, Link};
+use link::Link;
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
@@ -14,11 +14,7 @@
     let output = BufWriter::with_capacity(1 << 20, io::stdout().lock());
     match Link::default().run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(Broken::Input(fault)) => {
-            eprintln!("vanewharf-benchlink: {fault}");
-            ExitCode::FAILURE
-        }
-        Err(Broken::Stream(fault)) => {
+        Err(fault) => {
             eprintln!("vanewharf-benchlink: {fault}");
             ExitCode::FAILURE
         }
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -1,5 +1,6 @@
 //! The lines of the wire: words, fields, and plain complaints about what is malformed.
 
+use std::error::Error;
 use std::fmt;
 use std::str::FromStr;
 use vanewharf::interface::Tenths;
@@ -18,6 +19,8 @@
     }
 }
 
+impl Error for Malformed {}
+
 /// One line: its message and its fields.
 pub struct Line<'a> {
     pub number: u64,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,7 +34,7 @@
 const CROWDED: f64 = 0.35;
 /// Seconds of a burst, in which the other doors are as busy as this one.
 const OPEN_SPAN: f64 = 1.5;
-/// The part of the SLA time that the cheapest may be expected to take; the dearest get half of it more.
+/// The part of the SLA time that the cheapest may be expected to take; the dearest up to half of it more.
 const PATIENCE: f64 = 0.1;
 /// Seconds of settling that tell the pace of the fleet, and those that show it rising.
 const SETTLE_SPAN: f64 = 2.0;
@@ -137,9 +137,8 @@
         for id in self.yard.keys().copied().collect::<Vec<_>>() {
             // The random part keeps doors that rested a backend together from returning to it together.
             let rest = REST.times(1.0 + 0.5 * self.chance());
-            let cold = self.told.cold.clone();
             if let Some(actor) = self.yard.get_mut(&id) {
-                actor.inbox.push_back(ToBackend::Tick { patience, warm_rate, cold, rest });
+                actor.inbox.push_back(ToBackend::Tick { patience, warm_rate, rest });
             }
         }
     }
@@ -156,7 +155,7 @@
         loop {
             for (&id, actor) in &mut self.yard {
                 while let Some(note) = actor.inbox.pop_front() {
-                    actor.hear(note, self.now);
+                    actor.hear(note, self.now, &self.told.cold);
                     let offer = actor.listed.then(|| actor.offer(self.now, &self.told.cold));
                     self.desk.inbox.push_front(ToDesk::Offer(id, offer));
                 }
@@ -343,10 +342,9 @@
         if no.0 == 0 {
             self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
         }
-        let work = self.desk.norms[txn.asked.product.0].mean;
         self.till.inbox.push_back(ToTill::Opened(txn.asked.customer));
         if let Some(actor) = self.yard.get_mut(&backend) {
-            actor.inbox.push_back(ToBackend::Sent { txn: id, no, work });
+            actor.inbox.push_back(ToBackend::Sent { txn: id, no, work: norm.mean });
         }
         true
     }
@@ -444,7 +442,7 @@
         (cold.from + (1.0 - cold.from) * age.max(0.0)).min(1.0)
     }
 
-    fn hear(&mut self, note: ToBackend, now: Tenths) {
+    fn hear(&mut self, note: ToBackend, now: Tenths, cold: &ColdFigures) {
         match note {
             ToBackend::Listed(entry) => {
                 if entry.booted != self.booted && entry.booted.is_some() {
@@ -481,12 +479,12 @@
                     _ => {}
                 }
             }
-            ToBackend::Tick { patience, warm_rate, cold, rest } => {
+            ToBackend::Tick { patience, warm_rate, rest } => {
                 self.stuck = self.out.values().filter(|&&sent| now - sent > patience).count() as f64;
                 let gap = (now - self.rated_at).seconds();
                 self.rated_at = now;
                 self.sent_rate *= (-gap / SETTLE_SPAN).exp();
-                let budget = warm_rate * self.size * self.warmth(now, &cold);
+                let budget = warm_rate * self.size * self.warmth(now, cold);
                 self.cold_credit = (self.cold_credit + budget * gap).min(budget * 0.5);
                 // Against a whole fleet started anew: nobody to go by, so one at a time shows what it can do.
                 if warm_rate == 0.0 && self.out.is_empty() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug)]
 pub enum ToBackend {
     Listed(Listed),
-    Tick { patience: Tenths, warm_rate: f64, cold: ColdFigures, rest: Tenths },
+    Tick { patience: Tenths, warm_rate: f64, rest: Tenths },
     Sent { txn: TxnId, no: SubmissionNo, work: f64 },
     Ended { txn: TxnId, no: SubmissionNo, outcome: Outcome, relative: f64 },
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -199,10 +199,10 @@
                 let mute = given(words, "mute").map(|name| self.id(name));
                 let out = self.out.clone();
                 for (txn, no, _) in out.into_iter().filter(|(_, _, at)| Some(*at) != mute) {
-                    let (id, used) =
-                        (format!("{txn}.{no}"), given(words, "use").map(|use_| format!("use={use_}")));
+                    let id = format!("{txn}.{no}");
+                    let used = words.iter().find(|word| word.starts_with("use="));
                     let mut told = vec!["end", &id, "settled"];
-                    told.extend(used.as_deref());
+                    told.extend(used);
                     let event = self.event(now, &told);
                     actions.extend(self.batch(now, vec![event]));
                 }
@@ -244,7 +244,7 @@
         }
         let events = if words[1] == "tick" { Vec::new() } else { vec![self.event(now, &words[1..])] };
         let actions = self.batch(now, events);
-        let said: Vec<_> = actions.iter().filter_map(|action| self.say(action)).collect();
+        let said: Vec<_> = actions.iter().map(|action| self.say(action)).collect();
         let agrees = |(said, wanted): (&String, &str)| {
             said == wanted || said.strip_prefix(wanted).is_some_and(|rest| rest.starts_with(' '))
         };
@@ -253,8 +253,8 @@
         assert!(expected.is_empty() || same, "{said:?}, not '{expected}'");
     }
 
-    fn say(&self, action: &Action) -> Option<String> {
-        Some(match action {
+    fn say(&self, action: &Action) -> String {
+        match action {
             Action::Submit { txn, backend, .. } => {
                 format!("submit {} {}", txn.0, self.names[backend.0 as usize])
             }
@@ -266,7 +266,7 @@
             Action::Void { txn } => format!("void {}", txn.0),
             Action::Watch => "watch".to_owned(),
             Action::Wake { after, timer } => format!("wake {} after {}", timer.0, after.0 / 10),
-        })
+        }
     }
 }
 
