Decline at arrival what its client will leave before an answer can be expected

The client's leaving is known at arrival, so a txn with less than twice the usual answer time left is declined. Also covers clients left with little time after their own retries, and a fleet grown slow. Harm: short-lived clients get no chance while answers are slow.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,6 +36,8 @@
 const OPEN_SPAN: f64 = 1.5;
 /// The part of the SLA time that the cheapest may be expected to take; the dearest up to half of it more.
 const PATIENCE: f64 = 0.1;
+/// A client that leaves sooner than so many usual answer times is seldom served, and its repeat counts anew.
+const IN_TIME: f64 = 2.0;
 /// Seconds of settling that tell the pace of the fleet, and those that show it rising.
 const SETTLE_SPAN: f64 = 2.0;
 const QUICK_SPAN: f64 = 0.6;
@@ -204,10 +206,12 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { txn: id, product, customer, plan, width, cost, .. } = arrival;
+        let Arrival { txn: id, product, customer, plan, width, cost, expiry, .. } = arrival;
         let txn = Txn { asked: arrival, arrived: self.now, ..Txn::default() };
         let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
-        let pressed = self.desk.pressed(value, &self.told);
+        let norm = self.desk.norms[product.0];
+        let leaves = norm.seen >= 8.0 && (expiry - self.now).seconds() < IN_TIME * norm.mean;
+        let pressed = self.desk.pressed(value, &self.told) || leaves;
         self.desk.txns.insert(id, txn);
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
