--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,7 +37,7 @@
 /// The part of the SLA time that the cheapest may be expected to take; the dearest up to half of it more.
 const PATIENCE: f64 = 0.1;
 /// A client that leaves sooner than so many usual answer times is seldom served, and its repeat counts anew.
-const IN_TIME: f64 = 2.0;
+const IN_TIME: f64 = 3.0;
 /// Seconds of settling that tell the pace of the fleet, and those that show it rising.
 const SETTLE_SPAN: f64 = 2.0;
 const QUICK_SPAN: f64 = 0.6;
