Tell time only to the backends it may matter to; drop slowness set-aside and the quick rate

Now a backend is visited when it has mail, and hears of time while it has something out, rests or warms up; the random part of a rest is drawn once a batch. Also covers any fleet wide enough that the passes would cost more than the events.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -9,14 +9,14 @@
 //! 1. ceiling: a second, even-split bucket that knows nothing but this instance's own time (`Till`)
 //! 2. open at once: a cap on submissions out, by weighing value inside against cost beyond (`Till`)
 //! 3. room: one backend drawn at random in step with its room; declines what cannot be in time (`Desk`)
-//! 4. set aside: a backend that is silent, fails or is outlyingly slow rests for a while (`Backend`)
+//! 4. set aside: a backend that is silent or fails rests for a while (`Backend`)
 //! 5. cold: a backend that has just started gets this door's part of its budget (`Backend`)
 //! 6. resubmission: second tries and second copies out of a budget that first submissions fill (`Desk`)
 
 use crate::interface::*;
 use crate::state::{Account, Backend, Desk, Norm, Offer, Submission, Till, ToBackend, ToDesk, ToTill, Txn};
-use std::collections::BTreeMap;
 use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 
 // Figures without a site of their own; docs/results.md and the journal have what else was tried.
@@ -40,15 +40,12 @@
 const IN_TIME: f64 = 3.0;
 /// The part of an answer's time that is held for waiting where too few are out to see a line.
 const QUEUED: f64 = 0.5;
-/// Seconds of settling that tell the pace of the fleet, and those that show it rising.
+/// Seconds of settling that tell the pace of the fleet.
 const SETTLE_SPAN: f64 = 2.0;
-const QUICK_SPAN: f64 = 0.6;
 /// Long against an answer, short against a failure.
 const REST: Tenths = Tenths(20_000);
 /// One failure is chance, three with nothing settled between are not.
 const STRIKES: f64 = 3.0;
-/// Beyond what unlike machines or an uneven load explain.
-const OUTLYING: f64 = 4.0;
 /// Further submissions for each first one, and the most saved up: enough for one silent backend's txns.
 const COPY_SHARE: f64 = 0.1;
 const COPY_DEPTH: f64 = 12.0;
@@ -60,6 +57,9 @@
     desk: Desk,
     till: Till,
     yard: BTreeMap<BackendId, Backend>,
+    /// Those with notes in their inboxes, and those to whom time alone may matter.
+    posted: VecDeque<BackendId>,
+    stirring: BTreeSet<BackendId>,
     actions: Vec<Action>,
 }
 
@@ -68,11 +68,11 @@
         let guess = |product: &Product| product.sla_time.seconds() / 4.0;
         let norms = told.products.iter().map(guess);
         let norms = norms.map(|mean| Norm { mean, spread: mean, seen: 0.0 }).collect();
-        let (rated_at, spare) = (told.at, COPY_DEPTH);
-        let desk = Desk { norms, rated_at, spare, ..Desk::default() };
+        let desk = Desk { norms, rated_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
         let till = Till { swept: told.at, ..Till::default() };
         let (now, yard) = (told.at, BTreeMap::new());
-        let mut door = Door { now, told, desk, till, yard, draws: 0, actions: Vec::new() };
+        let (posted, stirring, actions) = (VecDeque::new(), BTreeSet::new(), Vec::new());
+        let mut door = Door { now, told, desk, till, yard, posted, stirring, draws: 0, actions };
         door.watch();
         door
     }
@@ -85,15 +85,7 @@
                     let named = |id: &BackendId| entries.iter().any(|entry| entry.backend == *id);
                     let missing: Vec<_> = self.yard.keys().copied().filter(|id| !named(id)).collect();
                     self.list(entries);
-                    for id in missing {
-                        let Some(actor) = self.yard.get_mut(&id) else {
-                            continue;
-                        };
-                        let (size, place, group) = (actor.size, actor.place, actor.group);
-                        let (standing, booted) = (Standing::Gone, actor.booted);
-                        let gone = Listed { backend: id, standing, size, place, group, booted };
-                        actor.inbox.push_back(ToBackend::Listed(gone));
-                    }
+                    missing.into_iter().for_each(|id| self.post(id, ToBackend::Unlisted));
                 }
                 Event::Changes(entries) => self.list(entries),
                 // Asked again later, on no second chain of timers: failing calls must not flood the list.
@@ -127,23 +119,31 @@
 
     fn list(&mut self, entries: Vec<Listed>) {
         for entry in entries {
-            let actor = self.yard.entry(entry.backend).or_insert_with(|| Backend::new(self.now));
-            actor.inbox.push_back(ToBackend::Listed(entry));
+            self.yard.entry(entry.backend).or_insert_with(|| Backend::new(self.now));
+            self.post(entry.backend, ToBackend::Listed(entry));
         }
     }
 
+    fn post(&mut self, id: BackendId, note: ToBackend) {
+        if let Some(actor) = self.yard.get_mut(&id) {
+            actor.inbox.push_back(note);
+            self.posted.push_back(id);
+        }
+    }
+
+    /// Time is told to those alone that have something out, rest or warm up: in a wide fleet few of all.
     fn tick(&mut self) {
-        let warm = self.desk.board.values().filter(|offer| !offer.cold && !offer.bad);
-        let (rate, size) =
-            warm.fold((0.0, 0.0), |(rate, size), offer| (rate + offer.sent_rate, size + offer.size));
-        let warm_rate = if size > 0.0 { rate / size } else { 0.0 };
+        let any_cold = self.desk.board.values().any(|offer| offer.cold);
+        let warm = self.desk.board.values().filter(|offer| any_cold && !offer.cold && !offer.bad);
+        let (rate, size) = warm.fold((0.0, 1e-6), |(rate, size), offer| {
+            (rate + offer.sent_rate * faded(offer.rated_at, self.now), size + offer.size)
+        });
+        let warm_rate = rate / size;
         let patience = self.desk.patience();
-        for id in self.yard.keys().copied().collect::<Vec<_>>() {
-            // The random part keeps doors that rested a backend together from returning to it together.
-            let rest = REST.times(1.0 + 0.5 * self.chance());
-            if let Some(actor) = self.yard.get_mut(&id) {
-                actor.inbox.push_back(ToBackend::Tick { patience, warm_rate, rest });
-            }
+        // The random part keeps doors that rested a backend together from returning to it together.
+        let rest = REST.times(1.0 + 0.5 * self.chance());
+        for id in std::mem::take(&mut self.stirring) {
+            self.post(id, ToBackend::Tick { patience, warm_rate, rest });
         }
     }
 
@@ -157,12 +157,20 @@
     /// Backends first, then the till, so that the desk never acts on a board that is behind.
     fn settle_mail(&mut self) {
         loop {
-            for (&id, actor) in &mut self.yard {
+            while let Some(id) = self.posted.pop_front() {
+                let Some(actor) = self.yard.get_mut(&id).filter(|actor| !actor.inbox.is_empty()) else {
+                    continue;
+                };
+                let mut news = false;
                 while let Some(note) = actor.inbox.pop_front() {
+                    news |= !matches!(note, ToBackend::Tick { .. });
                     actor.hear(note, self.now, &self.told.cold);
-                    let offer = actor.listed.then(|| actor.offer(self.now, &self.told.cold));
-                    self.desk.inbox.push_front(ToDesk::Offer(id, offer));
                 }
+                if news || actor.stirs(self.now, &self.told.cold) {
+                    self.stirring.insert(id);
+                }
+                let offer = actor.listed.then(|| actor.offer(self.now, &self.told.cold));
+                self.desk.inbox.push_front(ToDesk::Offer(id, offer));
             }
             if let Some(note) = self.till.inbox.pop_front() {
                 if let Some(answer) = self.till.hear(note, self.now, &self.told) {
@@ -257,8 +265,7 @@
     }
 
     fn ended(&mut self, ending: Ending) {
-        let id = ending.txn;
-        let no = ending.no;
+        let (id, no) = (ending.txn, ending.no);
         let Some(txn) = self.desk.txns.get_mut(&id) else {
             return;
         };
@@ -280,10 +287,7 @@
         if settled {
             self.desk.learn(product, took, self.now);
         }
-        if let Some(actor) = self.yard.get_mut(&backend) {
-            let outcome = ending.outcome;
-            actor.inbox.push_back(ToBackend::Ended { txn: id, no, outcome, relative });
-        }
+        self.post(backend, ToBackend::Ended { txn: id, no, outcome: ending.outcome, relative });
         if answered || ending.complete {
             self.conclude(id);
         } else if !(waiting || self.may_resubmit(id) && self.submit(id)) {
@@ -349,13 +353,15 @@
             self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
         }
         self.till.inbox.push_back(ToTill::Opened(txn.asked.customer));
-        if let Some(actor) = self.yard.get_mut(&backend) {
-            actor.inbox.push_back(ToBackend::Sent { txn: id, no, work: norm.mean });
-        }
+        self.post(backend, ToBackend::Sent { txn: id, no, work: norm.mean });
         true
     }
 }
 
+fn faded(since: Tenths, now: Tenths) -> f64 {
+    (-(now - since).seconds() / SETTLE_SPAN).exp()
+}
+
 fn draw(
     board: &BTreeMap<BackendId, Offer>,
     txn: &Txn,
@@ -406,7 +412,6 @@
         norm.mean += weight * (took - norm.mean);
         let gap = (now - self.rated_at).seconds();
         self.settle_rate = self.settle_rate * (-gap / SETTLE_SPAN).exp() + 1.0 / SETTLE_SPAN;
-        self.quick_rate = self.quick_rate * (-gap / QUICK_SPAN).exp() + 1.0 / QUICK_SPAN;
         self.rated_at = now;
     }
 
@@ -427,7 +432,7 @@
         let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
         let age = (self.rated_at - told.at).seconds();
         let rate = self.settle_rate / (1.0 - (-age / SETTLE_SPAN).exp()).max(0.05);
-        let crowding = out / rate.max(self.quick_rate).max(1.0) / mean;
+        let crowding = out / rate.max(1.0) / mean;
         // One door of many has too few out to tell; there the answer times speak for themselves.
         let crowding = QUEUED + (crowding - QUEUED) * (out / 8.0).min(1.0);
         let times = told.products.iter().zip(&self.norms);
@@ -439,7 +444,15 @@
 
 impl Backend {
     fn new(now: Tenths) -> Self {
-        Backend { size: 1.0, heard: now, since: now, pace: 1.0, rated_at: now, ..Backend::default() }
+        Backend {
+            size: 1.0,
+            heard: now,
+            since: now,
+            pace: 1.0,
+            rated_at: now,
+            ticked: now,
+            ..Backend::default()
+        }
     }
 
     fn warmth(&self, now: Tenths, cold: &ColdFigures) -> f64 {
@@ -454,20 +467,18 @@
         match note {
             ToBackend::Listed(entry) => {
                 if entry.booted != self.booted && entry.booted.is_some() {
-                    self.cold_credit = 0.0;
-                    self.strikes = 0.0;
-                    self.pace = 1.0;
-                    self.aside_until = None;
-                    self.on_trial = false;
-                    self.since = now;
+                    let (inbox, out) = (std::mem::take(&mut self.inbox), std::mem::take(&mut self.out));
+                    *self = Backend { inbox, out, ..Backend::new(now) };
                 }
                 self.listed = entry.standing == Standing::Ready;
                 self.size = if entry.size > 0.0 { entry.size } else { 1.0 };
                 (self.place, self.group, self.booted) = (entry.place, entry.group, entry.booted);
             }
+            ToBackend::Unlisted => self.listed = false,
             ToBackend::Sent { txn, no, work } => {
                 self.out.insert((txn, no), now);
-                self.sent_rate += work / SETTLE_SPAN;
+                self.sent_rate = self.sent_rate * faded(self.rated_at, now) + work / SETTLE_SPAN;
+                self.rated_at = now;
                 self.cold_credit -= work;
             }
             ToBackend::Ended { txn, no, outcome, relative } => {
@@ -489,9 +500,8 @@
             }
             ToBackend::Tick { patience, warm_rate, rest } => {
                 self.stuck = self.out.values().filter(|&&sent| now - sent > patience).count() as f64;
-                let gap = (now - self.rated_at).seconds();
-                self.rated_at = now;
-                self.sent_rate *= (-gap / SETTLE_SPAN).exp();
+                let gap = (now - self.ticked).seconds();
+                self.ticked = now;
                 let budget = warm_rate * self.size * self.warmth(now, cold);
                 self.cold_credit = (self.cold_credit + budget * gap).min(budget * 0.5);
                 // Against a whole fleet started anew: nobody to go by, so one at a time shows what it can do.
@@ -502,7 +512,6 @@
                     self.aside_until = None;
                     self.on_trial = true;
                     self.strikes = STRIKES - 1.0;
-                    self.pace = self.pace.min(2.0);
                     self.since = now;
                 }
                 if self.aside_until.is_none() && self.ails(now, patience) {
@@ -512,13 +521,17 @@
         }
     }
 
+    fn stirs(&self, now: Tenths, cold: &ColdFigures) -> bool {
+        !self.out.is_empty() || self.aside_until.is_some() || self.warmth(now, cold) < 1.0
+    }
+
     fn ails(&self, now: Tenths, patience: Tenths) -> bool {
         // One txn long overdue tells as much as several a little: in a wide fleet a door has only one there.
         let ages = self.out.values().filter(|&&sent| sent >= self.since).map(|&sent| now - sent);
         let overdue = ages.filter(|&age| age > patience).map(|age| age.seconds() / patience.seconds());
         let silent =
             now - self.heard > patience && overdue.sum::<f64>() >= if self.on_trial { 1.0 } else { 2.0 };
-        silent || self.strikes >= STRIKES || self.pace > OUTLYING
+        silent || self.strikes >= STRIKES
     }
 
     fn offer(&self, now: Tenths, cold: &ColdFigures) -> Offer {
@@ -537,6 +550,7 @@
             bad: self.aside_until.is_some(),
             shut: (is_cold && self.cold_credit <= 0.0) || tried,
             sent_rate: self.sent_rate,
+            rated_at: self.rated_at,
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,6 +8,7 @@
 #[derive(Clone, Debug)]
 pub enum ToBackend {
     Listed(Listed),
+    Unlisted,
     Tick { patience: Tenths, warm_rate: f64, rest: Tenths },
     Sent { txn: TxnId, no: SubmissionNo, work: f64 },
     Ended { txn: TxnId, no: SubmissionNo, outcome: Outcome, relative: f64 },
@@ -75,6 +76,7 @@
     pub on_trial: bool,
     pub sent_rate: f64,
     pub rated_at: Tenths,
+    pub ticked: Tenths,
     pub cold_credit: f64,
 }
 
@@ -91,6 +93,7 @@
     pub bad: bool,
     pub shut: bool,
     pub sent_rate: f64,
+    pub rated_at: Tenths,
 }
 
 // For the instance.
@@ -131,7 +134,6 @@
     pub board: BTreeMap<BackendId, Offer>,
     pub norms: Vec<Norm>,
     pub settle_rate: f64,
-    pub quick_rate: f64,
     pub rated_at: Tenths,
     pub mean_value: f64,
     pub spare: f64,
