Advise a wait that reckons with the customer's other doors

The time is now shared over the other doors; over two doors nothing changes. Harm: tries again come sooner, so a plan with many repeats brings more of them.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -683,7 +683,8 @@
         let lent = worth * idle * plan.burst * (1.0 - self.slice) / (self.width - 1.0).max(1.0);
         let needed = cost.min(ENOUGH * plan.burst * self.slice) - lent;
         if plan.rate > 0.0 && self.tokens < needed - 1e-9 {
-            return Err(wait(needed - self.tokens, plan.rate * self.slice));
+            // The next try may come through any of the customer's doors: some other one has refilled sooner.
+            return Err(wait(needed - self.tokens, plan.rate * self.slice * (self.width - 1.0).max(1.0)));
         }
         if plan.open_at_once > 0.0 {
             let inside = chance_below(
