--- a/src/decide.rs
+++ b/src/decide.rs
@@ -239,9 +239,8 @@
             Repeat::InquiryLike | Repeat::Referenced { among: Among::All, .. } => true,
             _ => !txn.submissions.iter().any(|submission| submission.may_have_run),
         };
-        let allowances = &self.told.allowances;
-        let advice = wait.filter(|_| allowances.retry_after);
-        let retry_after = advice.map(|span| span.min(allowances.max_retry_after));
+        let told = &self.told.allowances;
+        let retry_after = wait.filter(|_| told.retry_after).map(|span| span.min(told.max_retry_after));
         self.actions.push(if harmless {
             Action::Decline { txn: id, retry_after }
         } else {
@@ -410,8 +409,7 @@
         let weight = (1.0 / norm.seen).max(0.03);
         norm.spread += weight * ((took - norm.mean).abs() - norm.spread);
         norm.mean += weight * (took - norm.mean);
-        let gap = (now - self.rated_at).seconds();
-        self.settle_rate = self.settle_rate * (-gap / SETTLE_SPAN).exp() + 1.0 / SETTLE_SPAN;
+        self.settle_rate = self.settle_rate * faded(self.rated_at, now) + 1.0 / SETTLE_SPAN;
         self.rated_at = now;
     }
 
@@ -672,7 +670,9 @@
     }
 
     fn ask(&mut self, cost: f64, plan: &Plan) -> Result<(), Option<Tenths>> {
-        let wait = |missing: f64, rate: f64| Some(Tenths::SECOND.times(missing / rate.max(1e-6)));
+        // The next try may come through any of the customer's doors: some other one has refilled sooner.
+        let others = (self.width - 1.0).max(1.0);
+        let wait = |missing: f64, rate: f64| Some(Tenths::SECOND.times(missing / rate.max(1e-6) / others));
         if plan.ceiling_rate > 0.0 && self.ceiling < cost {
             return Err(wait(cost - self.ceiling, plan.ceiling_rate / self.width));
         }
@@ -680,11 +680,10 @@
         let worth = (1.0 + plan.beyond_worth - plan.beyond_cost).max(0.0);
         // A slice below one txn's cost would never admit it, and one little above it seldom: a fair part of a
         // full one is enough, the rest is debt.
-        let lent = worth * idle * plan.burst * (1.0 - self.slice) / (self.width - 1.0).max(1.0);
+        let lent = worth * idle * plan.burst * (1.0 - self.slice) / others;
         let needed = cost.min(ENOUGH * plan.burst * self.slice) - lent;
         if plan.rate > 0.0 && self.tokens < needed - 1e-9 {
-            // The next try may come through any of the customer's doors: some other one has refilled sooner.
-            return Err(wait(needed - self.tokens, plan.rate * self.slice * (self.width - 1.0).max(1.0)));
+            return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
         if plan.open_at_once > 0.0 {
             let inside = chance_below(
