Count what is out as crowd until twice the patience, as jammed servers look silent

Also covers a fleet where some servers queue without limit. Harm: what waits at servers truly silent is a line for longer.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -423,7 +423,7 @@
     /// so the one tightest on time says when; the cheaper give way first.
     fn pressed(&mut self, value: f64, told: &Start) -> bool {
         self.mean_value += 0.02 * (value - self.mean_value);
-        // What is stuck at a silent backend stands in nobody's way.
+        // What is stuck at a silent backend stands in nobody's way; a jammed one, though, looks silent for a while.
         let out: f64 = self.board.values().map(|offer| offer.out - offer.stuck).sum();
         let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
         // Against taking a door's first seconds, when little can have settled yet, for a crowd.
@@ -497,7 +497,8 @@
                 }
             }
             ToBackend::Tick { patience, warm_rate, rest } => {
-                self.stuck = self.out.values().filter(|&&sent| now - sent > patience).count() as f64;
+                self.stuck =
+                    self.out.values().filter(|&&sent| now - sent > patience.times(2.0)).count() as f64;
                 let gap = (now - self.ticked).seconds();
                 self.ticked = now;
                 let budget = warm_rate * self.size * self.warmth(now, cold);
