--- a/src/decide.rs
+++ b/src/decide.rs
@@ -218,8 +218,9 @@
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { txn: id, product, customer, plan, width, cost, expiry, .. } = arrival;
         let txn = Txn { asked: arrival, arrived: self.now, ..Txn::default() };
-        let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
         let norm = self.desk.norms[product.0];
+        // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
+        let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor / norm.mean;
         let leaves = norm.seen >= 8.0 && (expiry - self.now).seconds() < IN_TIME * norm.mean;
         let pressed = self.desk.pressed(value, &self.told) || leaves;
         self.desk.txns.insert(id, txn);
@@ -300,8 +301,7 @@
             !(txn.answered || txn.begun) && txn.submissions.iter().any(|one| one.out && one.backend == id)
         };
         let waiting = self.desk.txns.iter().filter(|(_, txn)| waits(txn));
-        let waiting: Vec<_> = waiting.map(|(&txn, _)| txn).collect();
-        for txn in waiting {
+        for txn in waiting.map(|(&txn, _)| txn).collect::<Vec<_>>() {
             if self.told.allowances.second_copies && self.may_resubmit(txn) {
                 self.submit(txn);
             }
@@ -497,8 +497,8 @@
                 }
             }
             ToBackend::Tick { patience, warm_rate, rest } => {
-                self.stuck =
-                    self.out.values().filter(|&&sent| now - sent > patience.times(2.0)).count() as f64;
+                let stuck = patience.times(2.0);
+                self.stuck = self.out.values().filter(|&&sent| now - sent > stuck).count() as f64;
                 let gap = (now - self.ticked).seconds();
                 self.ticked = now;
                 let budget = warm_rate * self.size * self.warmth(now, cold);
@@ -536,7 +536,6 @@
     fn offer(&self, now: Tenths, cold: &ColdFigures) -> Offer {
         let warmth = self.warmth(now, cold);
         let out = self.out.len() as f64;
-        let is_cold = warmth < 1.0;
         let tried = self.on_trial && self.out.values().any(|&sent| sent >= self.since);
         Offer {
             place: self.place,
@@ -545,9 +544,9 @@
             strength: self.size * warmth / self.pace.max(0.1),
             out,
             stuck: self.stuck.min(out),
-            cold: is_cold,
+            cold: warmth < 1.0,
             bad: self.aside_until.is_some(),
-            shut: (is_cold && self.cold_credit <= 0.0) || tried,
+            shut: (warmth < 1.0 && self.cold_credit <= 0.0) || tried,
             sent_rate: self.sent_rate,
             rated_at: self.rated_at,
         }
