--- a/src/decide.rs
+++ b/src/decide.rs
@@ -219,10 +219,9 @@
         let Arrival { txn: id, product, customer, plan, width, cost, expiry, .. } = arrival;
         let txn = Txn { asked: arrival, arrived: self.now, ..Txn::default() };
         let norm = self.desk.norms[product.0];
-        // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
-        let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor / norm.mean;
+        let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
         let leaves = norm.seen >= 8.0 && (expiry - self.now).seconds() < IN_TIME * norm.mean;
-        let pressed = self.desk.pressed(value, &self.told) || leaves;
+        let pressed = self.desk.pressed(value / norm.mean, &self.told) || leaves;
         self.desk.txns.insert(id, txn);
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
@@ -422,14 +421,15 @@
     /// What is out over what settles is how long a newcomer would wait. All products wait in the same lines,
     /// so the one tightest on time says when; the cheaper give way first.
     fn pressed(&mut self, value: f64, told: &Start) -> bool {
+        let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
+        // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
+        let value = value * mean;
         self.mean_value += 0.02 * (value - self.mean_value);
         // What is stuck at a silent backend stands in nobody's way; a jammed one, though, looks silent for a while.
         let out: f64 = self.board.values().map(|offer| offer.out - offer.stuck).sum();
-        let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
         // Against taking a door's first seconds, when little can have settled yet, for a crowd.
         let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
-        let age = (self.rated_at - told.at).seconds();
-        let rate = self.settle_rate / (1.0 - (-age / SETTLE_SPAN).exp()).max(0.05);
+        let rate = self.settle_rate / (1.0 - faded(told.at, self.rated_at)).max(0.05);
         let crowding = out / rate.max(1.0) / mean;
         // One door of many has too few out to tell; there the answer times speak for themselves.
         let crowding = QUEUED + (crowding - QUEUED) * (out / 8.0).min(1.0);
