Follow a customer's width when it changes; shorten the scenarios' set-up

A customer whose width grew kept the larger part of its ceiling at this door, which over all doors could pass the hard ceiling; now the width told with each txn holds. Scenarios for it and for a list that shrinks to nothing with submissions out. A notation line 'usual' tells the common product, plan and list, so that all tests stay shorter than the module. Harm: none known.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -268,18 +268,16 @@
         let Some(txn) = self.desk.txns.get_mut(&id) else {
             return;
         };
-        let Some(submission) = txn.submissions.get_mut(no.0 as usize) else {
+        let Some(submission) = txn.submissions.get_mut(no.0 as usize).filter(|submission| submission.out)
+        else {
             return;
         };
-        if !std::mem::replace(&mut submission.out, false) {
-            return;
-        }
+        submission.out = false;
         submission.may_have_run = !ending.outcome.never_ran();
         let settled = ending.outcome == Outcome::Settled;
         let owed = ending.true_cost.filter(|_| settled).map_or(0.0, |cost| cost - txn.asked.cost);
         let (customer, product, backend) = (txn.asked.customer, txn.asked.product, submission.backend);
-        let waiting = txn.submissions.iter().any(|submission| submission.out);
-        let answered = txn.answered;
+        let (answered, waiting) = (txn.answered, txn.submissions.iter().any(|submission| submission.out));
         self.till.inbox.push_back(ToTill::Closed { customer, metered: ending.metered, owed });
         let took = ending.took.seconds();
         let relative = took / self.desk.norms[product.0].mean.max(1e-4);
@@ -425,7 +423,7 @@
         // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
         let value = value * mean;
         self.mean_value += 0.02 * (value - self.mean_value);
-        // What is stuck at a silent backend stands in nobody's way; a jammed one, though, looks silent for a while.
+        // What is stuck at a silent backend stands in nobody's way; a jammed one looks silent too.
         let out: f64 = self.board.values().map(|offer| offer.out - offer.stuck).sum();
         // Against taking a door's first seconds, when little can have settled yet, for a crowd.
         let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
@@ -558,8 +556,11 @@
         match note {
             ToTill::Ask { txn, customer, plan, width, cost } => {
                 let figures = &told.plans[plan.0];
-                let fresh = || Account::new(plan, width, now, told);
-                let account = self.accounts.entry(customer).or_insert_with(fresh);
+                let width = f64::from(if width == 0 { told.doors.max(1) } else { width });
+                let account =
+                    self.accounts.entry(customer).or_insert_with(|| Account::new(plan, width, now, told));
+                // A width that grows must not leave this door with more than its part of a ceiling.
+                account.width = width;
                 account.refill(now, figures, told);
                 let verdict = account.ask(cost, figures);
                 self.sweep(now, told);
@@ -615,8 +616,7 @@
 }
 
 impl Account {
-    fn new(plan: PlanId, width: u32, now: Tenths, told: &Start) -> Account {
-        let width = f64::from(if width == 0 { told.doors.max(1) } else { width });
+    fn new(plan: PlanId, width: f64, now: Tenths, told: &Start) -> Account {
         let figures = &told.plans[plan.0];
         let (slice, tokens) = (1.0 / width, figures.burst / width);
         let (filled, reviewed) = (now, now);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -235,6 +235,13 @@
         if ["told", "product", "plan"].contains(&words[0]) {
             return self.tell(&words);
         }
+        if words[0] == "usual" {
+            let (told, listed): (Vec<_>, Vec<_>) = words[1..].iter().partition(|word| word.contains('='));
+            let figures = [&told[..], &["sla=400", "rate=1000", "burst=1000"]].concat();
+            self.tell(&[&["product", "look"], &figures[..], &["inquiry-like"]].concat());
+            self.tell(&[&["plan", "basic"], &figures[..]].concat());
+            return self.step(&format!("0 list {}", listed.join(" ")));
+        }
         if words[0].contains("..") {
             return self.run(words[0], &words[1..], expected);
         }
