--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,7 +43,7 @@
 /// Seconds of settling that tell the pace of the fleet.
 const SETTLE_SPAN: f64 = 2.0;
 /// Long against an answer, short against a failure.
-const REST: Tenths = Tenths(50_000);
+const REST: Tenths = Tenths(80_000);
 /// One failure is chance, three with nothing settled between are not.
 const STRIKES: f64 = 3.0;
 /// Further submissions for each first one, and the most saved up: enough for one silent backend's txns.
