--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -1,14 +1,14 @@
 //! One door behind the wire: its decisions, and the names it has met under the ids given them.
 
-use crate::launch::Told;
 use crate::wire::{Line, Malformed, Millis};
 use std::collections::HashMap;
 use std::fmt::Write;
 use vanewharf::decide::Door;
 use vanewharf::interface::{
-    Action, Arrival, BackendId, CustomerId, Ending, Event, GroupId, Listed, Outcome, PlaceId, PlanId,
-    ProductId, Standing, SubmissionNo, TimerId, TxnId,
+    Action, Arrival, BackendId, CustomerId, Ending, Event, GroupId, Listed, Outcome, PlaceId, Standing,
+    SubmissionNo, TimerId, TxnId,
 };
+use vanewharf_told::Named;
 
 #[derive(Default)]
 struct Names {
@@ -31,7 +31,7 @@
 pub struct Host {
     pub door: Door,
     pub events: Vec<Event>,
-    told: Told,
+    named: Named,
     backends: Names,
     customers: Names,
     places: Names,
@@ -51,11 +51,17 @@
     })
 }
 
+fn known<T: Copy>(line: &Line<'_>, field: &str, names: &HashMap<String, T>) -> Result<T, Malformed> {
+    let name = line.need(field)?;
+    let fault = || line.fault(format!("field {field} names nothing told: '{name}'"));
+    names.get(name).copied().ok_or_else(fault)
+}
+
 impl Host {
-    pub fn new(door: Door, told: Told) -> Host {
+    pub fn new(door: Door, named: Named) -> Host {
         Host {
             door,
-            told,
+            named,
             events: Vec::new(),
             backends: Names::default(),
             customers: Names::default(),
@@ -81,16 +87,11 @@
     }
 
     pub fn arrival(&mut self, line: &Line<'_>) -> Result<Arrival, Malformed> {
-        let named = |field: &str, names: &HashMap<String, usize>| {
-            let name = line.need(field)?;
-            let fault = || line.fault(format!("field {field} names nothing told: '{name}'"));
-            names.get(name).copied().ok_or_else(fault)
-        };
         Ok(Arrival {
             txn: TxnId(line.whole("txn")?),
-            product: ProductId(named("band", &self.told.products)?),
-            customer: CustomerId(self.customers.id(line.need("client_id")?)),
-            plan: PlanId(named("plan", &self.told.plans)?),
+            product: known(line, "band", &self.named.products)?,
+            customer: CustomerId(self.customers.id(line.need("client_id")?).into()),
+            plan: known(line, "plan", &self.named.plans)?,
             width: line.number("width")?.unwrap_or_default() as u32,
             cost: line.number("cost_units")?.unwrap_or_default(),
             expiry: line.need_time("client_deadline")?,
--- a/benchlink/src/link.rs
+++ b/benchlink/src/link.rs
@@ -1,13 +1,13 @@
 //! Batches in, replies out.
 
 use crate::door::Host;
-use crate::launch;
 use crate::wire::{Line, Malformed};
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::io::{BufRead, Write};
 use vanewharf::decide::Door;
 use vanewharf::interface::{Event, Listed, Tenths};
+use vanewharf_told::Options;
 
 /// A list under way: how many entries are still to come.
 struct Listing {
@@ -85,8 +85,10 @@
         };
         match line.message {
             "LAUNCH" => {
-                let (start, told) = launch::read(line, now)?;
-                self.hosts.insert(name.clone(), Host::new(Door::start(start), told));
+                let options = Options::flat(line.pairs().iter().copied());
+                let (start, named) = vanewharf_told::start(&options, line.whole("init_seed")?, now)
+                    .map_err(|unreadable| line.fault(unreadable.to_string()))?;
+                self.hosts.insert(name.clone(), Host::new(Door::start(start), named));
                 return Ok(());
             }
             "KILLED" => {
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! The bench's wire on standard input and output, with the decisions behind it.
 
 mod door;
-mod launch;
 mod link;
 mod wire;
 
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::str::FromStr;
 use vanewharf::interface::Tenths;
+use vanewharf_told::tenths;
 
 /// What is wrong with the input, and where.
 #[derive(Debug)]
@@ -101,11 +102,6 @@
     }
 }
 
-/// Rounded down, so that an expiry is never taken for later than it is.
-pub fn tenths(milliseconds: f64) -> Tenths {
-    Tenths((milliseconds * 10.0 + 1e-6).floor() as i64)
-}
-
 /// How the wire writes a time.
 pub struct Millis(pub Tenths);
 
--- /dev/null
+++ b/frames/src/message.rs
@@ -0,0 +1,129 @@
+//! Whole messages, each in a piece of memory of its own.
+
+use std::ops::Range;
+
+/// A place in a message's text. Offsets fit, as head and body are bounded.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Span(u32, u32);
+
+impl Span {
+    /// httparse gives an empty value as a slice from elsewhere.
+    pub fn of(part: &[u8], whole: &[u8]) -> Span {
+        if part.is_empty() {
+            return Span(0, 0);
+        }
+        let start = part.as_ptr() as usize - whole.as_ptr() as usize;
+        Span(start as u32, (start + part.len()) as u32)
+    }
+
+    pub fn range(self) -> Range<usize> {
+        self.0 as usize..self.1 as usize
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct RequestLine {
+    pub method: Span,
+    pub target: Span,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct StatusLine {
+    pub status: u16,
+}
+
+/// A first line, its fields and its body.
+#[derive(Debug, Default)]
+pub(crate) struct Message<L> {
+    pub line: L,
+    pub text: Vec<u8>,
+    pub fields: Vec<(Span, Span)>,
+    pub body_at: usize,
+    pub last: bool,
+}
+
+impl<L> Message<L> {
+    pub fn fields(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+        self.fields.iter().map(|(name, value)| (&self.text[name.range()], &self.text[value.range()]))
+    }
+
+    fn field(&self, name: &str) -> Option<&str> {
+        let found = self.fields().find(|(known, _)| known.eq_ignore_ascii_case(name.as_bytes()));
+        found.and_then(|(_, value)| std::str::from_utf8(value).ok())
+    }
+
+    pub fn body(&self) -> &[u8] {
+        &self.text[self.body_at..]
+    }
+}
+
+#[derive(Debug)]
+pub struct Request(pub(crate) Message<RequestLine>);
+
+impl Request {
+    pub fn get(host: &str, target: &str) -> Request {
+        let mut text = Vec::new();
+        let mut place = |part: &str| {
+            text.extend_from_slice(part.as_bytes());
+            Span((text.len() - part.len()) as u32, text.len() as u32)
+        };
+        let line = RequestLine { method: place("GET"), target: place(target) };
+        let fields = vec![(place("Host"), place(host))];
+        let body_at = text.len();
+        Request(Message { line, text, fields, body_at, last: false })
+    }
+
+    pub fn method(&self) -> &str {
+        std::str::from_utf8(&self.0.text[self.0.line.method.range()]).unwrap_or_default()
+    }
+
+    /// Path and query, as they came.
+    pub fn target(&self) -> &str {
+        std::str::from_utf8(&self.0.text[self.0.line.target.range()]).unwrap_or_default()
+    }
+
+    /// The first field of that name, if it is text.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.0.field(name)
+    }
+
+    pub fn body(&self) -> &[u8] {
+        self.0.body()
+    }
+
+    /// The connection carries nothing after it.
+    pub fn last(&self) -> bool {
+        self.0.last
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.0.text.capacity()
+    }
+}
+
+#[derive(Debug)]
+pub struct Reply(pub(crate) Message<StatusLine>);
+
+impl Reply {
+    pub fn status(&self) -> u16 {
+        self.0.line.status
+    }
+
+    /// The first field of that name, if it is text.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        self.0.field(name)
+    }
+
+    pub fn body(&self) -> &[u8] {
+        self.0.body()
+    }
+
+    /// The connection carries nothing after it.
+    pub fn last(&self) -> bool {
+        self.0.last
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.0.text.capacity()
+    }
+}
--- /dev/null
+++ b/frames/src/read.rs
@@ -0,0 +1,315 @@
+//! From bytes to messages. What two readers could take for two different messages is a fault.
+
+use crate::message::{Message, Reply, Request, RequestLine, Span, StatusLine};
+use crate::{Inward, Outward};
+use bytes::{Buf, BytesMut};
+use httparse::{Header, Status};
+use std::fmt;
+use std::io;
+use std::mem::MaybeUninit;
+use tokio_util::codec::Decoder;
+
+pub const MOST_HEAD: usize = 64 * 1024;
+pub const MOST_BODY: usize = 64 * 1024;
+const MOST_FIELDS: usize = 64;
+/// A chunk's size line with its extensions, or all of a trailer.
+const MOST_ASIDE: usize = 4 * 1024;
+
+#[derive(Debug)]
+pub enum Fault {
+    Io(io::Error),
+    /// The connection ended in mid-message.
+    Cut,
+    HeadTooLarge,
+    BodyTooLarge,
+    Malformed(&'static str),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Io(error) => error.fmt(f),
+            Fault::Cut => f.write_str("the connection ended in mid-message"),
+            Fault::HeadTooLarge => f.write_str("the head is too large"),
+            Fault::BodyTooLarge => f.write_str("the body is too large"),
+            Fault::Malformed(what) => f.write_str(what),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl From<io::Error> for Fault {
+    fn from(error: io::Error) -> Fault {
+        Fault::Io(error)
+    }
+}
+
+/// What of a body is still to come.
+#[derive(Debug)]
+enum Left {
+    Counted(usize),
+    Size,
+    Chunk(usize),
+    ChunkEnd,
+    Trailer(usize),
+}
+
+/// One message under way.
+#[derive(Default)]
+pub(crate) struct Reader<L> {
+    /// How much of a head has been looked through, so that each byte of a slow one costs little.
+    seen: usize,
+    begun: Option<(Message<L>, Left)>,
+}
+
+/// What a head says of the body and the connection.
+#[derive(Default)]
+struct Framing {
+    length: Option<usize>,
+    chunked: bool,
+    close: bool,
+    keep: bool,
+    hosts: usize,
+}
+
+impl Framing {
+    fn of(headers: &[Header<'_>]) -> Result<Framing, Fault> {
+        let mut framing = Framing::default();
+        for Header { name, value } in headers {
+            if name.eq_ignore_ascii_case("content-length") {
+                let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+                let length = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+                if !digits || framing.length.is_some() {
+                    return Err(Fault::Malformed("the length of the body is not one number"));
+                }
+                framing.length = Some(length.ok_or(Fault::BodyTooLarge)?);
+            } else if name.eq_ignore_ascii_case("transfer-encoding") {
+                if framing.chunked || !value.eq_ignore_ascii_case(b"chunked") {
+                    return Err(Fault::Malformed("the transfer coding is not known"));
+                }
+                framing.chunked = true;
+            } else if name.eq_ignore_ascii_case("connection") {
+                let tokens = || value.split(|&byte| byte == b',').map(<[u8]>::trim_ascii);
+                framing.close |= tokens().any(|token| token.eq_ignore_ascii_case(b"close"));
+                framing.keep |= tokens().any(|token| token.eq_ignore_ascii_case(b"keep-alive"));
+            } else if name.eq_ignore_ascii_case("host") {
+                framing.hosts += 1;
+            }
+        }
+        if framing.chunked && framing.length.is_some() {
+            return Err(Fault::Malformed("the body has both a length and a transfer coding"));
+        }
+        if framing.hosts > 1 {
+            return Err(Fault::Malformed("there is more than one host"));
+        }
+        Ok(framing)
+    }
+
+    fn last(&self, version: u8) -> bool {
+        self.close || version == 0 && !self.keep
+    }
+}
+
+impl<L> Reader<L> {
+    /// Whether a head may have ended since the last look; empty lines before it are dropped.
+    fn may_end(&mut self, src: &mut BytesMut) -> bool {
+        let blank = src.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+        src.advance(blank);
+        self.seen = self.seen.saturating_sub(blank).min(src.len());
+        let news = src[self.seen..].contains(&b'\n');
+        self.seen = src.len();
+        news
+    }
+
+    fn begin(
+        &mut self,
+        src: &mut BytesMut,
+        head: usize,
+        line: L,
+        fields: Vec<(Span, Span)>,
+        left: Left,
+        last: bool,
+    ) {
+        let body = if let Left::Counted(length) = left { length } else { 0 };
+        let mut text = Vec::with_capacity(head + body);
+        text.extend_from_slice(&src[..head]);
+        src.advance(head);
+        self.seen = 0;
+        self.begun = Some((Message { line, text, fields, body_at: head, last }, left));
+    }
+
+    /// The message, once its body is whole.
+    fn finish(&mut self, src: &mut BytesMut) -> Result<Option<Message<L>>, Fault> {
+        let Some((message, left)) = &mut self.begun else {
+            return Ok(None);
+        };
+        while fill(message, left, src)? {}
+        if matches!(left, Left::Counted(0)) {
+            return Ok(self.begun.take().map(|(message, _)| message));
+        }
+        Ok(None)
+    }
+}
+
+/// One step of a body; false when it is whole or needs more bytes.
+fn fill<L>(message: &mut Message<L>, left: &mut Left, src: &mut BytesMut) -> Result<bool, Fault> {
+    match left {
+        Left::Counted(length) | Left::Chunk(length) => {
+            let come = src.len().min(*length);
+            message.text.extend_from_slice(&src[..come]);
+            src.advance(come);
+            *length -= come;
+            if let Left::Chunk(0) = left {
+                *left = Left::ChunkEnd;
+                return Ok(true);
+            }
+            Ok(false)
+        }
+        Left::Size => match httparse::parse_chunk_size(src) {
+            Ok(Status::Complete((taken, size))) => {
+                let room = (MOST_BODY - (message.text.len() - message.body_at)) as u64;
+                if size > room {
+                    return Err(Fault::BodyTooLarge);
+                }
+                src.advance(taken);
+                *left = if size == 0 { Left::Trailer(0) } else { Left::Chunk(size as usize) };
+                Ok(true)
+            }
+            Ok(Status::Partial) if src.len() <= MOST_ASIDE => Ok(false),
+            _ => Err(Fault::Malformed("a chunk's size cannot be read")),
+        },
+        Left::ChunkEnd => {
+            if src.len() < 2 {
+                return Ok(false);
+            }
+            if &src[..2] != b"\r\n" {
+                return Err(Fault::Malformed("a chunk does not end where it should"));
+            }
+            src.advance(2);
+            *left = Left::Size;
+            Ok(true)
+        }
+        Left::Trailer(taken) => {
+            let end = src.iter().position(|&byte| byte == b'\n');
+            if *taken + end.unwrap_or(src.len()) > MOST_ASIDE {
+                return Err(Fault::Malformed("the trailer is too large"));
+            }
+            let Some(end) = end else {
+                return Ok(false);
+            };
+            let blank = src[..end].iter().all(|&byte| byte == b'\r');
+            src.advance(end + 1);
+            *taken += end + 1;
+            if blank {
+                *left = Left::Counted(0);
+            }
+            Ok(!blank)
+        }
+    }
+}
+
+fn spans(headers: &[Header<'_>], whole: &[u8]) -> Vec<(Span, Span)> {
+    let span = |header: &Header<'_>| (Span::of(header.name.as_bytes(), whole), Span::of(header.value, whole));
+    headers.iter().map(span).collect()
+}
+
+/// The head's length where it is whole; a fault where it is none or too much of one.
+fn whole(parsed: httparse::Result<usize>, src: &BytesMut) -> Result<Option<usize>, Fault> {
+    match parsed {
+        Ok(Status::Complete(head)) if head <= MOST_HEAD => Ok(Some(head)),
+        Ok(Status::Partial) if src.len() <= MOST_HEAD => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(Fault::HeadTooLarge),
+        Err(_) => Err(Fault::Malformed("the head cannot be read")),
+    }
+}
+
+fn bounded(length: usize) -> Result<Left, Fault> {
+    if length > MOST_BODY { Err(Fault::BodyTooLarge) } else { Ok(Left::Counted(length)) }
+}
+
+fn ended<T>(decoded: Option<T>, src: &BytesMut, begun: bool) -> Result<Option<T>, Fault> {
+    if decoded.is_none() && (begun || !src.is_empty()) { Err(Fault::Cut) } else { Ok(decoded) }
+}
+
+impl Decoder for Inward {
+    type Item = Request;
+    type Error = Fault;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Request>, Fault> {
+        let reader = &mut self.0;
+        if reader.begun.is_none() {
+            if !reader.may_end(src) {
+                return if src.len() > MOST_HEAD { Err(Fault::HeadTooLarge) } else { Ok(None) };
+            }
+            let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
+            let mut parsed = httparse::Request::new(&mut []);
+            let Some(head) = whole(parsed.parse_with_uninit_headers(src, &mut headers), src)? else {
+                return Ok(None);
+            };
+            let (method, target) = (parsed.method.unwrap_or_default(), parsed.path.unwrap_or_default());
+            let line = RequestLine {
+                method: Span::of(method.as_bytes(), src),
+                target: Span::of(target.as_bytes(), src),
+            };
+            let framing = Framing::of(parsed.headers)?;
+            let last = framing.last(parsed.version.unwrap_or_default());
+            let left = if framing.chunked { Left::Size } else { bounded(framing.length.unwrap_or(0))? };
+            let fields = spans(parsed.headers, src);
+            reader.begin(src, head, line, fields, left, last);
+        }
+        Ok(reader.finish(src)?.map(Request))
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Request>, Fault> {
+        let decoded = self.decode(src)?;
+        ended(decoded, src, self.0.begun.is_some())
+    }
+}
+
+impl Decoder for Outward {
+    type Item = Reply;
+    type Error = Fault;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Reply>, Fault> {
+        let reader = &mut self.0;
+        while reader.begun.is_none() {
+            if !reader.may_end(src) {
+                return if src.len() > MOST_HEAD { Err(Fault::HeadTooLarge) } else { Ok(None) };
+            }
+            let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
+            let mut parsed = httparse::Response::new(&mut []);
+            let result = httparse::ParserConfig::default().parse_response_with_uninit_headers(
+                &mut parsed,
+                src,
+                &mut headers,
+            );
+            let Some(head) = whole(result, src)? else {
+                return Ok(None);
+            };
+            let status = parsed.code.unwrap_or_default();
+            if (100..200).contains(&status) {
+                src.advance(head);
+                reader.seen = 0;
+                continue;
+            }
+            let framing = Framing::of(parsed.headers)?;
+            let last = framing.last(parsed.version.unwrap_or_default());
+            let left = match framing.length {
+                _ if matches!(status, 204 | 304) => Left::Counted(0),
+                _ if framing.chunked => Left::Size,
+                Some(length) => bounded(length)?,
+                // A body that ends with its connection cannot be told from one that was cut short.
+                None => return Err(Fault::Malformed("the body's end is not told")),
+            };
+            let fields = spans(parsed.headers, src);
+            reader.begin(src, head, StatusLine { status }, fields, left, last);
+        }
+        Ok(reader.finish(src)?.map(Reply))
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Reply>, Fault> {
+        let decoded = self.decode(src)?;
+        ended(decoded, src, self.0.begun.is_some())
+    }
+}
--- /dev/null
+++ b/frontdoor/src/book.rs
@@ -0,0 +1,201 @@
+//! What the door counts, what it holds, and what must hold.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+macro_rules! counts {
+    ($($name:ident),* $(,)?) => {
+        #[derive(Clone, Copy, Debug)]
+        #[allow(non_camel_case_types)]
+        pub enum Count { $($name),* }
+
+        const NAMES: &[&str] = &[$(stringify!($name)),*];
+    };
+}
+
+counts!(
+    taken,
+    turned_back,
+    settled,
+    declined,
+    voided,
+    left,
+    submissions,
+    submissions_settled,
+    submissions_error,
+    submissions_turned_away,
+    submissions_timed_out,
+    submissions_no_connection,
+    submissions_broken,
+    submissions_cancelled,
+    submissions_moot,
+    clients_accepted,
+    clients_shed,
+    accept_failed,
+    backends_dialled,
+    backends_reused,
+    backends_stale,
+    backends_dropped_idle,
+    lists,
+    list_failures,
+);
+
+macro_rules! invariants {
+    ($($name:ident),* $(,)?) => {
+        #[derive(Clone, Copy, Debug)]
+        #[allow(non_camel_case_types)]
+        pub enum Invariant { $($name),* }
+
+        const HELD: &[&str] = &[$(stringify!($name)),*];
+    };
+}
+
+invariants!(answered_once, answered_by_expiry, no_effect_twice, only_to_listed, ended_once, within_sockets);
+
+/// What the door may hold, a reserve taken off each.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Descriptors of any kind; dialling goes on up to here.
+    pub sockets: usize,
+    /// From here on idle connections are shed.
+    pub crowded: usize,
+    /// From here on no client is accepted.
+    pub full: usize,
+    pub bytes: usize,
+}
+
+impl Room {
+    /// Some descriptors are the runtime's own, and dialling needs some when clients have taken all
+    /// they may.
+    pub fn within(sockets: usize, memory_mb: usize) -> Room {
+        let own = 16;
+        let usable = sockets.saturating_sub(own).max(8);
+        Room {
+            sockets: usable,
+            crowded: usable * 3 / 4,
+            full: usable * 7 / 8,
+            bytes: memory_mb.max(8) * (1 << 20) / 2,
+        }
+    }
+}
+
+pub struct Book {
+    counts: [Cell<u64>; NAMES.len()],
+    broken: [Cell<u64>; HELD.len()],
+    room: Room,
+    sockets: Cell<usize>,
+    bytes: Cell<usize>,
+    clients: Cell<usize>,
+    draining: Cell<bool>,
+    /// A socket was closed.
+    pub freed: Notify,
+    /// Wakes the client connection that has been idle longest, or all of them.
+    pub idle_clients: Notify,
+}
+
+impl Book {
+    pub fn new(room: Room) -> Book {
+        Book {
+            counts: [const { Cell::new(0) }; NAMES.len()],
+            broken: [const { Cell::new(0) }; HELD.len()],
+            room,
+            sockets: Cell::new(0),
+            bytes: Cell::new(0),
+            clients: Cell::new(0),
+            draining: Cell::new(false),
+            freed: Notify::new(),
+            idle_clients: Notify::new(),
+        }
+    }
+
+    pub fn count(&self, what: Count) {
+        let cell = &self.counts[what as usize];
+        cell.set(cell.get() + 1);
+    }
+
+    /// Asserted in debug builds, counted in release builds.
+    pub fn must(&self, holds: bool, what: Invariant) {
+        debug_assert!(holds, "{what:?} does not hold");
+        if !holds {
+            let cell = &self.broken[what as usize];
+            cell.set(cell.get() + 1);
+            tracing::error!(invariant = ?what, "does not hold");
+        }
+    }
+
+    pub fn crowded(&self) -> bool {
+        self.sockets.get() >= self.room.crowded || self.heavy()
+    }
+
+    pub fn full(&self) -> bool {
+        self.sockets.get() >= self.room.full || self.heavy()
+    }
+
+    pub fn may_dial(&self) -> bool {
+        self.sockets.get() < self.room.sockets
+    }
+
+    pub fn heavy(&self) -> bool {
+        self.bytes.get() >= self.room.bytes
+    }
+
+    pub fn clients(&self) -> usize {
+        self.clients.get()
+    }
+
+    pub fn draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    pub fn drain(&self) {
+        self.draining.set(true);
+        self.idle_clients.notify_waiters();
+    }
+}
+
+impl fmt::Display for Book {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (name, cell) in NAMES.iter().zip(&self.counts) {
+            write!(f, "{name}={} ", cell.get())?;
+        }
+        for (name, cell) in HELD.iter().zip(&self.broken) {
+            write!(f, "broken_{name}={} ", cell.get())?;
+        }
+        let (sockets, bytes, clients) = (self.sockets.get(), self.bytes.get(), self.clients.get());
+        write!(f, "sockets={sockets} clients={clients} bytes={bytes}")
+    }
+}
+
+/// One socket and the bytes of its buffers, on the book for as long as this lives.
+pub struct Entry {
+    book: Rc<Book>,
+    bytes: usize,
+    client: bool,
+}
+
+impl Entry {
+    pub fn of(book: &Rc<Book>, client: bool) -> Entry {
+        book.sockets.set(book.sockets.get() + 1);
+        book.must(book.sockets.get() <= book.room.sockets, Invariant::within_sockets);
+        book.clients.set(book.clients.get() + usize::from(client));
+        Entry { book: Rc::clone(book), bytes: 0, client }
+    }
+
+    pub fn weigh(&mut self, bytes: usize) {
+        let book = &self.book;
+        book.bytes.set(book.bytes.get() - self.bytes + bytes);
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.weigh(0);
+        let book = &self.book;
+        book.sockets.set(book.sockets.get() - 1);
+        book.clients.set(book.clients.get() - usize::from(self.client));
+        book.freed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/frontdoor/src/discovery.rs
@@ -0,0 +1,165 @@
+//! The list of backends: starts from what was known, then watches for changes without end.
+
+use crate::Shared;
+use crate::book::{Count, Entry as Held};
+use crate::route::Note;
+use futures_util::{SinkExt, StreamExt};
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use vanewharf::interface::{BackendId, GroupId, Listed, PlaceId, Standing, Tenths};
+use vanewharf_frames::{Outward, PassedOn, Request};
+
+/// How long a watch may wait. Short, so that an agent gone silent is soon asked anew.
+const WAIT: Duration = Duration::from_secs(2);
+/// For an answer that is due, and for a connection to the agent.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// Between two calls where the first failed; within the time in which the next call must come.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A list or a change of it, in its published form.
+#[derive(Debug, Deserialize)]
+pub struct Published {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<Endpoint>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Endpoint {
+    name: String,
+    #[serde(default)]
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    group: u64,
+    status: String,
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    since_ms: f64,
+}
+
+/// The same with this door's ids for the names.
+pub struct Told {
+    pub whole: bool,
+    pub entries: Vec<(Listed, Option<SocketAddr>)>,
+}
+
+#[derive(Default)]
+struct Names(HashMap<String, u32>);
+
+impl Names {
+    fn id(&mut self, name: String) -> u32 {
+        let next = self.0.len() as u32;
+        *self.0.entry(name).or_insert(next)
+    }
+}
+
+pub struct Discovery {
+    address: SocketAddr,
+    shared: Rc<Shared>,
+    index: u64,
+    backends: Names,
+    places: Names,
+}
+
+type Connection = Framed<TcpStream, Outward>;
+
+impl Discovery {
+    /// With what was known, for the decisions to start from.
+    pub fn start(address: SocketAddr, shared: Rc<Shared>, known: Published) -> (Discovery, Told) {
+        let (backends, places) = Default::default();
+        let mut discovery = Discovery { address, shared, index: 0, backends, places };
+        let told = discovery.told(known);
+        (discovery, told)
+    }
+
+    fn told(&mut self, published: Published) -> Told {
+        self.index = published.index;
+        let entries = published.endpoints.into_iter().map(|endpoint| self.entry(endpoint)).collect();
+        Told { whole: published.snapshot, entries }
+    }
+
+    fn entry(&mut self, endpoint: Endpoint) -> (Listed, Option<SocketAddr>) {
+        let address = endpoint.address.parse().ok();
+        let standing = match endpoint.status.as_str() {
+            "SERVING" if address.is_some() => Standing::Ready,
+            "DELETED" => Standing::Gone,
+            // What is not understood gets nothing new.
+            _ => Standing::Draining,
+        };
+        let listed = Listed {
+            backend: BackendId(self.backends.id(endpoint.name)),
+            standing,
+            size: endpoint.weight,
+            place: PlaceId(self.places.id(endpoint.zone)),
+            group: GroupId(endpoint.group),
+            booted: (endpoint.since_ms > 0.0).then_some(Tenths((endpoint.since_ms * 10.0) as i64)),
+        };
+        (listed, address)
+    }
+
+    pub async fn run(mut self) {
+        let mut connection = None;
+        let mut whole = false;
+        loop {
+            match self.call(&mut connection, whole).await {
+                Ok(published) => {
+                    self.shared.book.count(Count::lists);
+                    whole = false;
+                    let told = self.told(published);
+                    if told.whole || !told.entries.is_empty() {
+                        self.shared.tell(Note::Listed(told));
+                    }
+                }
+                Err(reason) => {
+                    self.shared.book.count(Count::list_failures);
+                    tracing::info!(reason, "discovery gave no list");
+                    connection = None;
+                    // Changes may have passed unseen.
+                    whole = true;
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        kept: &mut Option<(Connection, Held)>,
+        whole: bool,
+    ) -> Result<Published, &'static str> {
+        let (connection, _) = match kept {
+            Some(kept) => kept,
+            None => {
+                let stream = timeout(PATIENCE, TcpStream::connect(self.address)).await;
+                let stream = stream.map_err(|_| "no connection in time")?.map_err(|_| "no connection")?;
+                let _ = stream.set_nodelay(true);
+                let held = Held::of(&self.shared.book, false);
+                kept.insert((Framed::new(stream, Outward::default()), held))
+            }
+        };
+        let (target, patience) = if whole {
+            ("/v1/servers".to_owned(), PATIENCE)
+        } else {
+            (format!("/v1/servers?index={}&wait={}", self.index, WAIT.as_millis()), WAIT + PATIENCE)
+        };
+        let request = Request::get(&self.address.to_string(), &target);
+        let asked = async {
+            connection.send(PassedOn { request: &request, anew: &[] }).await.ok()?;
+            connection.next().await?.ok()
+        };
+        let reply = timeout(patience, asked).await.map_err(|_| "silent")?.ok_or("connection broken")?;
+        if reply.status() != 200 {
+            return Err("an answer other than 200");
+        }
+        serde_json::from_slice(reply.body()).map_err(|_| "a list that cannot be read")
+    }
+}
--- /dev/null
+++ b/frontdoor/src/main.rs
@@ -0,0 +1,126 @@
+//! The front door on sockets. A txn passes the stages take in, admit, route, send, relay and book,
+//! each in a file of its own; `route` alone asks the decisions.
+
+mod admit;
+mod book;
+mod clock;
+mod commission;
+mod discovery;
+mod pool;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+
+use book::{Book, Room};
+use clock::Clock;
+use commission::Commission;
+use discovery::Discovery;
+use route::{Note, Route};
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpSocket;
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc};
+use vanewharf::decide::Door;
+use vanewharf::interface::TxnId;
+use vanewharf_told::{Lines, Named};
+
+/// New clients keep coming for a while after the front was told that this door stops.
+const KEEP_ACCEPTING: Duration = Duration::from_millis(500);
+const BACKLOG: u32 = 1024;
+
+/// What all stages share.
+pub struct Shared {
+    pub clock: Clock,
+    pub book: Rc<Book>,
+    pub named: Named,
+    pub lines: Lines,
+    notes: mpsc::UnboundedSender<Note>,
+    txns: Cell<u64>,
+}
+
+impl Shared {
+    /// Route ends with the program only, so there is nobody to hear that it is gone.
+    pub fn tell(&self, note: Note) {
+        let _ = self.notes.send(note);
+    }
+
+    pub fn next_txn(&self) -> TxnId {
+        self.txns.set(self.txns.get() + 1);
+        TxnId(self.txns.get())
+    }
+}
+
+fn main() -> ExitCode {
+    let level = std::env::var("VANEWHARF_LOG").ok().and_then(|level| level.parse().ok());
+    tracing_subscriber::fmt()
+        .with_max_level(level.unwrap_or(tracing::Level::INFO))
+        .with_writer(std::io::stderr)
+        .init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            tracing::error!("cannot serve: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
+    runtime.block_on(async { serve(Commission::read()?).await })
+}
+
+async fn serve(commission: Commission) -> Result<(), String> {
+    let clock = Clock::start();
+    let Commission { name, listen, discovery, seed, limits, known, options } = commission;
+    let (start, named) =
+        vanewharf_told::start(&options, seed, clock.now()).map_err(|error| error.to_string())?;
+    let lines = vanewharf_told::lines(&options).map_err(|error| error.to_string())?;
+    let repeats = start.products.iter().map(|product| product.repeat).collect();
+    let book = Rc::new(Book::new(Room::within(limits.sockets, limits.memory_mb)));
+    let (notes, told) = mpsc::unbounded_channel();
+    let txns = Cell::new(0);
+    let shared = Rc::new(Shared { clock, book: Rc::clone(&book), named, lines, notes, txns });
+
+    let failed = |what: &str, error: std::io::Error| format!("{what}: {error}");
+    let mut end = signal(SignalKind::terminate()).map_err(|error| failed("no signals", error))?;
+    let mut print = signal(SignalKind::user_defined1()).map_err(|error| failed("no signals", error))?;
+    let listening = || {
+        let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(listen)?;
+        socket.listen(BACKLOG)
+    };
+    let listener = listening().map_err(|error| failed(&format!("cannot listen on {listen}"), error))?;
+
+    let (watch, known) = Discovery::start(discovery, Rc::clone(&shared), known);
+    let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known);
+    tokio::task::spawn_local(route.run(told));
+    tokio::task::spawn_local(watch.run());
+    let stop = Rc::new(Notify::new());
+    let accepting = tokio::task::spawn_local(take_in::accept(listener, Rc::clone(&shared), Rc::clone(&stop)));
+    tracing::info!(name, %listen, "serving");
+    loop {
+        tokio::select! {
+            _ = end.recv() => break,
+            _ = print.recv() => tracing::info!("counters {book}"),
+        }
+    }
+
+    tracing::info!("ending");
+    tokio::time::sleep(KEEP_ACCEPTING).await;
+    stop.notify_one();
+    let _ = accepting.await;
+    book.drain();
+    while book.clients() > 0 {
+        book.freed.notified().await;
+    }
+    tracing::info!("counters {book}");
+    Ok(())
+}
--- /dev/null
+++ b/frontdoor/src/pool.rs
@@ -0,0 +1,104 @@
+//! The backends' addresses and the idle connections to them.
+
+use crate::send::Job;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use tokio::sync::oneshot;
+use vanewharf::interface::{BackendId, Listed, Standing, Tenths};
+
+/// A connection that waits for its next submission; it closes when this is dropped.
+pub struct Idle {
+    pub next: oneshot::Sender<Job>,
+    pub since: Tenths,
+}
+
+#[derive(Default)]
+struct Peer {
+    address: Option<SocketAddr>,
+    ready: bool,
+    booted: Option<Tenths>,
+    /// Newest last: the newest is the least likely to have been closed by the other side.
+    idle: VecDeque<Idle>,
+}
+
+pub struct Pool {
+    peers: BTreeMap<BackendId, Peer>,
+    most_idle: Tenths,
+}
+
+impl Pool {
+    /// `closes`: when a backend closes an idle connection, at the latest. Half of it is kept clear
+    /// of, as a submission that crosses the close may have run.
+    pub fn new(closes: Tenths) -> Pool {
+        let most_idle = if closes.0 > 0 { closes.times(0.5) } else { Tenths::SECOND };
+        Pool { peers: BTreeMap::new(), most_idle }
+    }
+
+    pub fn list(&mut self, entry: &Listed, address: Option<SocketAddr>) {
+        let peer = self.peers.entry(entry.backend).or_default();
+        let moved = address.is_some() && address != peer.address;
+        if moved || entry.booted != peer.booted || entry.standing != Standing::Ready {
+            // To a process that is gone or may take nothing more.
+            peer.idle.clear();
+        }
+        peer.address = address.or(peer.address);
+        peer.booted = entry.booted;
+        peer.ready = entry.standing == Standing::Ready;
+    }
+
+    /// Those that a whole list does not name are gone.
+    pub fn keep_only(&mut self, named: impl Fn(BackendId) -> bool) {
+        for (_, peer) in self.peers.iter_mut().filter(|(id, _)| !named(**id)) {
+            peer.ready = false;
+            peer.idle.clear();
+        }
+    }
+
+    pub fn ready(&self, id: BackendId) -> bool {
+        self.peers.get(&id).is_some_and(|peer| peer.ready)
+    }
+
+    pub fn address(&self, id: BackendId) -> Option<SocketAddr> {
+        self.peers.get(&id)?.address
+    }
+
+    pub fn put(&mut self, id: BackendId, idle: Idle) {
+        if let Some(peer) = self.peers.get_mut(&id).filter(|peer| peer.ready) {
+            peer.idle.push_back(idle);
+        }
+    }
+
+    pub fn take(&mut self, id: BackendId, now: Tenths) -> Option<Idle> {
+        let idle = &mut self.peers.get_mut(&id)?.idle;
+        while let Some(one) = idle.pop_back() {
+            if now - one.since > self.most_idle {
+                // All others have waited longer.
+                idle.clear();
+                return None;
+            }
+            if !one.next.is_closed() {
+                return Some(one);
+            }
+        }
+        None
+    }
+
+    /// Closes what has been idle too long and forgets what has ended; how many were dropped.
+    pub fn sweep(&mut self, now: Tenths) -> usize {
+        let mut dropped = 0;
+        for peer in self.peers.values_mut() {
+            let before = peer.idle.len();
+            peer.idle.retain(|one| !one.next.is_closed() && now - one.since <= self.most_idle);
+            dropped += before - peer.idle.len();
+        }
+        dropped
+    }
+
+    /// Closes the one that has been idle longest.
+    pub fn shed(&mut self) {
+        let oldest = self.peers.values_mut().filter(|peer| !peer.idle.is_empty());
+        if let Some(peer) = oldest.min_by_key(|peer| peer.idle[0].since) {
+            peer.idle.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/frontdoor/src/route.rs
@@ -0,0 +1,367 @@
+//! Route: the one task that owns the decisions. It gathers what is ready, has it decided at once and
+//! carries the actions out in order.
+
+use crate::Shared;
+use crate::book::{Count, Invariant};
+use crate::discovery::Told;
+use crate::pool::{Idle, Pool};
+use crate::relay::Final;
+use crate::send::{self, CalledOff, Job};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use vanewharf::decide::Door;
+use vanewharf::interface::{
+    Action, Arrival, BackendId, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
+};
+use vanewharf_frames::{Reply, Request};
+
+/// For the answer's way back and one turn of the runtime's timers: the client counts from when it
+/// sent, this door from when it has read.
+const WAY_BACK: Tenths = Tenths(50);
+const SWEEP: Tenths = Tenths::SECOND;
+
+pub struct Taken {
+    pub arrival: Arrival,
+    pub request: Rc<Request>,
+    pub answer: oneshot::Sender<Final>,
+}
+
+pub struct Ended {
+    pub txn: TxnId,
+    pub no: SubmissionNo,
+    pub outcome: Outcome,
+    pub reply: Option<Reply>,
+    pub idle: Option<Idle>,
+}
+
+/// What the other stages tell this one.
+pub enum Note {
+    Arrived(Taken),
+    Left(TxnId),
+    Ended(Ended),
+    Listed(Told),
+    /// Sockets are short.
+    Shed,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Wake(TimerId),
+    Expiry(TxnId),
+    TimeOut(TxnId, SubmissionNo),
+    Sweep,
+}
+
+struct Submission {
+    backend: BackendId,
+    sent: Tenths,
+    may_have_run: bool,
+    /// None once called off or ended.
+    call_off: Option<oneshot::Sender<CalledOff>>,
+    ended: bool,
+}
+
+struct Txn {
+    request: Rc<Request>,
+    repeat: Repeat,
+    until: Tenths,
+    /// None once the final answer is given or the client has left.
+    answer: Option<oneshot::Sender<Final>>,
+    submissions: Vec<Submission>,
+}
+
+pub struct Route {
+    shared: Rc<Shared>,
+    door: Door,
+    repeats: Vec<Repeat>,
+    pool: Pool,
+    txns: BTreeMap<TxnId, Txn>,
+    timers: BinaryHeap<Reverse<(Tenths, u64, Timer)>>,
+    timers_set: u64,
+    events: Vec<Event>,
+    /// Kept until the batch is decided: an action of the same batch may still name them.
+    over: Vec<TxnId>,
+}
+
+impl Route {
+    pub fn new(shared: Rc<Shared>, door: Door, repeats: Vec<Repeat>, known: Told) -> Route {
+        let pool = Pool::new(shared.lines.idle);
+        let (txns, timers) = (BTreeMap::new(), BinaryHeap::new());
+        let (events, over) = (Vec::new(), Vec::new());
+        let mut route = Route { shared, door, repeats, pool, txns, timers, timers_set: 0, events, over };
+        let now = route.shared.clock.now();
+        route.listed(known);
+        route.set(now + SWEEP, Timer::Sweep);
+        route.decide(now);
+        route
+    }
+
+    pub async fn run(mut self, mut notes: mpsc::UnboundedReceiver<Note>) {
+        let mut batch = Vec::new();
+        let sleep = tokio::time::sleep_until(Instant::now());
+        tokio::pin!(sleep);
+        loop {
+            sleep.as_mut().reset(self.next_due());
+            tokio::select! {
+                biased;
+                got = notes.recv_many(&mut batch, 1024) => if got == 0 {
+                    return;
+                },
+                () = sleep.as_mut() => {}
+            }
+            let now = self.shared.clock.now();
+            for note in batch.drain(..) {
+                self.take(note, now);
+            }
+            self.fall_due(now);
+            self.decide(now);
+        }
+    }
+
+    fn set(&mut self, at: Tenths, timer: Timer) {
+        self.timers_set += 1;
+        self.timers.push(Reverse((at, self.timers_set, timer)));
+    }
+
+    /// Timers of txns that are over are dropped here: each would wake the door for nothing.
+    fn next_due(&mut self) -> Instant {
+        while let Some(Reverse((at, _, timer))) = self.timers.peek() {
+            let live = match timer {
+                Timer::Wake(_) | Timer::Sweep => true,
+                Timer::Expiry(txn) | Timer::TimeOut(txn, _) => self.txns.contains_key(txn),
+            };
+            if live {
+                return self.shared.clock.instant(*at);
+            }
+            self.timers.pop();
+        }
+        Instant::now() + crate::clock::span(SWEEP)
+    }
+
+    fn fall_due(&mut self, now: Tenths) {
+        while let Some(&Reverse((at, _, timer))) = self.timers.peek() {
+            if at > now {
+                return;
+            }
+            self.timers.pop();
+            match timer {
+                Timer::Wake(timer) => self.events.push(Event::Due(timer)),
+                Timer::TimeOut(txn, no) => self.call_off(txn, no, CalledOff::TimedOut),
+                Timer::Expiry(txn) => self.expire(txn),
+                Timer::Sweep => {
+                    for _ in 0..self.pool.sweep(now) {
+                        self.shared.book.count(Count::backends_dropped_idle);
+                    }
+                    self.set(now + SWEEP, Timer::Sweep);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, note: Note, now: Tenths) {
+        match note {
+            Note::Arrived(Taken { arrival, request, answer }) => {
+                let repeat = self.repeats[arrival.product.0];
+                let until = arrival.expiry - WAY_BACK;
+                let (answer, submissions) = (Some(answer), Vec::new());
+                self.txns.insert(arrival.txn, Txn { request, repeat, until, answer, submissions });
+                self.set(until, Timer::Expiry(arrival.txn));
+                self.events.push(Event::Arrived(arrival));
+            }
+            Note::Left(id) => {
+                let Some(txn) = self.txns.get_mut(&id) else {
+                    return;
+                };
+                if txn.answer.take().is_some() {
+                    self.shared.book.count(Count::left);
+                    self.events.push(Event::Left(id));
+                    self.over.push(id);
+                }
+            }
+            Note::Ended(ended) => self.ended(ended, now),
+            Note::Listed(told) => self.listed(told),
+            Note::Shed => self.pool.shed(),
+        }
+    }
+
+    fn listed(&mut self, told: Told) {
+        for (entry, address) in &told.entries {
+            self.pool.list(entry, *address);
+        }
+        if told.whole {
+            let named = |id| told.entries.iter().any(|(entry, _)| entry.backend == id);
+            self.pool.keep_only(named);
+        }
+        let entries = told.entries.into_iter().map(|(entry, _)| entry).collect();
+        self.events.push(if told.whole { Event::Listing(entries) } else { Event::Changes(entries) });
+    }
+
+    fn ended(&mut self, ended: Ended, now: Tenths) {
+        let book = &self.shared.book;
+        let Ended { txn: id, no, outcome, reply, idle } = ended;
+        book.count(match outcome {
+            Outcome::Settled => Count::submissions_settled,
+            Outcome::Error => Count::submissions_error,
+            Outcome::TurnedAway => Count::submissions_turned_away,
+            Outcome::TimedOut => Count::submissions_timed_out,
+            Outcome::NoConnection => Count::submissions_no_connection,
+            Outcome::Broken => Count::submissions_broken,
+            Outcome::Cancelled => Count::submissions_cancelled,
+            Outcome::Moot => Count::submissions_moot,
+        });
+        let Some(txn) = self.txns.get_mut(&id) else {
+            book.must(false, Invariant::ended_once);
+            return;
+        };
+        let submission = &mut txn.submissions[no.0 as usize];
+        book.must(!submission.ended, Invariant::ended_once);
+        submission.ended = true;
+        submission.call_off = None;
+        submission.may_have_run = !outcome.never_ran();
+        if let Some(idle) = idle {
+            self.pool.put(submission.backend, idle);
+        }
+        let took = now - submission.sent;
+        let figure = |name| {
+            let text = reply.as_ref()?.field(name)?;
+            text.trim().parse::<f64>().ok().filter(|figure| figure.is_finite())
+        };
+        let metered = figure("X-Quota-Used").filter(|&used| used >= 0.0).map(|used| used / 100.0);
+        let true_cost = figure("X-Units-Charged").filter(|&cost| cost > 0.0);
+        if let Some(reply) = reply.filter(|_| outcome == Outcome::Settled)
+            && let Some(answer) = txn.answer.take()
+        {
+            book.count(Count::settled);
+            // A client that has left meanwhile says so itself.
+            let _ = answer.send(Final::Settled(reply));
+        }
+        let complete = txn.answer.is_none();
+        let ending = Ending { txn: id, no, outcome, took, complete, metered, true_cost };
+        self.events.push(Event::Ended(ending));
+        self.over.push(id);
+    }
+
+    /// What is still out ends as timed out, and the decisions say what becomes of the txn.
+    fn expire(&mut self, id: TxnId) {
+        let Some(txn) = self.txns.get(&id) else {
+            return;
+        };
+        let out = txn.submissions.iter().enumerate().filter(|(_, one)| !one.ended);
+        let out: Vec<_> = out.map(|(no, _)| SubmissionNo(no as u32)).collect();
+        if out.is_empty() {
+            self.shared.book.must(false, Invariant::answered_by_expiry);
+            self.conclude(id, Final::Voided);
+        }
+        out.into_iter().for_each(|no| self.call_off(id, no, CalledOff::TimedOut));
+    }
+
+    fn call_off(&mut self, id: TxnId, no: SubmissionNo, why: CalledOff) {
+        let submission = self.txns.get_mut(&id).and_then(|txn| txn.submissions.get_mut(no.0 as usize));
+        if let Some(call_off) = submission.and_then(|submission| submission.call_off.take()) {
+            // Its outcome may be on the way already.
+            let _ = call_off.send(why);
+        }
+    }
+
+    fn decide(&mut self, now: Tenths) {
+        while !self.events.is_empty() {
+            let events = std::mem::take(&mut self.events);
+            for action in self.door.decide(now, events) {
+                self.carry_out(action, now);
+            }
+        }
+        for id in std::mem::take(&mut self.over) {
+            let over = |txn: &Txn| txn.answer.is_none() && txn.submissions.iter().all(|one| one.ended);
+            if self.txns.get(&id).is_some_and(over) {
+                self.txns.remove(&id);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action, now: Tenths) {
+        match action {
+            Action::Submit { txn, backend, time_out } => self.submit(txn, backend, time_out, now),
+            Action::Cancel { txn, no } => self.call_off(txn, no, CalledOff::Cancelled),
+            Action::Decline { txn, retry_after } => {
+                let harmless = self.txns.get(&txn).is_none_or(|txn| {
+                    let all = matches!(txn.repeat, Repeat::InquiryLike | Repeat::Referenced { .. });
+                    all || !txn.submissions.iter().any(|one| one.may_have_run)
+                });
+                self.shared.book.must(harmless, Invariant::no_effect_twice);
+                self.conclude(txn, Final::Declined(retry_after));
+            }
+            Action::Void { txn } => self.conclude(txn, Final::Voided),
+            Action::Wake { after, timer } => self.set(now + after, Timer::Wake(timer)),
+            // The list is watched from the start on, so there is nothing to ask for.
+            Action::Watch => {}
+        }
+    }
+
+    fn conclude(&mut self, id: TxnId, answer: Final) {
+        let book = &self.shared.book;
+        let Some(txn) = self.txns.get_mut(&id) else {
+            return;
+        };
+        // Settled, or its client left, in this very batch.
+        let Some(give) = txn.answer.take() else {
+            return;
+        };
+        book.count(if matches!(answer, Final::Voided) { Count::voided } else { Count::declined });
+        let _ = give.send(answer);
+        self.over.push(id);
+    }
+
+    fn submit(&mut self, id: TxnId, backend: BackendId, time_out: Option<Tenths>, now: Tenths) {
+        let book = &self.shared.book;
+        let Some(txn) = self.txns.get_mut(&id) else {
+            return;
+        };
+        let no = SubmissionNo(txn.submissions.len() as u32);
+        if txn.answer.is_none() {
+            // Concluded in this very batch: nothing is sent, and the decisions hear so.
+            book.count(Count::submissions_moot);
+            let (sent, may_have_run, call_off, ended) = (now, false, None, true);
+            txn.submissions.push(Submission { backend, sent, may_have_run, call_off, ended });
+            let (outcome, took, complete) = (Outcome::Moot, Tenths(0), true);
+            let ending = Ending { txn: id, no, outcome, took, complete, metered: None, true_cost: None };
+            return self.events.push(Event::Ended(ending));
+        }
+        book.count(Count::submissions);
+        book.must(self.pool.ready(backend), Invariant::only_to_listed);
+        let once_only = txn.repeat == Repeat::OnceOnly;
+        let ran = txn.submissions.iter().any(|one| one.may_have_run);
+        book.must(!(once_only && ran), Invariant::no_effect_twice);
+        let (call_off, called_off) = oneshot::channel();
+        let until = time_out.map_or(txn.until, |span| txn.until.min(now + span));
+        let (sent, may_have_run, ended) = (now, true, false);
+        let submission = Submission { backend, sent, may_have_run, call_off: Some(call_off), ended };
+        txn.submissions.push(submission);
+        let mut job = Job { txn: id, no, request: Rc::clone(&txn.request), until, called_off };
+        if time_out.is_some() {
+            self.set(until, Timer::TimeOut(id, no));
+        }
+        while let Some(idle) = self.pool.take(backend, now) {
+            match idle.next.send(job) {
+                Ok(()) => return self.shared.book.count(Count::backends_reused),
+                Err(back) => job = back,
+            }
+        }
+        if !self.shared.book.may_dial() {
+            self.pool.shed();
+        }
+        let shared = Rc::clone(&self.shared);
+        match self.pool.address(backend) {
+            Some(address) => drop(tokio::task::spawn_local(send::run(job, address, shared))),
+            None => shared.tell(Note::Ended(Ended {
+                txn: id,
+                no,
+                outcome: Outcome::NoConnection,
+                reply: None,
+                idle: None,
+            })),
+        }
+    }
+}
--- /dev/null
+++ b/frontdoor/src/send.rs
@@ -0,0 +1,180 @@
+//! Send: one task for each connection to a backend. It carries one submission at a time and says how
+//! each ended, by what can be proved of it.
+
+use crate::Shared;
+use crate::admit::TIME_LEFT;
+use crate::book::{Count, Entry};
+use crate::clock::span;
+use crate::pool::Idle;
+use crate::route::{Ended, Note};
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio_util::codec::Framed;
+use vanewharf::interface::{Outcome, SubmissionNo, Tenths, TxnId};
+use vanewharf_frames::{Outward, PassedOn, Reply, Request};
+
+/// Why a submission is no longer waited for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CalledOff {
+    TimedOut,
+    Cancelled,
+}
+
+pub struct Job {
+    pub txn: TxnId,
+    pub no: SubmissionNo,
+    pub request: Rc<Request>,
+    /// When the door stops waiting.
+    pub until: Tenths,
+    pub called_off: oneshot::Receiver<CalledOff>,
+}
+
+struct Connection {
+    framed: Framed<TcpStream, Outward>,
+    entry: Entry,
+}
+
+/// What became of one submission on one connection.
+enum Carried {
+    Answered(Reply),
+    /// It broke before the last byte was written.
+    Unwritten,
+    Broken,
+    CalledOff {
+        why: CalledOff,
+        written: bool,
+    },
+}
+
+impl Connection {
+    async fn carry(&mut self, job: &mut Job, shared: &Shared) -> Carried {
+        let left = (job.until - shared.clock.now()).0.max(0) / 10;
+        let left = left.to_string();
+        let passed = PassedOn { request: &job.request, anew: &[(TIME_LEFT, &left)] };
+        let sent = tokio::select! {
+            biased;
+            sent = self.framed.send(passed) => sent.is_ok(),
+            why = &mut job.called_off => {
+                let written = self.framed.write_buffer().is_empty();
+                return Carried::CalledOff { why: why.unwrap_or(CalledOff::Cancelled), written };
+            }
+        };
+        if !sent {
+            return if self.framed.write_buffer().is_empty() { Carried::Broken } else { Carried::Unwritten };
+        }
+        let carried = tokio::select! {
+            biased;
+            reply = self.framed.next() => match reply {
+                Some(Ok(reply)) => Carried::Answered(reply),
+                _ => Carried::Broken,
+            },
+            why = &mut job.called_off =>
+                Carried::CalledOff { why: why.unwrap_or(CalledOff::Cancelled), written: true },
+        };
+        self.entry.weigh(self.framed.read_buffer().capacity() + self.framed.write_buffer().capacity());
+        carried
+    }
+
+    /// The next submission, unless the other side ends the connection first.
+    async fn idle(&mut self, next: &mut oneshot::Receiver<Job>) -> Result<Job, Option<Job>> {
+        tokio::select! {
+            biased;
+            // Nothing may come unasked: whatever it is, the connection is of no more use.
+            _ = self.framed.next() => {
+                next.close();
+                Err(next.try_recv().ok())
+            }
+            job = &mut *next => job.map_err(|_| None),
+        }
+    }
+}
+
+fn outcome(reply: &Reply) -> Outcome {
+    match reply.status() {
+        200 => Outcome::Settled,
+        503 | 504 if reply.field("X-Unprocessed") == Some("1") => Outcome::TurnedAway,
+        _ => Outcome::Error,
+    }
+}
+
+async fn dial(address: SocketAddr, shared: &Shared) -> Option<Connection> {
+    let book = &shared.book;
+    if !book.may_dial() {
+        return None;
+    }
+    let entry = Entry::of(book, false);
+    book.count(Count::backends_dialled);
+    let connecting = TcpStream::connect(address);
+    let stream = if shared.lines.dial.0 > 0 {
+        tokio::time::timeout(span(shared.lines.dial), connecting).await.ok()?.ok()?
+    } else {
+        connecting.await.ok()?
+    };
+    let _ = stream.set_nodelay(true);
+    Some(Connection { framed: Framed::new(stream, Outward::default()), entry })
+}
+
+/// Opens a connection for a submission and carries on with others that route gives it.
+pub async fn run(mut job: Job, address: SocketAddr, shared: Rc<Shared>) {
+    let mut kept: Option<Connection> = None;
+    loop {
+        let fresh = kept.is_none();
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => {
+                let dialled = tokio::select! {
+                    biased;
+                    why = &mut job.called_off => Err(why.unwrap_or(CalledOff::Cancelled)),
+                    dialled = dial(address, &shared) => Ok(dialled),
+                };
+                match dialled {
+                    Ok(Some(connection)) => connection,
+                    Ok(None) => return end(&job, Outcome::NoConnection, None, None, &shared),
+                    Err(CalledOff::TimedOut) => return end(&job, Outcome::NoConnection, None, None, &shared),
+                    Err(CalledOff::Cancelled) => return end(&job, Outcome::Cancelled, None, None, &shared),
+                }
+            }
+        };
+        let reply = match connection.carry(&mut job, &shared).await {
+            Carried::Answered(reply) => reply,
+            Carried::Unwritten if !fresh => {
+                // A connection that went stale unseen; nothing has run, so a new one takes the same.
+                shared.book.count(Count::backends_stale);
+                continue;
+            }
+            Carried::Unwritten => return end(&job, Outcome::NoConnection, None, None, &shared),
+            Carried::Broken => return end(&job, Outcome::Broken, None, None, &shared),
+            Carried::CalledOff { why: CalledOff::TimedOut, written: false } => {
+                return end(&job, Outcome::NoConnection, None, None, &shared);
+            }
+            Carried::CalledOff { why: CalledOff::TimedOut, .. } => {
+                return end(&job, Outcome::TimedOut, None, None, &shared);
+            }
+            Carried::CalledOff { .. } => return end(&job, Outcome::Cancelled, None, None, &shared),
+        };
+        let outcome = outcome(&reply);
+        if reply.last() || !connection.framed.read_buffer().is_empty() {
+            return end(&job, outcome, Some(reply), None, &shared);
+        }
+        let (next, mut jobs) = oneshot::channel();
+        end(&job, outcome, Some(reply), Some(Idle { next, since: shared.clock.now() }), &shared);
+        match connection.idle(&mut jobs).await {
+            Ok(next) => {
+                job = next;
+                kept = Some(connection);
+            }
+            Err(Some(next)) => {
+                shared.book.count(Count::backends_stale);
+                job = next;
+            }
+            Err(None) => return,
+        }
+    }
+}
+
+fn end(job: &Job, outcome: Outcome, reply: Option<Reply>, idle: Option<Idle>, shared: &Shared) {
+    shared.tell(Note::Ended(Ended { txn: job.txn, no: job.no, outcome, reply, idle }));
+}
--- /dev/null
+++ b/frontdoor/src/take_in.rs
@@ -0,0 +1,216 @@
+//! Take in: accepts clients and reads their requests, one at a time on a connection.
+
+use crate::Shared;
+use crate::admit::{Admitted, admit};
+use crate::book::{Count, Entry};
+use crate::relay::{Final, relay, say};
+use crate::route::{Note, Taken};
+use futures_util::StreamExt;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, oneshot};
+use tokio_util::codec::Framed;
+use vanewharf::interface::TxnId;
+use vanewharf_frames::{Fault, Inward, Request};
+
+/// Where accepting fails for want of descriptors that the book does not know of.
+const PAUSE: Duration = Duration::from_millis(50);
+/// What a connection's buffer may hold even when memory is short.
+const SMALL: usize = 16 * 1024;
+/// How long what a client still sends is read after its connection was given up, so that a reset
+/// does not overtake the answer.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Accepts until told to stop; then takes what the system has accepted already.
+pub async fn accept(listener: TcpListener, shared: Rc<Shared>, stop: Rc<Notify>) {
+    let book = &shared.book;
+    loop {
+        if book.crowded() {
+            book.idle_clients.notify_one();
+            shared.tell(Note::Shed);
+        }
+        let freed = book.freed.notified();
+        if book.full() {
+            tokio::select! {
+                () = freed => continue,
+                () = tokio::time::sleep(PAUSE) => continue,
+                () = stop.notified() => break,
+            }
+        }
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = stop.notified() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve(stream, &shared),
+            Err(error) => {
+                book.count(Count::accept_failed);
+                tracing::warn!(%error, "no client accepted");
+                shared.tell(Note::Shed);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    // The system's queue holds clients whose requests count as taken.
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            serve(stream, &shared);
+        }
+    }
+}
+
+fn serve(stream: TcpStream, shared: &Rc<Shared>) {
+    shared.book.count(Count::clients_accepted);
+    let entry = Entry::of(&shared.book, true);
+    tokio::task::spawn_local(Client::new(stream, entry, Rc::clone(shared)).run());
+}
+
+struct Client {
+    framed: Framed<TcpStream, Inward>,
+    entry: Entry,
+    shared: Rc<Shared>,
+}
+
+type Read = Option<Result<Request, Fault>>;
+
+impl Client {
+    fn new(stream: TcpStream, entry: Entry, shared: Rc<Shared>) -> Client {
+        // Answers are written whole; waiting to fill a segment only holds them up.
+        let _ = stream.set_nodelay(true);
+        Client { framed: Framed::new(stream, Inward::default()), entry, shared }
+    }
+
+    /// Reads on, keeping the book; what is not whole is given up when the door is out of memory.
+    async fn read(&mut self) -> Read {
+        let Client { framed, entry, shared } = self;
+        poll_fn(move |cx| {
+            let read = framed.poll_next_unpin(cx);
+            let held = framed.read_buffer().capacity();
+            entry.weigh(held + framed.write_buffer().capacity());
+            if read.is_pending() && held > SMALL && shared.book.heavy() {
+                return std::task::Poll::Ready(Some(Err(Fault::BodyTooLarge)));
+            }
+            read
+        })
+        .await
+    }
+
+    async fn run(mut self) {
+        let mut ahead: Option<Read> = None;
+        loop {
+            let read = match ahead.take() {
+                Some(read) => read,
+                None => match self.next().await {
+                    Some(read) => read,
+                    None => return,
+                },
+            };
+            let request = match read {
+                None | Some(Err(Fault::Io(_) | Fault::Cut)) => return,
+                Some(Err(fault)) => return self.turn_back(fault).await,
+                Some(Ok(request)) => request,
+            };
+            let last = request.last();
+            let txn = self.shared.next_txn();
+            match admit(&request, &self.shared.named, self.shared.clock.now(), txn) {
+                Admitted::Health => {
+                    let last = last || self.shared.book.draining();
+                    if !say(&mut self.framed, 200, "ok\n", last).await || last {
+                        return;
+                    }
+                }
+                Admitted::Bad(status, reason) => {
+                    self.shared.book.count(Count::turned_back);
+                    let last = last || self.shared.book.draining();
+                    if !say(&mut self.framed, status, &format!("{reason}\n"), last).await || last {
+                        return;
+                    }
+                }
+                Admitted::Txn(arrival) => {
+                    self.shared.book.count(Count::taken);
+                    let (answer, answered) = oneshot::channel();
+                    self.entry.weigh(request.bytes() + self.framed.read_buffer().capacity());
+                    self.shared.tell(Note::Arrived(Taken { arrival, request: Rc::new(request), answer }));
+                    let Some(answer) = self.answer(txn, answered, &mut ahead).await else {
+                        return;
+                    };
+                    self.entry.weigh(answer.bytes() + self.framed.read_buffer().capacity());
+                    let last = last || self.shared.book.draining();
+                    if !relay(&mut self.framed, &answer, last).await || last {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// The next request, unless the connection is closed while idle.
+    async fn next(&mut self) -> Option<Read> {
+        let shared = Rc::clone(&self.shared);
+        if self.framed.read_buffer().is_empty() && shared.book.draining() {
+            return None;
+        }
+        tokio::select! {
+            biased;
+            read = self.read() => Some(read),
+            () = shared.book.idle_clients.notified() => {
+                shared.book.count(Count::clients_shed);
+                None
+            }
+        }
+    }
+
+    /// Waits for the answer and for the client to leave, whichever comes first.
+    async fn answer(
+        &mut self,
+        txn: TxnId,
+        mut answered: oneshot::Receiver<Final>,
+        ahead: &mut Option<Read>,
+    ) -> Option<Final> {
+        loop {
+            tokio::select! {
+                biased;
+                answer = &mut answered => return answer.ok(),
+                read = self.read(), if ahead.is_none() => match read {
+                    None | Some(Err(Fault::Io(_) | Fault::Cut)) => {
+                        self.shared.tell(Note::Left(txn));
+                        return None;
+                    }
+                    read => *ahead = Some(read),
+                },
+            }
+        }
+    }
+
+    async fn turn_back(mut self, fault: Fault) {
+        self.shared.book.count(Count::turned_back);
+        let status = match fault {
+            Fault::HeadTooLarge => 431,
+            Fault::BodyTooLarge => 413,
+            _ => 400,
+        };
+        if !say(&mut self.framed, status, &format!("{fault}\n"), true).await {
+            return;
+        }
+        let mut stream = self.framed.into_inner();
+        let _ = stream.shutdown().await;
+        let discard = async {
+            let mut waste = [0; 4096];
+            while stream.readable().await.is_ok() {
+                match stream.try_read(&mut waste) {
+                    Ok(0) => return,
+                    Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+                    _ => {}
+                }
+            }
+        };
+        let _ = tokio::time::timeout(LINGER, discard).await;
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -43,7 +43,7 @@
 ids!(
     TxnId(u64),
     BackendId(u32),
-    CustomerId(u32),
+    CustomerId(u64),
     PlanId(usize),
     ProductId(usize),
     PlaceId(u32),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -138,7 +138,7 @@
                 txn: txn(),
                 product: ProductId(place(&self.products, words[2])),
                 plan: PlanId(place(&self.plans, words[3])),
-                customer: CustomerId(self.id(words[4])),
+                customer: CustomerId(self.id(words[4]).into()),
                 width: figure(words, "width", 1.0) as u32,
                 cost: figure(words, "cost", 1.0),
                 expiry: now + ms(given(words, "expiry").unwrap_or("4000")),
--- /dev/null
+++ b/told/src/lib.rs
@@ -0,0 +1,228 @@
+//! What a door is told at its start, whichever form it came in: the bench's flat options or the
+//! nested JSON of a deployment. This is the only place that knows the names the settings use.
+
+use serde_json::Value;
+use std::collections::HashMap;
+use std::error::Error;
+use std::fmt;
+use std::str::FromStr;
+use vanewharf::interface::{
+    Allowances, Among, ColdFigures, Plan, PlanId, Product, ProductId, Repeat, Start, Tenths,
+};
+
+/// The option that cannot be read, and what stood there.
+#[derive(Debug)]
+pub struct Unreadable {
+    pub option: String,
+    pub value: String,
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "option {} cannot be read: '{}'", self.option, self.value)
+    }
+}
+
+impl Error for Unreadable {}
+
+/// Each option under its dotted path.
+#[derive(Default)]
+pub struct Options {
+    values: HashMap<String, String>,
+}
+
+impl Options {
+    pub fn flat<'a>(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Options {
+        let owned = |(path, value): (&str, &str)| (path.to_owned(), value.to_owned());
+        Options { values: pairs.into_iter().map(owned).collect() }
+    }
+
+    pub fn nested(value: &Value) -> Options {
+        let mut options = Options::default();
+        options.flatten(String::new(), value);
+        options
+    }
+
+    fn flatten(&mut self, path: String, value: &Value) {
+        let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+        match value {
+            Value::Object(fields) => {
+                for (name, value) in fields {
+                    self.flatten(below(name), value);
+                }
+            }
+            Value::Array(items) => {
+                self.values.insert(below("count"), items.len().to_string());
+                for (item, value) in items.iter().enumerate() {
+                    self.flatten(below(&item.to_string()), value);
+                }
+            }
+            Value::Null => {}
+            Value::String(text) => drop(self.values.insert(path, text.clone())),
+            plain => drop(self.values.insert(path, plain.to_string())),
+        }
+    }
+
+    fn read<T: FromStr>(&self, option: &str) -> Result<Option<T>, Unreadable> {
+        let Some(value) = self.values.get(option) else {
+            return Ok(None);
+        };
+        let unreadable = |_| Unreadable { option: option.to_owned(), value: value.clone() };
+        value.parse().map(Some).map_err(unreadable)
+    }
+
+    fn number(&self, option: &str) -> Result<f64, Unreadable> {
+        let number: f64 = self.read(option)?.unwrap_or_default();
+        if number.is_finite() {
+            return Ok(number);
+        }
+        Err(Unreadable { option: option.to_owned(), value: number.to_string() })
+    }
+
+    fn count(&self, option: &str) -> Result<usize, Unreadable> {
+        Ok(self.read(option)?.unwrap_or_default())
+    }
+
+    fn flag(&self, option: &str) -> Result<bool, Unreadable> {
+        Ok(self.read(option)?.unwrap_or_default())
+    }
+
+    fn time(&self, option: &str) -> Result<Tenths, Unreadable> {
+        Ok(tenths(self.number(option)?))
+    }
+
+    fn text(&self, option: &str) -> &str {
+        self.values.get(option).map(String::as_str).unwrap_or_default()
+    }
+}
+
+/// Rounded down, so that an expiry is never taken for later than it is.
+pub fn tenths(milliseconds: f64) -> Tenths {
+    Tenths((milliseconds * 10.0 + 1e-6).floor() as i64)
+}
+
+/// The names that the settings give to numbered things.
+#[derive(Debug, Default)]
+pub struct Named {
+    pub plans: HashMap<String, PlanId>,
+    pub products: HashMap<String, ProductId>,
+}
+
+pub fn start(options: &Options, seed: u64, at: Tenths) -> Result<(Start, Named), Unreadable> {
+    let mut named = Named::default();
+    let mut products = Vec::new();
+    for item in 0..options.count("classes.count")? {
+        let key = |name: &str| format!("classes.{item}.{name}");
+        let window = options.time(&key("window"))?;
+        let repeat = match options.text(&key("idempotency")) {
+            "retryable" => Repeat::InquiryLike,
+            "dedup" => {
+                let among = match options.text(&key("group")) {
+                    "all" => Among::All,
+                    "zone" => Among::Place,
+                    _ => Among::Group,
+                };
+                Repeat::Referenced { among, window }
+            }
+            _ => Repeat::OnceOnly,
+        };
+        named.products.insert(options.text(&key("name")).to_owned(), ProductId(item));
+        products.push(Product {
+            sla_time: options.time(&key("aim"))?,
+            value: options.number(&key("gain"))?,
+            repeat,
+        });
+    }
+    let mut plans = Vec::new();
+    for item in 0..options.count("tiers_of_service.count")? {
+        let key = |name: &str| format!("tiers_of_service.{item}.{name}");
+        named.plans.insert(options.text(&key("name")).to_owned(), PlanId(item));
+        plans.push(Plan {
+            rate: options.number(&key("rate"))?,
+            burst: options.number(&key("store_size"))?,
+            open_at_once: options.number(&key("at_once"))?,
+            value_factor: options.number(&key("value_factor"))?,
+            beyond_worth: options.number(&key("excess_worth"))?,
+            beyond_cost: options.number(&key("excess_cost"))?,
+            ceiling_rate: options.number(&key("ceiling_rate"))?,
+            ceiling_depth: options.number(&key("never_over_depth"))?,
+        });
+    }
+    let on_request = options.text("membership_mode") == "on_request";
+    let start = Start {
+        seed,
+        at,
+        doors: options.read("balancers")?.unwrap_or(1),
+        products,
+        plans,
+        allowances: Allowances {
+            cancel: options.flag("allowed.cancel")?,
+            second_copies: options.flag("allowed.second_copies")?,
+            retry_after: options.flag("allowed.retry_after")?,
+            max_retry_after: options.time("allowed.max_retry_after")?,
+            most_submissions: options.count("allowed.most_tries")?,
+        },
+        cold: ColdFigures {
+            from: options.number("rules.cold_from")?,
+            ramp_time: options.time("rules.ramp_time")?,
+        },
+        meter_period: options.time("family_info.use_period")?,
+        ask_within: on_request.then_some(options.time("rules.ask_within")?),
+    };
+    Ok((start, named))
+}
+
+/// How connections to backends are kept and opened.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Lines {
+    /// A backend closes a connection that has stood idle so long, at the latest. Zero: never told.
+    pub idle: Tenths,
+    /// A connection not up by then never comes up. Zero: never told.
+    pub dial: Tenths,
+}
+
+pub fn lines(options: &Options) -> Result<Lines, Unreadable> {
+    Ok(Lines { idle: options.time("allowed.conn_idle")?, dial: options.time("allowed.dial_timeout")? })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn flat_and_nested_tell_the_same() {
+        let nested = json!({
+            "balancers": 3,
+            "allowed": {"cancel": true, "most_tries": 3, "conn_idle": 15000.0, "dial_timeout": 250.0},
+            "classes": [{"name": "look", "aim": 400.0, "gain": 1.5, "idempotency": "dedup", "group": "zone",
+                "window": 5000.25}],
+            "tiers_of_service": [{"name": "basic", "rate": 2, "store_size": 16.0}, {"name": "gold"}],
+            "odd": null
+        });
+        let flat = "balancers=3 allowed.cancel=true allowed.most_tries=3 allowed.conn_idle=15000.0 \
+            allowed.dial_timeout=250.0 classes.count=1 classes.0.name=look classes.0.aim=400.0 \
+            classes.0.gain=1.5 classes.0.idempotency=dedup classes.0.group=zone classes.0.window=5000.25 \
+            tiers_of_service.count=2 tiers_of_service.0.name=basic tiers_of_service.0.rate=2 \
+            tiers_of_service.0.store_size=16 tiers_of_service.1.name=gold";
+        let flat = Options::flat(flat.split(' ').filter_map(|pair| pair.split_once('=')));
+        let nested = Options::nested(&nested);
+        let (one, names) = start(&flat, 7, Tenths(5)).expect("readable");
+        let (other, _) = start(&nested, 7, Tenths(5)).expect("readable");
+        assert_eq!(one, other);
+        assert_eq!(names.plans["gold"], PlanId(1));
+        let repeat = Repeat::Referenced { among: Among::Place, window: Tenths(50_002) };
+        assert_eq!((one.products[0].repeat, one.plans[0].rate), (repeat, 2.0));
+        let told = Lines { idle: Tenths(150_000), dial: Tenths(2_500) };
+        assert_eq!(lines(&nested).expect("readable"), told);
+        assert_eq!(lines(&flat).expect("readable"), told);
+    }
+
+    #[test]
+    fn what_cannot_be_read_is_named() {
+        let odd = Options::nested(&json!({"classes": [{"gain": "much"}]}));
+        let fault = start(&odd, 7, Tenths(5)).expect_err("no number");
+        assert_eq!(fault.to_string(), "option classes.0.gain cannot be read: 'much'");
+        assert!(start(&Options::flat([("rules.cold_from", "inf")]), 7, Tenths(5)).is_err());
+    }
+}
