Test the program over loopback; answer what was accepted before the end

Tests: stand-ins of our own for clients, backends and the discovery agent; what they prove is waited for, never slept for. While writing them, read the end of the program anew and mended: a connection that the system had accepted when the door was told to end was closed unread (its request counts as taken); a request read ahead was lost where its connection ended with the answer before it; a panic in route or discovery would have left a door that takes and never answers (now the program ends with the reason); HTTP/1.0 connections end after their answer.

--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -69,7 +69,6 @@
     length: Option<usize>,
     chunked: bool,
     close: bool,
-    keep: bool,
     hosts: usize,
 }
 
@@ -90,9 +89,8 @@
                 }
                 framing.chunked = true;
             } else if name.eq_ignore_ascii_case("connection") {
-                let tokens = || value.split(|&byte| byte == b',').map(<[u8]>::trim_ascii);
-                framing.close |= tokens().any(|token| token.eq_ignore_ascii_case(b"close"));
-                framing.keep |= tokens().any(|token| token.eq_ignore_ascii_case(b"keep-alive"));
+                let mut tokens = value.split(|&byte| byte == b',').map(<[u8]>::trim_ascii);
+                framing.close |= tokens.any(|token| token.eq_ignore_ascii_case(b"close"));
             } else if name.eq_ignore_ascii_case("host") {
                 framing.hosts += 1;
             }
@@ -106,8 +104,9 @@
         Ok(framing)
     }
 
+    /// Version 0 is HTTP/1.0, whose connections end unless both sides say otherwise.
     fn last(&self, version: u8) -> bool {
-        self.close || version == 0 && !self.keep
+        self.close || version == 0
     }
 }
 
--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -57,7 +57,9 @@
 /// What the door may hold, a reserve taken off each.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
-    /// Descriptors of any kind; dialling goes on up to here.
+    /// Descriptors of any kind.
+    pub most: usize,
+    /// Dialling goes on up to here.
     pub sockets: usize,
     /// From here on idle connections are shed.
     pub crowded: usize,
@@ -73,6 +75,7 @@
         let own = 16;
         let usable = sockets.saturating_sub(own).max(8);
         Room {
+            most: sockets,
             sockets: usable,
             crowded: usable * 3 / 4,
             full: usable * 7 / 8,
@@ -178,7 +181,7 @@
 impl Entry {
     pub fn of(book: &Rc<Book>, client: bool) -> Entry {
         book.sockets.set(book.sockets.get() + 1);
-        book.must(book.sockets.get() <= book.room.sockets, Invariant::within_sockets);
+        book.must(book.sockets.get() <= book.room.most, Invariant::within_sockets);
         book.clients.set(book.clients.get() + usize::from(client));
         Entry { book: Rc::clone(book), bytes: 0, client }
     }
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -101,8 +101,8 @@
 
     let (watch, known) = Discovery::start(discovery, Rc::clone(&shared), known);
     let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known);
-    tokio::task::spawn_local(route.run(told));
-    tokio::task::spawn_local(watch.run());
+    let mut routing = tokio::task::spawn_local(route.run(told));
+    let mut watching = tokio::task::spawn_local(watch.run());
     let stop = Rc::new(Notify::new());
     let accepting = tokio::task::spawn_local(take_in::accept(listener, Rc::clone(&shared), Rc::clone(&stop)));
     tracing::info!(name, %listen, "serving");
@@ -110,6 +110,9 @@
         tokio::select! {
             _ = end.recv() => break,
             _ = print.recv() => tracing::info!("counters {book}"),
+            // A door without either would hold what it takes for ever.
+            ended = &mut routing => return Err(format!("route ended: {ended:?}")),
+            ended = &mut watching => return Err(format!("discovery ended: {ended:?}")),
         }
     }
 
--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -176,5 +176,6 @@
 }
 
 fn end(job: &Job, outcome: Outcome, reply: Option<Reply>, idle: Option<Idle>, shared: &Shared) {
+    tracing::debug!(txn = job.txn.0, no = job.no.0, ?outcome, kept = idle.is_some(), "submission ended");
     shared.tell(Note::Ended(Ended { txn: job.txn, no: job.no, outcome, reply, idle }));
 }
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -20,6 +20,8 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// What a connection's buffer may hold even when memory is short.
 const SMALL: usize = 16 * 1024;
+/// How long a request may take that crosses the end of its connection.
+const CROSSING: Duration = Duration::from_millis(200);
 /// How long what a client still sends is read after its connection was given up, so that a reset
 /// does not overtake the answer.
 const LINGER: Duration = Duration::from_millis(500);
@@ -50,6 +52,7 @@
             Err(error) => {
                 book.count(Count::accept_failed);
                 tracing::warn!(%error, "no client accepted");
+                book.idle_clients.notify_one();
                 shared.tell(Note::Shed);
                 tokio::time::sleep(PAUSE).await;
             }
@@ -119,19 +122,15 @@
             };
             let last = request.last();
             let txn = self.shared.next_txn();
-            match admit(&request, &self.shared.named, self.shared.clock.now(), txn) {
+            let answered = match admit(&request, &self.shared.named, self.shared.clock.now(), txn) {
                 Admitted::Health => {
                     let last = last || self.shared.book.draining();
-                    if !say(&mut self.framed, 200, "ok\n", last).await || last {
-                        return;
-                    }
+                    say(&mut self.framed, 200, "ok\n", last).await && !last
                 }
                 Admitted::Bad(status, reason) => {
                     self.shared.book.count(Count::turned_back);
                     let last = last || self.shared.book.draining();
-                    if !say(&mut self.framed, status, &format!("{reason}\n"), last).await || last {
-                        return;
-                    }
+                    say(&mut self.framed, status, &format!("{reason}\n"), last).await && !last
                 }
                 Admitted::Txn(arrival) => {
                     self.shared.book.count(Count::taken);
@@ -142,11 +141,13 @@
                         return;
                     };
                     self.entry.weigh(answer.bytes() + self.framed.read_buffer().capacity());
-                    let last = last || self.shared.book.draining();
-                    if !relay(&mut self.framed, &answer, last).await || last {
-                        return;
-                    }
+                    // A request read ahead is taken, and is answered before the connection ends.
+                    let last = last || self.shared.book.draining() && ahead.is_none();
+                    relay(&mut self.framed, &answer, last).await && !last
                 }
+            };
+            if !answered {
+                return;
             }
         }
     }
@@ -154,17 +155,28 @@
     /// The next request, unless the connection is closed while idle.
     async fn next(&mut self) -> Option<Read> {
         let shared = Rc::clone(&self.shared);
-        if self.framed.read_buffer().is_empty() && shared.book.draining() {
-            return None;
+        let book = &shared.book;
+        if !book.draining() {
+            tokio::select! {
+                biased;
+                read = self.read() => return Some(read),
+                () = book.idle_clients.notified() => {}
+            }
+            if !book.draining() {
+                book.count(Count::clients_shed);
+                return None;
+            }
         }
-        tokio::select! {
-            biased;
-            read = self.read() => Some(read),
-            () = shared.book.idle_clients.notified() => {
-                shared.book.count(Count::clients_shed);
-                None
+        // What the system has accepted counts as taken, read or not; what has begun may still come whole.
+        for _ in 0..2 {
+            if let Ok(read) = tokio::time::timeout(CROSSING, self.read()).await {
+                return Some(read);
+            }
+            if self.framed.read_buffer().is_empty() {
+                break;
             }
         }
+        None
     }
 
     /// Waits for the answer and for the client to leave, whichever comes first.
--- /dev/null
+++ b/frontdoor/tests/door.rs
@@ -0,0 +1,264 @@
+//! The program over loopback, with stand-ins of our own on its other sides.
+
+mod stand_ins;
+
+use stand_ins::*;
+use std::process::Command;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+#[test]
+fn passes_txn_and_answer_on_unchanged() {
+    let told = "X-Quota-Used: 12\r\nX-Units-Charged: 1\r\nContent-Type: text/plain\r\n";
+    let backend = Backend::new("a", vec![ok(told, "seen"), ok("", "booked")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    let answer = client.ask(&look());
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"seen"[..]));
+    assert_eq!(answer.field("Content-Type"), Some("text/plain"));
+    assert_eq!((answer.field("X-Quota-Used"), answer.field("X-Units-Charged")), (None, None));
+    let asked = backend.asked();
+    assert_eq!(asked.first, "GET /look?key=00000000b4d65521 HTTP/1.1");
+    assert_eq!(asked.field("X-Correlation-Id"), Some("9b1f03aa5c7e2d41"));
+    let left: u32 = asked.field("X-Time-Left-Ms").and_then(|text| text.parse().ok()).expect("a number");
+    assert!((2000..3000).contains(&left), "{left}");
+
+    let answer = client.ask(&book());
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"booked"[..]));
+    let asked = backend.asked();
+    assert_eq!(asked.first, "POST /book?key=00000000b4d65521 HTTP/1.1");
+    assert_eq!(asked.body, b"two seats");
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 1, "the connection is kept");
+}
+
+#[test]
+fn answers_of_any_framing_pass_and_cut_ones_do_not() {
+    let chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nin p\r\n5;x=y\r\narts!\r\n0\r\n\r\n";
+    let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    let endless = "HTTP/1.1 200 OK\r\n\r\nno end told";
+    let closing = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nlast";
+    let say = |text: &str| Reaction::Say(text.to_owned());
+    let close = |text: &str| Reaction::SayAndClose(text.to_owned());
+    let backend =
+        Backend::new("a", vec![say(chunked), say(closing), close(cut), close(endless), ok("", "well")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    assert_eq!(client.ask(&book()).body, b"in parts!");
+    assert_eq!(client.ask(&book()).body, b"last");
+    for _ in 0..2 {
+        let answer = client.ask(&book());
+        assert_eq!(answer.status(), 502, "may have run: {answer:?}");
+    }
+    assert_eq!(client.ask(&book()).body, b"well");
+    let asked = backend.seen.try_iter().filter(|seen| matches!(seen, Seen::Asked(_)));
+    assert_eq!(asked.count(), 5, "nothing is sent twice");
+}
+
+#[test]
+fn beyond_the_quota_is_declined_with_advice() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    let request = txn("GET", "look", "basic", 3000, "");
+    assert_eq!((client.ask(&request).status(), client.ask(&request).status()), (200, 200));
+    let answer = client.ask(&request);
+    assert_eq!(answer.status(), 429);
+    assert_eq!(answer.field("Retry-After"), Some("0.5000"));
+    assert_eq!(client.ask(&look()).status(), 200, "the connection and other plans go on");
+}
+
+#[test]
+fn a_once_only_txn_is_sent_again_only_if_it_never_ran() {
+    let away = Backend::new("a", vec![turned_away(), Reaction::Close, ok("", "a")]);
+    let door = Door::start(&[&away]);
+    let mut client = door.client();
+    assert_eq!(client.ask(&book()).status(), 503, "turned away: harmless to try again");
+    assert_eq!(client.ask(&book()).status(), 502, "broken after the last byte: may have run");
+    assert_eq!(client.ask(&book()).body, b"a");
+    for _ in 0..3 {
+        away.asked();
+    }
+    assert!(away.seen.try_recv().is_err(), "nothing is sent twice");
+
+    let refusing = Backend::new("b", vec![]);
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr());
+    let refusing = Backend { address: gone.expect("a free port"), ..refusing };
+    let door = Door::start(&[&refusing]);
+    assert_eq!(door.client().ask(&book()).status(), 503, "no connection: never ran");
+
+    let (away, well) = (Backend::new("a", vec![turned_away()]), Backend::new("b", vec![ok("", "b")]));
+    let door = Door::start(&[&away, &well]);
+    let mut client = door.client();
+    let tried = (0..30).find(|_| {
+        assert_eq!(client.ask(&book()).body, b"b");
+        away.seen.try_recv().is_ok()
+    });
+    assert!(tried.is_some(), "none was turned away first");
+}
+
+#[test]
+fn with_all_silent_the_answer_comes_by_expiry() {
+    let backend = Backend::new("a", vec![Reaction::Silence]);
+    let door = Door::start(&[&backend]);
+    for (request, status) in
+        [(txn("GET", "look", "gold", 300, ""), 503), (txn("POST", "book", "gold", 300, "x"), 502)]
+    {
+        let (answer, took) = timed(|| door.client().ask(&request));
+        assert_eq!(answer.status(), status);
+        assert!(took < Duration::from_millis(300 + 50), "{took:?}");
+        backend.asked();
+        assert_eq!(backend.next(), Seen::GivenUp);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_submission() {
+    let backend = Backend::new("a", vec![Reaction::Silence, ok("", "seen")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    client.send(&book());
+    backend.asked();
+    drop(client);
+    assert_eq!(backend.next(), Seen::GivenUp);
+    assert_eq!(door.client().ask(&look()).status(), 200);
+    door.signal("-USR1");
+    let counters = door.says("counters");
+    assert!(counters.contains(" left=1 ") && counters.contains(" settled=1 "), "{counters}");
+}
+
+#[test]
+fn an_idle_connection_that_ended_is_not_used_again() {
+    let closing = |body: &str| {
+        Reaction::SayAndClose(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
+    };
+    let backend = Backend::new("a", vec![closing("one"), closing("two"), closing("three")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    for body in ["one", "two", "three"] {
+        door.agent.call();
+        let answer = client.ask(&book());
+        assert_eq!(answer.body, body.as_bytes(), "{answer:?}");
+        backend.asked();
+        assert_eq!(backend.next(), Seen::Closed);
+        // The door calls its agent again once it has heard of the backend's end, which came first.
+        door.agent.lists.send(list(5, false, &[])).expect("the agent runs");
+    }
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 3);
+}
+
+#[test]
+fn bad_requests_get_a_stated_answer_and_the_door_goes_on() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let door = Door::start(&[&backend]);
+    let large = "x".repeat(70_000);
+    let with = |field: &str| look().replacen("\r\n", &format!("\r\n{field}\r\n"), 1);
+    let cases = [
+        ("nonsense\r\n\r\n".to_owned(), 400),
+        (with(&format!("X-Large: {large}")), 431),
+        (with(&"X-Many: 1\r\n".repeat(70)), 431),
+        (txn("POST", "book", "gold", 3000, &large), 413),
+        (with("Content-Length: 3\r\nTransfer-Encoding: chunked"), 400),
+        (with("Content-Length: 3\r\nContent-Length: 4"), 400),
+        (with("Content-Length: +3"), 400),
+        (with("Transfer-Encoding: gzip, chunked"), 400),
+        (with("Host: another"), 400),
+        (with("X-Spaced : 1"), 400),
+        (book().replace("Content-Length: 9", "Transfer-Encoding: chunked"), 400),
+        (look().replace("X-Plan: gold", "X-Plan: silver"), 400),
+        (look().replace("X-Plan: gold\r\n", ""), 400),
+        (look().replace("/look", "/sell").replace("Class: look", "Class: sell"), 400),
+        (look().replace("Class: look", "Class: book"), 400),
+        (look().replace("key=00000000b4d65521", "key=me"), 400),
+        (look().replace("key=00000000b4d65521", "key=\u{e9}000000b4d6552"), 400),
+        (look().replace("units=1", "units=NaN"), 400),
+        (look().replace("units=1", "units=-1"), 400),
+        (look().replace("Ms: 3000", "Ms: soon"), 400),
+        (look().replace("X-Correlation-Id", "X-Other-Id"), 400),
+        (look().replace("GET", "DELETE"), 405),
+    ];
+    for (request, status) in cases {
+        let answer = door.client().ask(&request);
+        assert_eq!(answer.status(), status, "{:.300}", request);
+    }
+    let mut client = door.client();
+    assert_eq!(client.ask("GET /healthz HTTP/1.1\r\nHost: n0\r\n\r\n").status(), 200);
+    assert_eq!(client.ask(&look()).status(), 200);
+    backend.asked();
+    assert!(backend.seen.try_recv().is_err(), "nothing bad is passed on");
+}
+
+#[test]
+fn follows_the_list_through_faults_of_its_agent() {
+    let (old, new) = (Backend::new("a", vec![ok("", "old")]), Backend::new("b", vec![ok("", "new")]));
+    let door = Door::start(&[&old]);
+    let mut client = door.client();
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=4&wait=2000 HTTP/1.1");
+    assert_eq!(client.ask(&look()).body, b"old");
+    let give = |text: String| door.agent.lists.send(text).expect("the agent runs");
+    give(list(5, false, &[old.entry("DRAINING"), new.entry("SERVING")]));
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=5&wait=2000 HTTP/1.1");
+    assert_eq!(client.ask(&look()).body, b"new");
+    // Odd, broken off, silent: each time the whole list is read.
+    for fault in ["{\"index\": \"six\"}", CLOSE, SILENCE] {
+        give(fault.to_owned());
+        give(list(6, true, &[new.entry("SERVING")]));
+        assert_eq!(door.agent.call(), "GET /v1/servers HTTP/1.1");
+        assert_eq!(door.agent.call(), "GET /v1/servers?index=6&wait=2000 HTTP/1.1");
+    }
+    assert_eq!(client.ask(&look()).body, b"new");
+    give(list(9, true, &[]));
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=9&wait=2000 HTTP/1.1");
+    assert_eq!(client.ask(&look()).status(), 503, "an empty list leaves nobody to send to");
+}
+
+#[test]
+fn ends_when_told_with_all_it_took_answered() {
+    let backend = Backend::new("a", vec![ok("", "before"), Reaction::Silence, ok("", "after")]);
+    let mut door = Door::start(&[&backend]);
+    let (mut idle, mut busy) = (door.client(), door.client());
+    assert_eq!(idle.ask(&look()).status(), 200);
+    busy.send(&txn("POST", "book", "gold", 1500, "x"));
+    backend.asked();
+    backend.asked();
+    door.signal("-TERM");
+    door.says("ending");
+    let mut late = door.client();
+    assert_eq!(late.ask(&look()).body, b"after", "clients still come for a while");
+    assert!(idle.ends());
+    let answer = busy.answer();
+    assert_eq!((answer.status(), answer.field("Connection")), (502, Some("close")));
+    assert!(busy.ends());
+    let counters = door.says("counters");
+    assert!(counters.contains("taken=3 ") && counters.contains(" voided=1 "), "{counters}");
+    assert!(door.ended().success());
+}
+
+#[test]
+fn idle_clients_give_way_when_sockets_are_short() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let door = Door::with(&[&backend], 48);
+    let mut idle: Vec<_> = (0..40).map(|_| door.client()).collect();
+    assert_eq!(door.client().ask(&look()).status(), 200);
+    assert!(idle[0].ends(), "the first to come is the first to go");
+    door.signal("-USR1");
+    let counters = door.says("counters");
+    let sockets = counters.split(' ').find_map(|count| count.strip_prefix("sockets=")?.parse::<u32>().ok());
+    assert!(sockets.is_some_and(|held| held <= 32), "a reserve is kept: {counters}");
+}
+
+#[test]
+fn says_why_it_cannot_serve() {
+    for (commission, reason) in [
+        (None, "ROUTER_CONFIG is not set"),
+        (Some("{"), "cannot read"),
+        (Some("{\"name\": \"n0\"}"), "missing field"),
+    ] {
+        let (mut command, path): (Command, _) = program(commission);
+        let output = command.output().expect("the program runs");
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(said.contains(reason) && !said.contains("panicked"), "{said}");
+        assert_eq!(output.status.code(), Some(1));
+        let _ = std::fs::remove_file(path);
+    }
+}
