--- a/frontdoor/src/pool.rs
+++ b/frontdoor/src/pool.rs
@@ -27,10 +27,10 @@
 }
 
 impl Pool {
-    /// `closes`: when a backend closes an idle connection, at the latest. Half of it is kept clear
-    /// of, as a submission that crosses the close may have run.
+    /// `closes`: when a backend closes an idle connection, at the latest. Most of it is kept clear
+    /// of, as a submission that crosses the close may have run, and a new connection costs little.
     pub fn new(closes: Tenths) -> Pool {
-        let most_idle = if closes.0 > 0 { closes.times(0.5) } else { Tenths::SECOND };
+        let most_idle = if closes.0 > 0 { closes.times(0.25) } else { Tenths::SECOND };
         Pool { peers: BTreeMap::new(), most_idle }
     }
 
--- a/frontdoor/src/relay.rs
+++ b/frontdoor/src/relay.rs
@@ -1,6 +1,5 @@
 //! Relay: the one final answer of a txn, written to its client.
 
-use crate::clock::span;
 use futures_util::SinkExt;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -42,7 +41,8 @@
             written(client.send(PassedBack { reply, held_back: &FOR_THE_DOOR, last })).await
         }
         Final::Declined(Some(wait)) => {
-            let seconds = format!("{:.4}", span(*wait).as_secs_f64());
+            let (second, wait) = (Tenths::SECOND.0, wait.0.max(0));
+            let seconds = format!("{}.{:04}", wait / second, wait % second);
             let fields = [("Retry-After", seconds.as_str())];
             let answer = Answer { status: 429, fields: &fields, body: "beyond the quota\n", last };
             written(client.send(answer)).await
