--- a/frames/src/message.rs
+++ b/frames/src/message.rs
@@ -22,32 +22,36 @@
 }
 
 #[derive(Debug, Default)]
-pub(crate) struct RequestLine {
-    pub method: Span,
-    pub target: Span,
+pub struct RequestLine {
+    pub(crate) method: Span,
+    pub(crate) target: Span,
 }
 
 #[derive(Debug, Default)]
-pub(crate) struct StatusLine {
-    pub status: u16,
+pub struct StatusLine {
+    pub(crate) status: u16,
 }
 
 /// A first line, its fields and its body.
 #[derive(Debug, Default)]
-pub(crate) struct Message<L> {
-    pub line: L,
-    pub text: Vec<u8>,
-    pub fields: Vec<(Span, Span)>,
-    pub body_at: usize,
-    pub last: bool,
+pub struct Message<L> {
+    pub(crate) line: L,
+    pub(crate) text: Vec<u8>,
+    pub(crate) fields: Vec<(Span, Span)>,
+    pub(crate) body_at: usize,
+    pub(crate) last: bool,
 }
 
+pub type Request = Message<RequestLine>;
+pub type Reply = Message<StatusLine>;
+
 impl<L> Message<L> {
-    pub fn fields(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
+    pub(crate) fn fields(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
         self.fields.iter().map(|(name, value)| (&self.text[name.range()], &self.text[value.range()]))
     }
 
-    fn field(&self, name: &str) -> Option<&str> {
+    /// The first field of that name, if it is text.
+    pub fn field(&self, name: &str) -> Option<&str> {
         let found = self.fields().find(|(known, _)| known.eq_ignore_ascii_case(name.as_bytes()));
         found.and_then(|(_, value)| std::str::from_utf8(value).ok())
     }
@@ -55,10 +59,16 @@
     pub fn body(&self) -> &[u8] {
         &self.text[self.body_at..]
     }
-}
 
-#[derive(Debug)]
-pub struct Request(pub(crate) Message<RequestLine>);
+    /// The connection carries nothing after it.
+    pub fn last(&self) -> bool {
+        self.last
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.text.capacity()
+    }
+}
 
 impl Request {
     pub fn get(host: &str, target: &str) -> Request {
@@ -70,60 +80,21 @@
         let line = RequestLine { method: place("GET"), target: place(target) };
         let fields = vec![(place("Host"), place(host))];
         let body_at = text.len();
-        Request(Message { line, text, fields, body_at, last: false })
+        Message { line, text, fields, body_at, last: false }
     }
 
     pub fn method(&self) -> &str {
-        std::str::from_utf8(&self.0.text[self.0.line.method.range()]).unwrap_or_default()
+        std::str::from_utf8(&self.text[self.line.method.range()]).unwrap_or_default()
     }
 
     /// Path and query, as they came.
     pub fn target(&self) -> &str {
-        std::str::from_utf8(&self.0.text[self.0.line.target.range()]).unwrap_or_default()
-    }
-
-    /// The first field of that name, if it is text.
-    pub fn field(&self, name: &str) -> Option<&str> {
-        self.0.field(name)
-    }
-
-    pub fn body(&self) -> &[u8] {
-        self.0.body()
-    }
-
-    /// The connection carries nothing after it.
-    pub fn last(&self) -> bool {
-        self.0.last
-    }
-
-    pub fn bytes(&self) -> usize {
-        self.0.text.capacity()
+        std::str::from_utf8(&self.text[self.line.target.range()]).unwrap_or_default()
     }
 }
 
-#[derive(Debug)]
-pub struct Reply(pub(crate) Message<StatusLine>);
-
 impl Reply {
     pub fn status(&self) -> u16 {
-        self.0.line.status
-    }
-
-    /// The first field of that name, if it is text.
-    pub fn field(&self, name: &str) -> Option<&str> {
-        self.0.field(name)
-    }
-
-    pub fn body(&self) -> &[u8] {
-        self.0.body()
-    }
-
-    /// The connection carries nothing after it.
-    pub fn last(&self) -> bool {
-        self.0.last
-    }
-
-    pub fn bytes(&self) -> usize {
-        self.0.text.capacity()
+        self.line.status
     }
 }
--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -49,7 +49,7 @@
 
 /// What of a body is still to come.
 #[derive(Debug)]
-enum Left {
+pub(crate) enum Left {
     Counted(usize),
     Size,
     Chunk(usize),
@@ -57,6 +57,23 @@
     Trailer(usize),
 }
 
+/// A whole head, and what it says of the rest.
+pub(crate) struct Head<L> {
+    line: L,
+    length: usize,
+    fields: Vec<(Span, Span)>,
+    left: Left,
+    last: bool,
+}
+
+pub(crate) trait FirstLine: Sized {
+    /// Nothing where the head is not whole yet.
+    fn parse(src: &BytesMut) -> Result<Option<Head<Self>>, Fault>;
+
+    /// Another head follows in its place.
+    fn interim(&self) -> bool;
+}
+
 /// One message under way.
 #[derive(Default)]
 pub(crate) struct Reader<L> {
@@ -127,21 +144,13 @@
         news
     }
 
-    fn begin(
-        &mut self,
-        src: &mut BytesMut,
-        head: usize,
-        line: L,
-        fields: Vec<(Span, Span)>,
-        left: Left,
-        last: bool,
-    ) {
+    fn begin(&mut self, src: &mut BytesMut, head: Head<L>) {
+        let Head { line, length, fields, left, last } = head;
         let body = if let Left::Counted(length) = left { length } else { 0 };
-        let mut text = Vec::with_capacity(head + body);
-        text.extend_from_slice(&src[..head]);
-        src.advance(head);
-        self.seen = 0;
-        self.begun = Some((Message { line, text, fields, body_at: head, last }, left));
+        let mut text = Vec::with_capacity(length + body);
+        text.extend_from_slice(&src[..length]);
+        src.advance(length);
+        self.begun = Some((Message { line, text, fields, body_at: length, last }, left));
     }
 
     /// The message, once its body is whole.
@@ -157,6 +166,34 @@
     }
 }
 
+impl<L: FirstLine> Reader<L> {
+    fn next(&mut self, src: &mut BytesMut) -> Result<Option<Message<L>>, Fault> {
+        while self.begun.is_none() {
+            if !self.may_end(src) {
+                return if src.len() > MOST_HEAD { Err(Fault::HeadTooLarge) } else { Ok(None) };
+            }
+            let Some(head) = L::parse(src)? else {
+                return Ok(None);
+            };
+            self.seen = 0;
+            if head.line.interim() {
+                src.advance(head.length);
+            } else {
+                self.begin(src, head);
+            }
+        }
+        self.finish(src)
+    }
+
+    fn last(&mut self, src: &mut BytesMut) -> Result<Option<Message<L>>, Fault> {
+        let message = self.next(src)?;
+        if message.is_none() && (self.begun.is_some() || !src.is_empty()) {
+            return Err(Fault::Cut);
+        }
+        Ok(message)
+    }
+}
+
 /// One step of a body; false when it is whole or needs more bytes.
 fn fill<L>(message: &mut Message<L>, left: &mut Left, src: &mut BytesMut) -> Result<bool, Fault> {
     match left {
@@ -233,92 +270,73 @@
     if length > MOST_BODY { Err(Fault::BodyTooLarge) } else { Ok(Left::Counted(length)) }
 }
 
-fn ended<T>(decoded: Option<T>, src: &BytesMut, begun: bool) -> Result<Option<T>, Fault> {
-    if decoded.is_none() && (begun || !src.is_empty()) { Err(Fault::Cut) } else { Ok(decoded) }
-}
+impl FirstLine for RequestLine {
+    fn parse(src: &BytesMut) -> Result<Option<Head<RequestLine>>, Fault> {
+        let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
+        let mut parsed = httparse::Request::new(&mut []);
+        let Some(length) = whole(parsed.parse_with_uninit_headers(src, &mut headers), src)? else {
+            return Ok(None);
+        };
+        let span = |part: Option<&str>| Span::of(part.unwrap_or_default().as_bytes(), src);
+        let line = RequestLine { method: span(parsed.method), target: span(parsed.path) };
+        let framing = Framing::of(parsed.headers)?;
+        let last = framing.last(parsed.version.unwrap_or_default());
+        let left = if framing.chunked { Left::Size } else { bounded(framing.length.unwrap_or(0))? };
+        Ok(Some(Head { line, length, fields: spans(parsed.headers, src), left, last }))
+    }
 
-impl Decoder for Inward {
-    type Item = Request;
-    type Error = Fault;
+    fn interim(&self) -> bool {
+        false
+    }
+}
 
-    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Request>, Fault> {
-        let reader = &mut self.0;
-        if reader.begun.is_none() {
-            if !reader.may_end(src) {
-                return if src.len() > MOST_HEAD { Err(Fault::HeadTooLarge) } else { Ok(None) };
-            }
-            let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
-            let mut parsed = httparse::Request::new(&mut []);
-            let Some(head) = whole(parsed.parse_with_uninit_headers(src, &mut headers), src)? else {
-                return Ok(None);
-            };
-            let (method, target) = (parsed.method.unwrap_or_default(), parsed.path.unwrap_or_default());
-            let line = RequestLine {
-                method: Span::of(method.as_bytes(), src),
-                target: Span::of(target.as_bytes(), src),
-            };
-            let framing = Framing::of(parsed.headers)?;
-            let last = framing.last(parsed.version.unwrap_or_default());
-            let left = if framing.chunked { Left::Size } else { bounded(framing.length.unwrap_or(0))? };
-            let fields = spans(parsed.headers, src);
-            reader.begin(src, head, line, fields, left, last);
-        }
-        Ok(reader.finish(src)?.map(Request))
+impl FirstLine for StatusLine {
+    fn parse(src: &BytesMut) -> Result<Option<Head<StatusLine>>, Fault> {
+        let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
+        let mut parsed = httparse::Response::new(&mut []);
+        let parser = httparse::ParserConfig::default();
+        let result = parser.parse_response_with_uninit_headers(&mut parsed, src, &mut headers);
+        let Some(length) = whole(result, src)? else {
+            return Ok(None);
+        };
+        let line = StatusLine { status: parsed.code.unwrap_or_default() };
+        let framing = Framing::of(parsed.headers)?;
+        let last = framing.last(parsed.version.unwrap_or_default());
+        let left = match framing.length {
+            _ if line.interim() || matches!(line.status, 204 | 304) => Left::Counted(0),
+            _ if framing.chunked => Left::Size,
+            Some(length) => bounded(length)?,
+            // A body that ends with its connection cannot be told from one that was cut short.
+            None => return Err(Fault::Malformed("the body's end is not told")),
+        };
+        Ok(Some(Head { line, length, fields: spans(parsed.headers, src), left, last }))
     }
 
-    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Request>, Fault> {
-        let decoded = self.decode(src)?;
-        ended(decoded, src, self.0.begun.is_some())
+    fn interim(&self) -> bool {
+        (100..200).contains(&self.status)
     }
 }
 
-impl Decoder for Outward {
-    type Item = Reply;
-    type Error = Fault;
+macro_rules! decodes {
+    ($codec:ident, $message:ident) => {
+        impl Decoder for $codec {
+            type Item = $message;
+            type Error = Fault;
 
-    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Reply>, Fault> {
-        let reader = &mut self.0;
-        while reader.begun.is_none() {
-            if !reader.may_end(src) {
-                return if src.len() > MOST_HEAD { Err(Fault::HeadTooLarge) } else { Ok(None) };
+            fn decode(&mut self, src: &mut BytesMut) -> Result<Option<$message>, Fault> {
+                self.0.next(src)
             }
-            let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
-            let mut parsed = httparse::Response::new(&mut []);
-            let result = httparse::ParserConfig::default().parse_response_with_uninit_headers(
-                &mut parsed,
-                src,
-                &mut headers,
-            );
-            let Some(head) = whole(result, src)? else {
-                return Ok(None);
-            };
-            let status = parsed.code.unwrap_or_default();
-            if (100..200).contains(&status) {
-                src.advance(head);
-                reader.seen = 0;
-                continue;
+
+            fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<$message>, Fault> {
+                self.0.last(src)
             }
-            let framing = Framing::of(parsed.headers)?;
-            let last = framing.last(parsed.version.unwrap_or_default());
-            let left = match framing.length {
-                _ if matches!(status, 204 | 304) => Left::Counted(0),
-                _ if framing.chunked => Left::Size,
-                Some(length) => bounded(length)?,
-                // A body that ends with its connection cannot be told from one that was cut short.
-                None => return Err(Fault::Malformed("the body's end is not told")),
-            };
-            let fields = spans(parsed.headers, src);
-            reader.begin(src, head, StatusLine { status }, fields, left, last);
         }
-        Ok(reader.finish(src)?.map(Reply))
-    }
-
-    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Reply>, Fault> {
-        let decoded = self.decode(src)?;
-        ended(decoded, src, self.0.begun.is_some())
-    }
+    };
 }
 
+decodes!(Inward, Request);
+decodes!(Outward, Reply);
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/frames/src/write.rs
+++ b/frames/src/write.rs
@@ -117,7 +117,7 @@
     type Error = io::Error;
 
     fn encode(&mut self, item: PassedOn<'_>, dst: &mut BytesMut) -> io::Result<()> {
-        let message = &item.request.0;
+        let message = item.request;
         dst.reserve(message.text.len() + 128);
         dst.extend_from_slice(&message.text[message.line.method.range()]);
         dst.extend_from_slice(b" ");
@@ -136,7 +136,7 @@
     type Error = io::Error;
 
     fn encode(&mut self, item: PassedBack<'_>, dst: &mut BytesMut) -> io::Result<()> {
-        let message = &item.reply.0;
+        let message = item.reply;
         dst.reserve(message.text.len() + 128);
         put_status(dst, message.line.status, item.last);
         put_lasting(dst, message, item.held_back.iter().copied());
