Name the counts once; leave the timer alone while its time stands; test the pool

Change: the timer is set anew only when its time moves; the client's stage checks that route never lets go of a txn without an answer; the check of declines follows the rule. Tests of the pool: newest first, nothing used near its end, nothing kept to a backend that moved, started anew or takes nothing more.

--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -5,54 +5,51 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-macro_rules! counts {
-    ($($name:ident),* $(,)?) => {
+/// A kind of thing that is counted, and the names it is printed under.
+macro_rules! kinds {
+    ($kind:ident, $names:ident: $($one:ident $name:literal,)*) => {
         #[derive(Clone, Copy, Debug)]
-        #[allow(non_camel_case_types)]
-        pub enum Count { $($name),* }
+        pub enum $kind { $($one),* }
 
-        const NAMES: &[&str] = &[$(stringify!($name)),*];
+        const $names: &[&str] = &[$($name),*];
     };
 }
 
-counts!(
-    taken,
-    turned_back,
-    settled,
-    declined,
-    voided,
-    left,
-    submissions,
-    submissions_settled,
-    submissions_error,
-    submissions_turned_away,
-    submissions_timed_out,
-    submissions_no_connection,
-    submissions_broken,
-    submissions_cancelled,
-    submissions_moot,
-    clients_accepted,
-    clients_shed,
-    accept_failed,
-    backends_dialled,
-    backends_reused,
-    backends_stale,
-    backends_dropped_idle,
-    lists,
-    list_failures,
+kinds!(Count, COUNTS:
+    Taken "taken",
+    TurnedBack "turned_back",
+    Settled "settled",
+    Declined "declined",
+    Voided "voided",
+    Left "left",
+    Submissions "submissions",
+    SubmissionsSettled "submissions_settled",
+    SubmissionsError "submissions_error",
+    SubmissionsTurnedAway "submissions_turned_away",
+    SubmissionsTimedOut "submissions_timed_out",
+    SubmissionsNoConnection "submissions_no_connection",
+    SubmissionsBroken "submissions_broken",
+    SubmissionsCancelled "submissions_cancelled",
+    SubmissionsMoot "submissions_moot",
+    ClientsAccepted "clients_accepted",
+    ClientsShed "clients_shed",
+    AcceptFailed "accept_failed",
+    BackendsDialled "backends_dialled",
+    BackendsReused "backends_reused",
+    BackendsStale "backends_stale",
+    BackendsDroppedIdle "backends_dropped_idle",
+    Lists "lists",
+    ListFailures "list_failures",
 );
 
-macro_rules! invariants {
-    ($($name:ident),* $(,)?) => {
-        #[derive(Clone, Copy, Debug)]
-        #[allow(non_camel_case_types)]
-        pub enum Invariant { $($name),* }
-
-        const HELD: &[&str] = &[$(stringify!($name)),*];
-    };
-}
-
-invariants!(answered_once, answered_by_expiry, no_effect_twice, only_to_listed, ended_once, within_sockets);
+kinds!(Invariant, INVARIANTS:
+    AnsweredOnce "answered_once",
+    AnsweredByExpiry "answered_by_expiry",
+    NoEffectTwice "no_effect_twice",
+    OnlyToListed "only_to_listed",
+    EndedOnce "ended_once",
+    WithinSockets "within_sockets",
+);
 
 /// What the door may hold, a reserve taken off each.
 #[derive(Clone, Copy, Debug)]
@@ -85,8 +82,8 @@
 }
 
 pub struct Book {
-    counts: [Cell<u64>; NAMES.len()],
-    broken: [Cell<u64>; HELD.len()],
+    counts: [Cell<u64>; COUNTS.len()],
+    broken: [Cell<u64>; INVARIANTS.len()],
     room: Room,
     sockets: Cell<usize>,
     bytes: Cell<usize>,
@@ -101,8 +98,8 @@
 impl Book {
     pub fn new(room: Room) -> Book {
         Book {
-            counts: [const { Cell::new(0) }; NAMES.len()],
-            broken: [const { Cell::new(0) }; HELD.len()],
+            counts: [const { Cell::new(0) }; COUNTS.len()],
+            broken: [const { Cell::new(0) }; INVARIANTS.len()],
             room,
             sockets: Cell::new(0),
             bytes: Cell::new(0),
@@ -160,10 +157,10 @@
 
 impl fmt::Display for Book {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (name, cell) in NAMES.iter().zip(&self.counts) {
+        for (name, cell) in COUNTS.iter().zip(&self.counts) {
             write!(f, "{name}={} ", cell.get())?;
         }
-        for (name, cell) in HELD.iter().zip(&self.broken) {
+        for (name, cell) in INVARIANTS.iter().zip(&self.broken) {
             write!(f, "broken_{name}={} ", cell.get())?;
         }
         let (sockets, bytes, clients) = (self.sockets.get(), self.bytes.get(), self.clients.get());
@@ -181,7 +178,7 @@
 impl Entry {
     pub fn of(book: &Rc<Book>, client: bool) -> Entry {
         book.sockets.set(book.sockets.get() + 1);
-        book.must(book.sockets.get() <= book.room.most, Invariant::within_sockets);
+        book.must(book.sockets.get() <= book.room.most, Invariant::WithinSockets);
         book.clients.set(book.clients.get() + usize::from(client));
         Entry { book: Rc::clone(book), bytes: 0, client }
     }
--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -112,7 +112,7 @@
         loop {
             match self.call(&mut connection, whole).await {
                 Ok(published) => {
-                    self.shared.book.count(Count::lists);
+                    self.shared.book.count(Count::Lists);
                     whole = false;
                     let told = self.told(published);
                     if told.whole || !told.entries.is_empty() {
@@ -120,7 +120,7 @@
                     }
                 }
                 Err(reason) => {
-                    self.shared.book.count(Count::list_failures);
+                    self.shared.book.count(Count::ListFailures);
                     tracing::info!(reason, "discovery gave no list");
                     connection = None;
                     // Changes may have passed unseen.
--- a/frontdoor/src/pool.rs
+++ b/frontdoor/src/pool.rs
@@ -102,3 +102,65 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use vanewharf::interface::{GroupId, PlaceId};
+
+    const ONE: BackendId = BackendId(1);
+
+    fn listed(standing: Standing, booted: Option<Tenths>) -> Listed {
+        Listed { backend: ONE, standing, size: 1.0, place: PlaceId(0), group: GroupId(0), booted }
+    }
+
+    /// A pool told 40 ms, with connections idle since each of the times.
+    fn pool(since: &[i64]) -> (Pool, Vec<oneshot::Receiver<Job>>) {
+        let mut pool = Pool::new(Tenths(400));
+        pool.list(&listed(Standing::Ready, None), "127.0.0.1:1".parse().ok());
+        let mut idle = |&since: &i64| {
+            let (next, connection) = oneshot::channel();
+            pool.put(ONE, Idle { next, since: Tenths(since) });
+            connection
+        };
+        let connections = since.iter().map(&mut idle).collect();
+        (pool, connections)
+    }
+
+    #[test]
+    fn the_newest_goes_first_and_none_is_used_near_its_end() {
+        let (mut pool, mut connections) = pool(&[0, 50, 60, 70]);
+        connections.pop();
+        assert_eq!(pool.take(ONE, Tenths(100)).map(|idle| idle.since), Some(Tenths(60)), "70 has ended");
+        assert_eq!(pool.sweep(Tenths(101)), 1);
+        assert!(connections[0].try_recv().is_err_and(|gone| gone == oneshot::error::TryRecvError::Closed));
+        assert!(pool.take(ONE, Tenths(151)).is_none());
+    }
+
+    #[test]
+    fn nothing_is_kept_to_what_moved_started_anew_or_takes_nothing_more() {
+        let here = "127.0.0.1:1".parse().ok();
+        for (entry, address, kept) in [
+            (listed(Standing::Ready, None), here, true),
+            (listed(Standing::Ready, Some(Tenths(5))), here, false),
+            (listed(Standing::Ready, None), "127.0.0.1:2".parse().ok(), false),
+            (listed(Standing::Draining, None), here, false),
+            (listed(Standing::Gone, None), None, false),
+        ] {
+            let (mut pool, _connections) = pool(&[0]);
+            pool.list(&entry, address);
+            assert_eq!(pool.take(ONE, Tenths(1)).is_some(), kept, "{entry:?}");
+        }
+        let (mut pool, _connections) = pool(&[0]);
+        pool.keep_only(|_| false);
+        assert!(!pool.ready(ONE) && pool.take(ONE, Tenths(1)).is_none());
+    }
+
+    #[test]
+    fn the_one_idle_longest_is_shed() {
+        let (mut pool, _connections) = pool(&[3, 5]);
+        pool.shed();
+        assert_eq!(pool.take(ONE, Tenths(6)).map(|idle| idle.since), Some(Tenths(5)));
+        assert!(pool.take(ONE, Tenths(6)).is_none());
+    }
+}
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 use vanewharf::decide::Door;
 use vanewharf::interface::{
-    Action, Arrival, BackendId, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
+    Action, Among, Arrival, BackendId, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
 };
 use vanewharf_frames::{Reply, Request};
 
@@ -104,7 +104,10 @@
         let sleep = tokio::time::sleep_until(Instant::now());
         tokio::pin!(sleep);
         loop {
-            sleep.as_mut().reset(self.next_due());
+            let due = self.next_due();
+            if due != sleep.deadline() {
+                sleep.as_mut().reset(due);
+            }
             tokio::select! {
                 biased;
                 got = notes.recv_many(&mut batch, 1024) => if got == 0 {
@@ -153,7 +156,7 @@
                 Timer::Expiry(txn) => self.expire(txn),
                 Timer::Sweep => {
                     for _ in 0..self.pool.sweep(now) {
-                        self.shared.book.count(Count::backends_dropped_idle);
+                        self.shared.book.count(Count::BackendsDroppedIdle);
                     }
                     self.set(now + SWEEP, Timer::Sweep);
                 }
@@ -176,7 +179,7 @@
                     return;
                 };
                 if txn.answer.take().is_some() {
-                    self.shared.book.count(Count::left);
+                    self.shared.book.count(Count::Left);
                     self.events.push(Event::Left(id));
                     self.over.push(id);
                 }
@@ -203,21 +206,21 @@
         let book = &self.shared.book;
         let Ended { txn: id, no, outcome, reply, idle } = ended;
         book.count(match outcome {
-            Outcome::Settled => Count::submissions_settled,
-            Outcome::Error => Count::submissions_error,
-            Outcome::TurnedAway => Count::submissions_turned_away,
-            Outcome::TimedOut => Count::submissions_timed_out,
-            Outcome::NoConnection => Count::submissions_no_connection,
-            Outcome::Broken => Count::submissions_broken,
-            Outcome::Cancelled => Count::submissions_cancelled,
-            Outcome::Moot => Count::submissions_moot,
+            Outcome::Settled => Count::SubmissionsSettled,
+            Outcome::Error => Count::SubmissionsError,
+            Outcome::TurnedAway => Count::SubmissionsTurnedAway,
+            Outcome::TimedOut => Count::SubmissionsTimedOut,
+            Outcome::NoConnection => Count::SubmissionsNoConnection,
+            Outcome::Broken => Count::SubmissionsBroken,
+            Outcome::Cancelled => Count::SubmissionsCancelled,
+            Outcome::Moot => Count::SubmissionsMoot,
         });
         let Some(txn) = self.txns.get_mut(&id) else {
-            book.must(false, Invariant::ended_once);
+            book.must(false, Invariant::EndedOnce);
             return;
         };
         let submission = &mut txn.submissions[no.0 as usize];
-        book.must(!submission.ended, Invariant::ended_once);
+        book.must(!submission.ended, Invariant::EndedOnce);
         submission.ended = true;
         submission.call_off = None;
         submission.may_have_run = !outcome.never_ran();
@@ -234,7 +237,7 @@
         if let Some(reply) = reply.filter(|_| outcome == Outcome::Settled)
             && let Some(answer) = txn.answer.take()
         {
-            book.count(Count::settled);
+            book.count(Count::Settled);
             // A client that has left meanwhile says so itself.
             let _ = answer.send(Final::Settled(reply));
         }
@@ -252,7 +255,7 @@
         let out = txn.submissions.iter().enumerate().filter(|(_, one)| !one.ended);
         let out: Vec<_> = out.map(|(no, _)| SubmissionNo(no as u32)).collect();
         if out.is_empty() {
-            self.shared.book.must(false, Invariant::answered_by_expiry);
+            self.shared.book.must(false, Invariant::AnsweredByExpiry);
             self.conclude(id, Final::Voided);
         }
         out.into_iter().for_each(|no| self.call_off(id, no, CalledOff::TimedOut));
@@ -287,10 +290,13 @@
             Action::Cancel { txn, no } => self.call_off(txn, no, CalledOff::Cancelled),
             Action::Decline { txn, retry_after } => {
                 let harmless = self.txns.get(&txn).is_none_or(|txn| {
-                    let all = matches!(txn.repeat, Repeat::InquiryLike | Repeat::Referenced { .. });
+                    let all = matches!(
+                        txn.repeat,
+                        Repeat::InquiryLike | Repeat::Referenced { among: Among::All, .. }
+                    );
                     all || !txn.submissions.iter().any(|one| one.may_have_run)
                 });
-                self.shared.book.must(harmless, Invariant::no_effect_twice);
+                self.shared.book.must(harmless, Invariant::NoEffectTwice);
                 self.conclude(txn, Final::Declined(retry_after));
             }
             Action::Void { txn } => self.conclude(txn, Final::Voided),
@@ -309,7 +315,7 @@
         let Some(give) = txn.answer.take() else {
             return;
         };
-        book.count(if matches!(answer, Final::Voided) { Count::voided } else { Count::declined });
+        book.count(if matches!(answer, Final::Voided) { Count::Voided } else { Count::Declined });
         let _ = give.send(answer);
         self.over.push(id);
     }
@@ -322,18 +328,18 @@
         let no = SubmissionNo(txn.submissions.len() as u32);
         if txn.answer.is_none() {
             // Concluded in this very batch: nothing is sent, and the decisions hear so.
-            book.count(Count::submissions_moot);
+            book.count(Count::SubmissionsMoot);
             let (sent, may_have_run, call_off, ended) = (now, false, None, true);
             txn.submissions.push(Submission { backend, sent, may_have_run, call_off, ended });
             let (outcome, took, complete) = (Outcome::Moot, Tenths(0), true);
             let ending = Ending { txn: id, no, outcome, took, complete, metered: None, true_cost: None };
             return self.events.push(Event::Ended(ending));
         }
-        book.count(Count::submissions);
-        book.must(self.pool.ready(backend), Invariant::only_to_listed);
+        book.count(Count::Submissions);
+        book.must(self.pool.ready(backend), Invariant::OnlyToListed);
         let once_only = txn.repeat == Repeat::OnceOnly;
         let ran = txn.submissions.iter().any(|one| one.may_have_run);
-        book.must(!(once_only && ran), Invariant::no_effect_twice);
+        book.must(!(once_only && ran), Invariant::NoEffectTwice);
         let (call_off, called_off) = oneshot::channel();
         let until = time_out.map_or(txn.until, |span| txn.until.min(now + span));
         let (sent, may_have_run, ended) = (now, true, false);
@@ -345,7 +351,7 @@
         }
         while let Some(idle) = self.pool.take(backend, now) {
             match idle.next.send(job) {
-                Ok(()) => return self.shared.book.count(Count::backends_reused),
+                Ok(()) => return self.shared.book.count(Count::BackendsReused),
                 Err(back) => job = back,
             }
         }
--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -106,7 +106,7 @@
         return None;
     }
     let entry = Entry::of(book, false);
-    book.count(Count::backends_dialled);
+    book.count(Count::BackendsDialled);
     let connecting = TcpStream::connect(address);
     let stream = if shared.lines.dial.0 > 0 {
         tokio::time::timeout(span(shared.lines.dial), connecting).await.ok()?.ok()?
@@ -142,7 +142,7 @@
             Carried::Answered(reply) => reply,
             Carried::Unwritten if !fresh => {
                 // A connection that went stale unseen; nothing has run, so a new one takes the same.
-                shared.book.count(Count::backends_stale);
+                shared.book.count(Count::BackendsStale);
                 continue;
             }
             Carried::Unwritten => return end(&job, Outcome::NoConnection, None, None, &shared),
@@ -167,7 +167,7 @@
                 kept = Some(connection);
             }
             Err(Some(next)) => {
-                shared.book.count(Count::backends_stale);
+                shared.book.count(Count::BackendsStale);
                 job = next;
             }
             Err(None) => return,
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -2,7 +2,7 @@
 
 use crate::Shared;
 use crate::admit::{Admitted, admit};
-use crate::book::{Count, Entry};
+use crate::book::{Count, Entry, Invariant};
 use crate::relay::{Final, relay, say};
 use crate::route::{Note, Taken};
 use futures_util::StreamExt;
@@ -50,7 +50,7 @@
         match accepted {
             Ok((stream, _)) => serve(stream, &shared),
             Err(error) => {
-                book.count(Count::accept_failed);
+                book.count(Count::AcceptFailed);
                 tracing::warn!(%error, "no client accepted");
                 book.idle_clients.notify_one();
                 shared.tell(Note::Shed);
@@ -70,7 +70,7 @@
 }
 
 fn serve(stream: TcpStream, shared: &Rc<Shared>) {
-    shared.book.count(Count::clients_accepted);
+    shared.book.count(Count::ClientsAccepted);
     let entry = Entry::of(&shared.book, true);
     tokio::task::spawn_local(Client::new(stream, entry, Rc::clone(shared)).run());
 }
@@ -128,12 +128,12 @@
                     say(&mut self.framed, 200, "ok\n", last).await && !last
                 }
                 Admitted::Bad(status, reason) => {
-                    self.shared.book.count(Count::turned_back);
+                    self.shared.book.count(Count::TurnedBack);
                     let last = last || self.shared.book.draining();
                     say(&mut self.framed, status, &format!("{reason}\n"), last).await && !last
                 }
                 Admitted::Txn(arrival) => {
-                    self.shared.book.count(Count::taken);
+                    self.shared.book.count(Count::Taken);
                     let (answer, answered) = oneshot::channel();
                     self.entry.weigh(request.bytes() + self.framed.read_buffer().capacity());
                     self.shared.tell(Note::Arrived(Taken { arrival, request: Rc::new(request), answer }));
@@ -163,7 +163,7 @@
                 () = book.idle_clients.notified() => {}
             }
             if !book.draining() {
-                book.count(Count::clients_shed);
+                book.count(Count::ClientsShed);
                 return None;
             }
         }
@@ -189,7 +189,11 @@
         loop {
             tokio::select! {
                 biased;
-                answer = &mut answered => return answer.ok(),
+                answer = &mut answered => {
+                    // Route may not let go of a txn that has no answer yet.
+                    self.shared.book.must(answer.is_ok(), Invariant::AnsweredOnce);
+                    return Some(answer.unwrap_or(Final::Voided));
+                }
                 read = self.read(), if ahead.is_none() => match read {
                     None | Some(Err(Fault::Io(_) | Fault::Cut)) => {
                         self.shared.tell(Note::Left(txn));
@@ -202,7 +206,7 @@
     }
 
     async fn turn_back(mut self, fault: Fault) {
-        self.shared.book.count(Count::turned_back);
+        self.shared.book.count(Count::TurnedBack);
         let status = match fault {
             Fault::HeadTooLarge => 431,
             Fault::BodyTooLarge => 413,
