--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -105,9 +105,7 @@
         tokio::pin!(sleep);
         loop {
             let due = self.next_due();
-            if due != sleep.deadline() {
-                sleep.as_mut().reset(due);
-            }
+            sleep.as_mut().reset(due);
             tokio::select! {
                 biased;
                 got = notes.recv_many(&mut batch, 1024) => if got == 0 {
