--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -104,8 +104,7 @@
         let sleep = tokio::time::sleep_until(Instant::now());
         tokio::pin!(sleep);
         loop {
-            let due = self.next_due();
-            sleep.as_mut().reset(due);
+            sleep.as_mut().reset(self.next_due());
             tokio::select! {
                 biased;
                 got = notes.recv_many(&mut batch, 1024) => if got == 0 {
