Count a request's time from when it was read, also where it was sent ahead

Seen when reading the stages through: a request read while another is out was admitted, and its expiry counted, only after the first was answered; the bytes of a txn in hand fell off the book at the next read; an agent that ends its connection with an answer cost a failed call and a whole list; one that never waits would have been called without pause. Test: two requests sent together, both silent, are both answered by their own expiries.

--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::codec::Framed;
 use vanewharf::interface::{BackendId, GroupId, Listed, PlaceId, Standing, Tenths};
 use vanewharf_frames::{Outward, PassedOn, Request};
@@ -19,7 +19,7 @@
 const WAIT: Duration = Duration::from_secs(2);
 /// For an answer that is due, and for a connection to the agent.
 const PATIENCE: Duration = Duration::from_millis(500);
-/// Between two calls where the first failed; within the time in which the next call must come.
+/// Between two calls where the first failed or told nothing at once; within the time in which the next call must come.
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// A list or a change of it, in its published form.
@@ -110,6 +110,7 @@
         let mut connection = None;
         let mut whole = false;
         loop {
+            let called = Instant::now();
             match self.call(&mut connection, whole).await {
                 Ok(published) => {
                     self.shared.book.count(Count::Lists);
@@ -117,6 +118,9 @@
                     let told = self.told(published);
                     if told.whole || !told.entries.is_empty() {
                         self.shared.tell(Note::Listed(told));
+                    } else if called.elapsed() < PAUSE {
+                        // Against an agent that does not wait.
+                        tokio::time::sleep(PAUSE).await;
                     }
                 }
                 Err(reason) => {
@@ -160,6 +164,9 @@
         if reply.status() != 200 {
             return Err("an answer other than 200");
         }
+        if reply.last() {
+            *kept = None;
+        }
         serde_json::from_slice(reply.body()).map_err(|_| "a list that cannot be read")
     }
 }
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
 use tokio_util::codec::Framed;
-use vanewharf::interface::TxnId;
+use vanewharf::interface::{Tenths, TxnId};
 use vanewharf_frames::{Fault, Inward, Request};
 
 /// Where accepting fails for want of descriptors that the book does not know of.
@@ -63,8 +63,9 @@
         return;
     };
     while let Ok((stream, _)) = listener.accept() {
-        if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-            serve(stream, &shared);
+        match stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+            Ok(stream) => serve(stream, &shared),
+            Err(error) => tracing::warn!(%error, "an accepted client is lost"),
         }
     }
 }
@@ -78,37 +79,41 @@
 struct Client {
     framed: Framed<TcpStream, Inward>,
     entry: Entry,
+    /// Bytes of the txn in hand, beside those in the connection's buffers.
+    carried: usize,
     shared: Rc<Shared>,
 }
 
-type Read = Option<Result<Request, Fault>>;
+/// What came of reading, and when.
+type Read = (Option<Result<Request, Fault>>, Tenths);
 
 impl Client {
     fn new(stream: TcpStream, entry: Entry, shared: Rc<Shared>) -> Client {
         // Answers are written whole; waiting to fill a segment only holds them up.
         let _ = stream.set_nodelay(true);
-        Client { framed: Framed::new(stream, Inward::default()), entry, shared }
+        Client { framed: Framed::new(stream, Inward::default()), entry, carried: 0, shared }
     }
 
     /// Reads on, keeping the book; what is not whole is given up when the door is out of memory.
     async fn read(&mut self) -> Read {
-        let Client { framed, entry, shared } = self;
-        poll_fn(move |cx| {
+        let Client { framed, entry, carried, shared } = self;
+        let read = poll_fn(|cx| {
             let read = framed.poll_next_unpin(cx);
             let held = framed.read_buffer().capacity();
-            entry.weigh(held + framed.write_buffer().capacity());
+            entry.weigh(*carried + held + framed.write_buffer().capacity());
             if read.is_pending() && held > SMALL && shared.book.heavy() {
                 return std::task::Poll::Ready(Some(Err(Fault::BodyTooLarge)));
             }
             read
         })
-        .await
+        .await;
+        (read, shared.clock.now())
     }
 
     async fn run(mut self) {
         let mut ahead: Option<Read> = None;
         loop {
-            let read = match ahead.take() {
+            let (read, at) = match ahead.take() {
                 Some(read) => read,
                 None => match self.next().await {
                     Some(read) => read,
@@ -122,7 +127,7 @@
             };
             let last = request.last();
             let txn = self.shared.next_txn();
-            let answered = match admit(&request, &self.shared.named, self.shared.clock.now(), txn) {
+            let answered = match admit(&request, &self.shared.named, at, txn) {
                 Admitted::Health => {
                     let last = last || self.shared.book.draining();
                     say(&mut self.framed, 200, "ok\n", last).await && !last
@@ -135,12 +140,12 @@
                 Admitted::Txn(arrival) => {
                     self.shared.book.count(Count::Taken);
                     let (answer, answered) = oneshot::channel();
-                    self.entry.weigh(request.bytes() + self.framed.read_buffer().capacity());
+                    self.carried = request.bytes();
                     self.shared.tell(Note::Arrived(Taken { arrival, request: Rc::new(request), answer }));
                     let Some(answer) = self.answer(txn, answered, &mut ahead).await else {
                         return;
                     };
-                    self.entry.weigh(answer.bytes() + self.framed.read_buffer().capacity());
+                    self.carried = answer.bytes();
                     // A request read ahead is taken, and is answered before the connection ends.
                     let last = last || self.shared.book.draining() && ahead.is_none();
                     relay(&mut self.framed, &answer, last).await && !last
@@ -149,6 +154,7 @@
             if !answered {
                 return;
             }
+            self.carried = 0;
         }
     }
 
@@ -195,7 +201,7 @@
                     return Some(answer.unwrap_or(Final::Voided));
                 }
                 read = self.read(), if ahead.is_none() => match read {
-                    None | Some(Err(Fault::Io(_) | Fault::Cut)) => {
+                    (None | Some(Err(Fault::Io(_) | Fault::Cut)), _) => {
                         self.shared.tell(Note::Left(txn));
                         return None;
                     }
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -147,6 +147,20 @@
     assert_eq!(backend.connections.load(Ordering::SeqCst), 3);
 }
 
+#[test]
+fn requests_sent_ahead_are_answered_in_order_and_in_their_own_time() {
+    let backend = Backend::new("a", vec![Reaction::Silence, Reaction::Silence, ok("", "third")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    let ((), took) = timed(|| {
+        // The second is silent too, and its time runs while the first is out.
+        client.send(&[txn("POST", "book", "gold", 300, "x"), txn("POST", "book", "gold", 500, "y")].concat());
+        assert_eq!((client.answer().status(), client.answer().status()), (502, 502));
+    });
+    assert!(took < Duration::from_millis(500 + 50), "{took:?}");
+    assert_eq!(client.ask(&book()).body, b"third");
+}
+
 #[test]
 fn bad_requests_get_a_stated_answer_and_the_door_goes_on() {
     let backend = Backend::new("a", vec![ok("", "seen")]);
