Decline what comes with no time left, through the decisions

Seen when going through odd arrivals: a txn whose time left is 5 ms or less expired in the batch it came in, before it was decided; the door voided it and counted a broken invariant, and a debug build ended. At fault: route let timers fall due before the batch was decided (route.rs, run). Change: the batch is decided first; a submission for a txn that is out of time ends as moot, as in the simulator, so the decisions decline it: nothing ran. Test: txns with 0, 1 and 5 ms left get 503 and reach no backend; it fails without the change.

--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -59,6 +59,6 @@
             Ok(arrival) => Admitted::Txn(arrival),
             Err(reason) => Admitted::Bad(400, reason),
         },
-        _ => Admitted::Bad(405, "only GET and POST are served"),
+        _ => Admitted::Bad(405, "only GET and POST are taken"),
     }
 }
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -88,16 +88,16 @@
     let txns = Cell::new(0);
     let shared = Rc::new(Shared { clock, book: Rc::clone(&book), named, lines, notes, txns });
 
-    let failed = |what: &str, error: std::io::Error| format!("{what}: {error}");
-    let mut end = signal(SignalKind::terminate()).map_err(|error| failed("no signals", error))?;
-    let mut print = signal(SignalKind::user_defined1()).map_err(|error| failed("no signals", error))?;
+    let because = |what: &str, error: std::io::Error| format!("{what}: {error}");
+    let mut end = signal(SignalKind::terminate()).map_err(|error| because("no signals", error))?;
+    let mut print = signal(SignalKind::user_defined1()).map_err(|error| because("no signals", error))?;
     let listening = || {
         let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_reuseaddr(true)?;
         socket.bind(listen)?;
         socket.listen(BACKLOG)
     };
-    let listener = listening().map_err(|error| failed(&format!("cannot listen on {listen}"), error))?;
+    let listener = listening().map_err(|error| because(&format!("cannot listen on {listen}"), error))?;
 
     let (watch, known) = Discovery::start(discovery, Rc::clone(&shared), known);
     let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known);
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -116,6 +116,8 @@
             for note in batch.drain(..) {
                 self.take(note, now);
             }
+            // First, so that what has come with no time left is answered as any other.
+            self.decide(now);
             self.fall_due(now);
             self.decide(now);
         }
@@ -323,12 +325,12 @@
             return;
         };
         let no = SubmissionNo(txn.submissions.len() as u32);
-        if txn.answer.is_none() {
-            // Concluded in this very batch: nothing is sent, and the decisions hear so.
+        if txn.answer.is_none() || txn.until <= now {
+            // Concluded in this very batch, or out of time: nothing is sent, and the decisions hear so.
             book.count(Count::SubmissionsMoot);
             let (sent, may_have_run, call_off, ended) = (now, false, None, true);
             txn.submissions.push(Submission { backend, sent, may_have_run, call_off, ended });
-            let (outcome, took, complete) = (Outcome::Moot, Tenths(0), true);
+            let (outcome, took, complete) = (Outcome::Moot, Tenths(0), txn.answer.is_none());
             let ending = Ending { txn: id, no, outcome, took, complete, metered: None, true_cost: None };
             return self.events.push(Event::Ended(ending));
         }
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -112,6 +112,18 @@
     }
 }
 
+#[test]
+fn what_comes_with_no_time_left_is_declined_unsent() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    for left in [0, 1, 5] {
+        assert_eq!(client.ask(&txn("POST", "book", "gold", left, "x")).status(), 503);
+    }
+    assert_eq!(client.ask(&look()).status(), 200);
+    assert_eq!(backend.asked().first, "GET /look?key=00000000b4d65521 HTTP/1.1");
+}
+
 #[test]
 fn a_client_that_leaves_ends_its_submission() {
     let backend = Backend::new("a", vec![Reaction::Silence, ok("", "seen")]);
