--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -24,13 +24,15 @@
 
 /// The cost and the number of the customer's doors.
 fn quota(field: &str) -> Option<(f64, u32)> {
-    let part = |name: &str| {
-        let mut pairs = field.split(',').filter_map(|pair| pair.split_once('='));
-        pairs.find(|(known, _)| known.trim() == name).map(|(_, value)| value.trim())
-    };
-    let cost: f64 = part("units")?.parse().ok()?;
-    let width = part("spread")?.parse().ok()?;
-    (cost.is_finite() && cost >= 0.0).then_some((cost, width))
+    let (mut cost, mut width) = (None, None);
+    for pair in field.split(',') {
+        match pair.trim().split_once('=') {
+            Some(("units", text)) => cost = text.parse::<f64>().ok(),
+            Some(("spread", text)) => width = text.parse().ok(),
+            _ => {}
+        }
+    }
+    cost.filter(|cost| cost.is_finite() && *cost >= 0.0).zip(width)
 }
 
 fn arrival(request: &Request, named: &Named, now: Tenths, txn: TxnId) -> Result<Arrival, &'static str> {
