--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -24,6 +24,8 @@
     Cut,
     HeadTooLarge,
     BodyTooLarge,
+    /// Never of a codec: for a reader that is short of memory.
+    NoRoom,
     Malformed(&'static str),
 }
 
@@ -34,6 +36,7 @@
             Fault::Cut => f.write_str("the connection ended in mid-message"),
             Fault::HeadTooLarge => f.write_str("the head is too large"),
             Fault::BodyTooLarge => f.write_str("the body is too large"),
+            Fault::NoRoom => f.write_str("there is no room for the message now"),
             Fault::Malformed(what) => f.write_str(what),
         }
     }
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -8,6 +8,7 @@
 use futures_util::StreamExt;
 use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -102,7 +103,7 @@
             let held = framed.read_buffer().capacity() + framed.codec().held();
             entry.weigh(*carried + held + framed.write_buffer().capacity());
             if read.is_pending() && held > SMALL && shared.book.heavy() {
-                return std::task::Poll::Ready(Some(Err(Fault::BodyTooLarge)));
+                return Poll::Ready(Some(Err(Fault::NoRoom)));
             }
             read
         })
@@ -216,6 +217,8 @@
         let status = match fault {
             Fault::HeadTooLarge => 431,
             Fault::BodyTooLarge => 413,
+            // Nothing of it was passed on.
+            Fault::NoRoom => 503,
             _ => 400,
         };
         if !say(&mut self.framed, status, &format!("{fault}\n"), true).await {
