--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -24,6 +24,17 @@
     Cancelled,
 }
 
+impl CalledOff {
+    /// What is known of a submission that nothing came back for.
+    fn outcome(self, written: bool) -> Outcome {
+        match self {
+            CalledOff::TimedOut if written => Outcome::TimedOut,
+            CalledOff::TimedOut => Outcome::NoConnection,
+            CalledOff::Cancelled => Outcome::Cancelled,
+        }
+    }
+}
+
 pub struct Job {
     pub txn: TxnId,
     pub no: SubmissionNo,
@@ -43,11 +54,7 @@
     Answered(Reply),
     /// It broke before the last byte was written.
     Unwritten,
-    Broken,
-    CalledOff {
-        why: CalledOff,
-        written: bool,
-    },
+    Ended(Outcome),
 }
 
 impl Connection {
@@ -60,11 +67,12 @@
             sent = self.framed.send(passed) => sent.is_ok(),
             why = &mut job.called_off => {
                 let written = self.framed.write_buffer().is_empty();
-                return Carried::CalledOff { why: why.unwrap_or(CalledOff::Cancelled), written };
+                return Carried::Ended(why.unwrap_or(CalledOff::Cancelled).outcome(written));
             }
         };
         if !sent {
-            return if self.framed.write_buffer().is_empty() { Carried::Broken } else { Carried::Unwritten };
+            let written = self.framed.write_buffer().is_empty();
+            return if written { Carried::Ended(Outcome::Broken) } else { Carried::Unwritten };
         }
         let Connection { framed, entry } = self;
         let replied = poll_fn(|cx| {
@@ -76,10 +84,10 @@
             biased;
             reply = replied => match reply {
                 Some(Ok(reply)) => Carried::Answered(reply),
-                _ => Carried::Broken,
+                _ => Carried::Ended(Outcome::Broken),
             },
             why = &mut job.called_off =>
-                Carried::CalledOff { why: why.unwrap_or(CalledOff::Cancelled), written: true },
+                Carried::Ended(why.unwrap_or(CalledOff::Cancelled).outcome(true)),
         }
     }
 
@@ -138,8 +146,7 @@
                 match dialled {
                     Ok(Some(connection)) => connection,
                     Ok(None) => return end(&job, Outcome::NoConnection, None, None, &shared),
-                    Err(CalledOff::TimedOut) => return end(&job, Outcome::NoConnection, None, None, &shared),
-                    Err(CalledOff::Cancelled) => return end(&job, Outcome::Cancelled, None, None, &shared),
+                    Err(why) => return end(&job, why.outcome(false), None, None, &shared),
                 }
             }
         };
@@ -151,14 +158,7 @@
                 continue;
             }
             Carried::Unwritten => return end(&job, Outcome::NoConnection, None, None, &shared),
-            Carried::Broken => return end(&job, Outcome::Broken, None, None, &shared),
-            Carried::CalledOff { why: CalledOff::TimedOut, written: false } => {
-                return end(&job, Outcome::NoConnection, None, None, &shared);
-            }
-            Carried::CalledOff { why: CalledOff::TimedOut, .. } => {
-                return end(&job, Outcome::TimedOut, None, None, &shared);
-            }
-            Carried::CalledOff { .. } => return end(&job, Outcome::Cancelled, None, None, &shared),
+            Carried::Ended(outcome) => return end(&job, outcome, None, None, &shared),
         };
         let outcome = outcome(&reply);
         if reply.last() || !connection.framed.read_buffer().is_empty() {
