Let go of large write buffers; no module imports in a circle

Seen: a test of 200 connections that each carry one 60 KB message both ways grew the door by 12.5 MB and kept it: an emptied write buffer keeps all it has grown to, and its capacity, as the book counted it, shrinks as it is emptied. With 1,024 descriptors that is a third of the memory limit held by idle connections. Change: after a message above 16 KiB the write buffer is replaced (take_in.rs, send.rs). Test: the same growth stays under 6 MB. Also: what the stages tell each other moved to note.rs and what they share to shared.rs, as route and send, and pool and send, imported each other.

--- a/frames/src/lib.rs
+++ b/frames/src/lib.rs
@@ -9,13 +9,5 @@
 mod write;
 
 pub use message::{Reply, Request};
-pub use read::{Fault, MOST_BODY, MOST_HEAD};
+pub use read::{Fault, Inward, MOST_BODY, MOST_HEAD, Outward};
 pub use write::{Answer, PassedBack, PassedOn};
-
-/// Reads requests and writes answers.
-#[derive(Default)]
-pub struct Inward(read::Reader<message::RequestLine>);
-
-/// Writes requests and reads replies.
-#[derive(Default)]
-pub struct Outward(read::Reader<message::StatusLine>);
--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -1,7 +1,6 @@
 //! From bytes to messages. What two readers could take for two different messages is a fault.
 
 use crate::message::{Message, Reply, Request, RequestLine, Span, StatusLine};
-use crate::{Inward, Outward};
 use bytes::{Buf, BytesMut};
 use httparse::{Header, Status};
 use std::fmt;
@@ -320,6 +319,14 @@
     }
 }
 
+/// Reads requests and writes answers.
+#[derive(Default)]
+pub struct Inward(Reader<RequestLine>);
+
+/// Writes requests and reads replies.
+#[derive(Default)]
+pub struct Outward(Reader<StatusLine>);
+
 macro_rules! decodes {
     ($codec:ident, $message:ident) => {
         impl $codec {
--- a/frames/src/write.rs
+++ b/frames/src/write.rs
@@ -1,7 +1,7 @@
 //! From messages to bytes.
 
 use crate::message::{Message, Reply, Request};
-use crate::{Inward, Outward};
+use crate::read::{Inward, Outward};
 use bytes::BytesMut;
 use std::io::{self, Write};
 use tokio_util::codec::Encoder;
--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -51,6 +51,9 @@
     WithinSockets "within_sockets",
 );
 
+/// What a connection's buffers may keep when idle, and hold when memory is short.
+pub const SMALL: usize = 16 * 1024;
+
 /// What the door may hold, a reserve taken off each.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -1,8 +1,8 @@
 //! The list of backends: starts from what was known, then watches for changes without end.
 
-use crate::Shared;
 use crate::book::{Count, Entry as Held};
-use crate::route::Note;
+use crate::note::{Note, Told};
+use crate::shared::Shared;
 use futures_util::{SinkExt, StreamExt};
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -46,12 +46,6 @@
     since_ms: f64,
 }
 
-/// The same with this door's ids for the names.
-pub struct Told {
-    pub whole: bool,
-    pub entries: Vec<(Listed, Option<SocketAddr>)>,
-}
-
 #[derive(Default)]
 struct Names(HashMap<String, u32>);
 
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -6,17 +6,20 @@
 mod clock;
 mod commission;
 mod discovery;
+mod note;
 mod pool;
 mod relay;
 mod route;
 mod send;
+mod shared;
 mod take_in;
 
 use book::{Book, Room};
 use clock::Clock;
 use commission::Commission;
 use discovery::Discovery;
-use route::{Note, Route};
+use route::Route;
+use shared::Shared;
 use std::cell::Cell;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -26,35 +29,11 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc};
 use vanewharf::decide::Door;
-use vanewharf::interface::TxnId;
-use vanewharf_told::{Lines, Named};
 
 /// New clients keep coming for a while after the front was told that this door stops.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(500);
 const BACKLOG: u32 = 1024;
 
-/// What all stages share.
-pub struct Shared {
-    pub clock: Clock,
-    pub book: Rc<Book>,
-    pub named: Named,
-    pub lines: Lines,
-    notes: mpsc::UnboundedSender<Note>,
-    txns: Cell<u64>,
-}
-
-impl Shared {
-    /// Route ends with the program only, so there is nobody to hear that it is gone.
-    pub fn tell(&self, note: Note) {
-        let _ = self.notes.send(note);
-    }
-
-    pub fn next_txn(&self) -> TxnId {
-        self.txns.set(self.txns.get() + 1);
-        TxnId(self.txns.get())
-    }
-}
-
 fn main() -> ExitCode {
     let level = std::env::var("VANEWHARF_LOG").ok().and_then(|level| level.parse().ok());
     tracing_subscriber::fmt()
--- /dev/null
+++ b/frontdoor/src/note.rs
@@ -0,0 +1,60 @@
+//! What the stages tell each other.
+
+use crate::relay::Final;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use vanewharf::interface::{Arrival, Listed, Outcome, SubmissionNo, Tenths, TxnId};
+use vanewharf_frames::{Reply, Request};
+
+pub struct Taken {
+    pub arrival: Arrival,
+    pub request: Rc<Request>,
+    pub answer: oneshot::Sender<Final>,
+}
+
+pub struct Ended {
+    pub txn: TxnId,
+    pub no: SubmissionNo,
+    pub outcome: Outcome,
+    pub reply: Option<Reply>,
+    pub idle: Option<Idle>,
+}
+
+/// What the other stages tell route.
+pub enum Note {
+    Arrived(Taken),
+    Left(TxnId),
+    Ended(Ended),
+    Listed(Told),
+    /// Sockets are short.
+    Shed,
+}
+
+/// A list of backends or a change of it, with this door's ids for the names.
+pub struct Told {
+    pub whole: bool,
+    pub entries: Vec<(Listed, Option<SocketAddr>)>,
+}
+
+/// Why a submission is no longer waited for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CalledOff {
+    TimedOut,
+    Cancelled,
+}
+
+pub struct Job {
+    pub txn: TxnId,
+    pub no: SubmissionNo,
+    pub request: Rc<Request>,
+    /// When the door stops waiting.
+    pub until: Tenths,
+    pub called_off: oneshot::Receiver<CalledOff>,
+}
+
+/// A connection that waits for its next submission; it closes when this is dropped.
+pub struct Idle {
+    pub next: oneshot::Sender<Job>,
+    pub since: Tenths,
+}
--- a/frontdoor/src/pool.rs
+++ b/frontdoor/src/pool.rs
@@ -1,17 +1,10 @@
 //! The backends' addresses and the idle connections to them.
 
-use crate::send::Job;
+use crate::note::Idle;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use tokio::sync::oneshot;
 use vanewharf::interface::{BackendId, Listed, Standing, Tenths};
 
-/// A connection that waits for its next submission; it closes when this is dropped.
-pub struct Idle {
-    pub next: oneshot::Sender<Job>,
-    pub since: Tenths,
-}
-
 #[derive(Default)]
 struct Peer {
     address: Option<SocketAddr>,
@@ -106,6 +99,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::note::Job;
+    use tokio::sync::oneshot;
     use vanewharf::interface::{GroupId, PlaceId};
 
     const ONE: BackendId = BackendId(1);
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -1,12 +1,12 @@
 //! Route: the one task that owns the decisions. It gathers what is ready, has it decided at once and
 //! carries the actions out in order.
 
-use crate::Shared;
 use crate::book::{Count, Invariant};
-use crate::discovery::Told;
-use crate::pool::{Idle, Pool};
+use crate::note::{CalledOff, Ended, Job, Note, Taken, Told};
+use crate::pool::Pool;
 use crate::relay::Final;
-use crate::send::{self, CalledOff, Job};
+use crate::send;
+use crate::shared::Shared;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
@@ -14,39 +14,15 @@
 use tokio::time::Instant;
 use vanewharf::decide::Door;
 use vanewharf::interface::{
-    Action, Among, Arrival, BackendId, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
+    Action, Among, BackendId, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
 };
-use vanewharf_frames::{Reply, Request};
+use vanewharf_frames::Request;
 
 /// For the answer's way back and one turn of the runtime's timers: the client counts from when it
 /// sent, this door from when it has read.
 const WAY_BACK: Tenths = Tenths(50);
 const SWEEP: Tenths = Tenths::SECOND;
 
-pub struct Taken {
-    pub arrival: Arrival,
-    pub request: Rc<Request>,
-    pub answer: oneshot::Sender<Final>,
-}
-
-pub struct Ended {
-    pub txn: TxnId,
-    pub no: SubmissionNo,
-    pub outcome: Outcome,
-    pub reply: Option<Reply>,
-    pub idle: Option<Idle>,
-}
-
-/// What the other stages tell this one.
-pub enum Note {
-    Arrived(Taken),
-    Left(TxnId),
-    Ended(Ended),
-    Listed(Told),
-    /// Sockets are short.
-    Shed,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Wake(TimerId),
--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -1,12 +1,12 @@
 //! Send: one task for each connection to a backend. It carries one submission at a time and says how
 //! each ended, by what can be proved of it.
 
-use crate::Shared;
 use crate::admit::TIME_LEFT;
-use crate::book::{Count, Entry};
+use crate::book::{Count, Entry, SMALL};
 use crate::clock::span;
-use crate::pool::Idle;
-use crate::route::{Ended, Note};
+use crate::note::{CalledOff, Ended, Idle, Job, Note};
+use crate::shared::Shared;
+use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -14,15 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio_util::codec::Framed;
-use vanewharf::interface::{Outcome, SubmissionNo, Tenths, TxnId};
-use vanewharf_frames::{Outward, PassedOn, Reply, Request};
-
-/// Why a submission is no longer waited for.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum CalledOff {
-    TimedOut,
-    Cancelled,
-}
+use vanewharf::interface::Outcome;
+use vanewharf_frames::{Outward, PassedOn, Reply};
 
 impl CalledOff {
     /// What is known of a submission that nothing came back for.
@@ -35,15 +28,6 @@
     }
 }
 
-pub struct Job {
-    pub txn: TxnId,
-    pub no: SubmissionNo,
-    pub request: Rc<Request>,
-    /// When the door stops waiting.
-    pub until: Tenths,
-    pub called_off: oneshot::Receiver<CalledOff>,
-}
-
 struct Connection {
     framed: Framed<TcpStream, Outward>,
     entry: Entry,
@@ -161,6 +145,9 @@
             Carried::Ended(outcome) => return end(&job, outcome, None, None, &shared),
         };
         let outcome = outcome(&reply);
+        if job.request.bytes() > SMALL {
+            *connection.framed.write_buffer_mut() = BytesMut::new();
+        }
         if reply.last() || !connection.framed.read_buffer().is_empty() {
             return end(&job, outcome, Some(reply), None, &shared);
         }
--- /dev/null
+++ b/frontdoor/src/shared.rs
@@ -0,0 +1,31 @@
+//! What all stages share.
+
+use crate::book::Book;
+use crate::clock::Clock;
+use crate::note::Note;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+use vanewharf::interface::TxnId;
+use vanewharf_told::{Lines, Named};
+
+pub struct Shared {
+    pub clock: Clock,
+    pub book: Rc<Book>,
+    pub named: Named,
+    pub lines: Lines,
+    pub notes: mpsc::UnboundedSender<Note>,
+    pub txns: Cell<u64>,
+}
+
+impl Shared {
+    /// Route ends with the program only, so there is nobody to hear that it is gone.
+    pub fn tell(&self, note: Note) {
+        let _ = self.notes.send(note);
+    }
+
+    pub fn next_txn(&self) -> TxnId {
+        self.txns.set(self.txns.get() + 1);
+        TxnId(self.txns.get())
+    }
+}
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -1,10 +1,11 @@
 //! Take in: accepts clients and reads their requests, one at a time on a connection.
 
-use crate::Shared;
 use crate::admit::{Admitted, admit};
-use crate::book::{Count, Entry, Invariant};
+use crate::book::{Count, Entry, Invariant, SMALL};
+use crate::note::{Note, Taken};
 use crate::relay::{Final, relay, say};
-use crate::route::{Note, Taken};
+use crate::shared::Shared;
+use bytes::BytesMut;
 use futures_util::StreamExt;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -19,8 +20,6 @@
 
 /// Where accepting fails for want of descriptors that the book does not know of.
 const PAUSE: Duration = Duration::from_millis(50);
-/// What a connection's buffer may hold even when memory is short.
-const SMALL: usize = 16 * 1024;
 /// How long a request may take that crosses the end of its connection.
 const CROSSING: Duration = Duration::from_millis(200);
 /// How long what a client still sends is read after its connection was given up, so that a reset
@@ -155,6 +154,10 @@
             if !answered {
                 return;
             }
+            if self.carried > SMALL {
+                // An emptied buffer keeps all it has grown to, and a client may stay for hours.
+                *self.framed.write_buffer_mut() = BytesMut::new();
+            }
             self.carried = 0;
         }
     }
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -284,6 +284,21 @@
     assert!(door.counter("clients_shed") + door.counter("turned_back") > 0);
 }
 
+#[test]
+fn large_messages_leave_no_large_buffers() {
+    let body = "x".repeat(60_000);
+    let backend = Backend::new("a", vec![ok("", &body)]);
+    let door = Door::start(&[&backend]);
+    let request = txn("POST", "book", "gold", 3000, &body);
+    let mut clients: Vec<_> = (0..210).map(|_| door.client()).collect();
+    let mut ask = |client: &mut Client| assert_eq!(client.ask(&request).body.len(), body.len());
+    clients[..10].iter_mut().for_each(&mut ask);
+    let before = door.memory();
+    clients[10..].iter_mut().for_each(&mut ask);
+    let grown = door.memory().saturating_sub(before);
+    assert!(grown < 200 * 30, "{grown} KiB more for 200 connections");
+}
+
 #[test]
 fn says_why_it_cannot_serve() {
     for (commission, reason) in [
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -286,6 +286,13 @@
         count.unwrap_or_else(|| panic!("{name} is not counted: {line}"))
     }
 
+    /// Memory in use, in KiB.
+    pub fn memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a size");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(done.expect("kill runs").success());
