Go on when nobody takes the log

Seen: with the reader of its log gone a door ended at the next line: the logging library tells of the failed write on standard error too, and that panics. At fault: the subscriber's default (main.rs). Change: the library keeps its own errors to itself. An outage of discovery is logged at its start and end, not at each call, as a log that is full and not read would hold the door up.

--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -102,13 +102,16 @@
 
     pub async fn run(mut self) {
         let mut connection = None;
+        // Changes may have passed unseen since a call that failed.
         let mut whole = false;
         loop {
             let called = Instant::now();
             match self.call(&mut connection, whole).await {
                 Ok(published) => {
                     self.shared.book.count(Count::Lists);
-                    whole = false;
+                    if std::mem::take(&mut whole) {
+                        tracing::info!("discovery gives lists again");
+                    }
                     let told = self.told(published);
                     if told.whole || !told.entries.is_empty() {
                         self.shared.tell(Note::Listed(told));
@@ -119,10 +122,11 @@
                 }
                 Err(reason) => {
                     self.shared.book.count(Count::ListFailures);
-                    tracing::info!(reason, "discovery gave no list");
                     connection = None;
-                    // Changes may have passed unseen.
-                    whole = true;
+                    // Once for each outage, not for each call: a full log would hold up the door.
+                    if !std::mem::replace(&mut whole, true) {
+                        tracing::info!(reason, "discovery gives no list");
+                    }
                     tokio::time::sleep(PAUSE).await;
                 }
             }
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -39,6 +39,8 @@
     tracing_subscriber::fmt()
         .with_max_level(level.unwrap_or(tracing::Level::INFO))
         .with_writer(std::io::stderr)
+        // Against a panic where nobody takes the log: it would be told on the same closed pipe.
+        .log_internal_errors(false)
         .init();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -299,6 +299,19 @@
     assert!(grown < 200 * 30, "{grown} KiB more for 200 connections");
 }
 
+#[test]
+fn goes_on_when_nobody_takes_its_log() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let mut door = Door::start(&[&backend]);
+    door.deafen();
+    for _ in 0..20 {
+        door.signal("-USR1");
+        assert_eq!(door.client().ask(&look()).status(), 200);
+    }
+    door.signal("-TERM");
+    assert!(door.ended().success());
+}
+
 #[test]
 fn says_why_it_cannot_serve() {
     for (commission, reason) in [
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -286,6 +286,11 @@
         count.unwrap_or_else(|| panic!("{name} is not counted: {line}"))
     }
 
+    /// Nobody takes the log from the next line on.
+    pub fn deafen(&mut self) {
+        self.said = channel().1;
+    }
+
     /// Memory in use, in KiB.
     pub fn memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
