Accept again as soon as a descriptor is free

Seen in a test with fewer descriptors than the door was told of: it goes on, but lets one client in each 50 ms, though shedding frees a descriptor at once, and logs each failure. Change: a failing accept waits for a freed descriptor, 50 ms at most, and is logged once until one succeeds. Test: 60 clients at 24 descriptors, the door serves, and ends with 0.

--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -29,6 +29,7 @@
 /// Accepts until told to stop; then takes what the system has accepted already.
 pub async fn accept(listener: TcpListener, shared: Rc<Shared>, stop: Rc<Notify>) {
     let book = &shared.book;
+    let mut failing = false;
     loop {
         if book.crowded() {
             book.idle_clients.notify_one();
@@ -48,13 +49,19 @@
             () = stop.notified() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve(stream, &shared),
+            Ok((stream, _)) => {
+                failing = false;
+                serve(stream, &shared);
+            }
             Err(error) => {
                 book.count(Count::AcceptFailed);
-                tracing::warn!(%error, "no client accepted");
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!(%error, "no client accepted");
+                }
                 book.idle_clients.notify_one();
                 shared.tell(Note::Shed);
-                tokio::time::sleep(PAUSE).await;
+                let freed = book.freed.notified();
+                let _ = tokio::time::timeout(PAUSE, freed).await;
             }
         }
     }
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -261,17 +261,30 @@
 #[test]
 fn idle_clients_give_way_when_sockets_are_short() {
     let backend = Backend::new("a", vec![ok("", "seen")]);
-    let door = Door::with(&[&backend], 48, 64);
+    let door = Door::with(&[&backend], 48, 64, 1024);
     let mut idle: Vec<_> = (0..40).map(|_| door.client()).collect();
     assert_eq!(door.client().ask(&look()).status(), 200);
     assert!(idle[0].ends(), "the first to come is the first to go");
     assert!(door.counter("sockets") <= 32, "a reserve is kept");
 }
 
+#[test]
+fn fewer_descriptors_than_told_end_nothing() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let mut door = Door::with(&[&backend], 1024, 64, 24);
+    let clients: Vec<_> = (0..60).map(|_| door.client()).collect();
+    assert_eq!(door.client().ask(&look()).status(), 200);
+    assert!(door.counter("accept_failed") > 0, "they did run out");
+    drop(clients);
+    assert_eq!(door.client().ask(&look()).status(), 200);
+    door.signal("-TERM");
+    assert!(door.ended().success());
+}
+
 #[test]
 fn unfinished_requests_give_way_when_memory_is_short() {
     let backend = Backend::new("a", vec![ok("", "seen")]);
-    let door = Door::with(&[&backend], 1024, 8);
+    let door = Door::with(&[&backend], 1024, 8, 1024);
     let begun = txn("POST", "book", "gold", 3000, &"x".repeat(65_536));
     let mut slow: Vec<_> = (0..100).map(|_| door.client()).collect();
     for client in &mut slow {
@@ -319,7 +332,7 @@
         (Some("{"), "cannot read"),
         (Some("{\"name\": \"n0\"}"), "missing field"),
     ] {
-        let (mut command, path): (Command, _) = program(commission);
+        let (mut command, path): (Command, _) = program(commission, 64);
         let output = command.output().expect("the program runs");
         let said = String::from_utf8_lossy(&output.stderr);
         assert!(said.contains(reason) && !said.contains("panicked"), "{said}");
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -219,11 +219,13 @@
 
 static DOORS: AtomicU32 = AtomicU32::new(0);
 
-pub fn program(commission: Option<&str>) -> (Command, PathBuf) {
+/// It may hold so many descriptors, whatever it is told.
+pub fn program(commission: Option<&str>, descriptors: usize) -> (Command, PathBuf) {
     let number = DOORS.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("vanewharf-door-{}-{number}.json", std::process::id()));
-    let mut command = Command::new(env!("CARGO_BIN_EXE_vanewharf-door"));
-    command.env_remove("ROUTER_CONFIG").stdout(Stdio::null()).stderr(Stdio::piped());
+    let mut command = Command::new("sh");
+    let limited = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_vanewharf-door"));
+    command.args(["-c", &limited]).env_remove("ROUTER_CONFIG").stdout(Stdio::null()).stderr(Stdio::piped());
     if let Some(text) = commission {
         std::fs::write(&path, text).expect("a file of our own");
         command.env("ROUTER_CONFIG", &path);
@@ -234,10 +236,10 @@
 impl Door {
     /// `look` may run again, `book` must not; the plan `basic` lets two units through at once.
     pub fn start(backends: &[&Backend]) -> Door {
-        Door::with(backends, 1024, 64)
+        Door::with(backends, 1024, 64, 1024)
     }
 
-    pub fn with(backends: &[&Backend], sockets: usize, memory_mb: usize) -> Door {
+    pub fn with(backends: &[&Backend], sockets: usize, memory_mb: usize, descriptors: usize) -> Door {
         let agent = Agent::new();
         let free = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a free port");
         let known: Vec<_> = backends.iter().map(|backend| backend.entry("SERVING")).collect();
@@ -257,7 +259,7 @@
                 "rules": {"cold_from": 0.2, "ramp_time": 1000.0}
             }
         });
-        let (mut command, path) = program(Some(&commission.to_string()));
+        let (mut command, path) = program(Some(&commission.to_string()), descriptors);
         let mut child = command.spawn().expect("the program starts");
         let (tell, said) = channel();
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
