--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -79,7 +79,7 @@
             sockets: usable,
             crowded: usable * 3 / 4,
             full: usable * 7 / 8,
-            bytes: memory_mb.max(8) * (1 << 20) / 2,
+            bytes: memory_mb.max(8).saturating_mul(1 << 20) / 2,
         }
     }
 }
