--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -135,14 +135,10 @@
             let last = request.last();
             let txn = self.shared.next_txn();
             let answered = match admit(&request, &self.shared.named, at, txn) {
-                Admitted::Health => {
-                    let last = last || self.shared.book.draining();
-                    say(&mut self.framed, 200, "ok\n", last).await && !last
-                }
+                Admitted::Health => self.say(200, "ok", last).await,
                 Admitted::Bad(status, reason) => {
                     self.shared.book.count(Count::TurnedBack);
-                    let last = last || self.shared.book.draining();
-                    say(&mut self.framed, status, &format!("{reason}\n"), last).await && !last
+                    self.say(status, reason, last).await
                 }
                 Admitted::Txn(arrival) => {
                     self.shared.book.count(Count::Taken);
@@ -169,6 +165,12 @@
         }
     }
 
+    /// Whether the connection goes on after it.
+    async fn say(&mut self, status: u16, body: &str, last: bool) -> bool {
+        let last = last || self.shared.book.draining();
+        say(&mut self.framed, status, &format!("{body}\n"), last).await && !last
+    }
+
     /// The next request, unless the connection is closed while idle.
     async fn next(&mut self) -> Option<Read> {
         let shared = Rc::clone(&self.shared);
