Wait for a freed descriptor in one way; keep to itself what no other file uses

Accepting waited for a descriptor by a select in one place and a time-out in another; both are the time-out now, and nothing is registered while there is room. The bounds of the codecs and one field's name were public without a reader. Behaviour as before.

--- a/frames/src/lib.rs
+++ b/frames/src/lib.rs
@@ -9,5 +9,5 @@
 mod write;
 
 pub use message::{Reply, Request};
-pub use read::{Fault, Inward, MOST_BODY, MOST_HEAD, Outward};
+pub use read::{Fault, Inward, Outward};
 pub use write::{Answer, PassedBack, PassedOn};
--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -8,8 +8,8 @@
 use std::mem::MaybeUninit;
 use tokio_util::codec::Decoder;
 
-pub const MOST_HEAD: usize = 64 * 1024;
-pub const MOST_BODY: usize = 64 * 1024;
+const MOST_HEAD: usize = 64 * 1024;
+const MOST_BODY: usize = 64 * 1024;
 const MOST_FIELDS: usize = 64;
 /// Room for most messages whole.
 const USUAL: usize = 4 * 1024;
--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -4,7 +4,7 @@
 use vanewharf_frames::Request;
 use vanewharf_told::Named;
 
-pub const CORRELATION: &str = "X-Correlation-Id";
+const CORRELATION: &str = "X-Correlation-Id";
 pub const TIME_LEFT: &str = "X-Time-Left-Ms";
 
 #[derive(Debug, PartialEq)]
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -18,7 +18,7 @@
 use vanewharf::interface::{Tenths, TxnId};
 use vanewharf_frames::{Fault, Inward, Request};
 
-/// Where accepting fails for want of descriptors that the book does not know of.
+/// How long at most a freed descriptor is waited for before accepting is tried again.
 const PAUSE: Duration = Duration::from_millis(50);
 /// How long a request may take that crosses the end of its connection.
 const CROSSING: Duration = Duration::from_millis(200);
@@ -35,11 +35,9 @@
             book.idle_clients.notify_one();
             shared.tell(Note::Shed);
         }
-        let freed = book.freed.notified();
         if book.full() {
             tokio::select! {
-                () = freed => continue,
-                () = tokio::time::sleep(PAUSE) => continue,
+                _ = tokio::time::timeout(PAUSE, book.freed.notified()) => continue,
                 () = stop.notified() => break,
             }
         }
@@ -60,8 +58,7 @@
                 }
                 book.idle_clients.notify_one();
                 shared.tell(Note::Shed);
-                let freed = book.freed.notified();
-                let _ = tokio::time::timeout(PAUSE, freed).await;
+                let _ = tokio::time::timeout(PAUSE, book.freed.notified()).await;
             }
         }
     }
@@ -134,7 +131,7 @@
             };
             let last = request.last();
             let txn = self.shared.next_txn();
-            let answered = match admit(&request, &self.shared.named, at, txn) {
+            let goes_on = match admit(&request, &self.shared.named, at, txn) {
                 Admitted::Health => self.say(200, "ok", last).await,
                 Admitted::Bad(status, reason) => {
                     self.shared.book.count(Count::TurnedBack);
@@ -154,7 +151,7 @@
                     relay(&mut self.framed, &answer, last).await && !last
                 }
             };
-            if !answered {
+            if !goes_on {
                 return;
             }
             if self.carried > SMALL {
