Read the file anew at SIGHUP and move discovery to the agent it names

Checked: main.rs asked for SIGTERM and SIGUSR1 only, so the system's default ended the program; its log stops without a word. Ruled out: a fault in reading the file, which was never opened a second time. At fault: main.rs, the loop over signals, and discovery.rs, where the agent's address was fixed at the start. Change: SIGHUP is caught before the file is read for the first time; the file is read again and discovery turns to the agent it names, whole list first, even with a call out to the first agent. A file that cannot be read leaves all as it was and is logged. Test: two agents, an unreadable file between, a txn open throughout. Without the change the program ends.

--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -40,6 +40,8 @@
     BackendsDroppedIdle "backends_dropped_idle",
     Lists "lists",
     ListFailures "list_failures",
+    Reloads "reloads",
+    ReloadFailures "reload_failures",
 );
 
 kinds!(Invariant, INVARIANTS:
--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::Framed;
 use vanewharf::interface::{BackendId, GroupId, Listed, PlaceId, Standing, Tenths};
@@ -57,7 +58,8 @@
 }
 
 pub struct Discovery {
-    address: SocketAddr,
+    /// Where the agent listens; it may move while the door runs.
+    agents: watch::Receiver<SocketAddr>,
     shared: Rc<Shared>,
     index: u64,
     backends: Names,
@@ -68,9 +70,13 @@
 
 impl Discovery {
     /// With what was known, for the decisions to start from.
-    pub fn start(address: SocketAddr, shared: Rc<Shared>, known: Published) -> (Discovery, Told) {
+    pub fn start(
+        agents: watch::Receiver<SocketAddr>,
+        shared: Rc<Shared>,
+        known: Published,
+    ) -> (Discovery, Told) {
         let (backends, places) = Default::default();
-        let mut discovery = Discovery { address, shared, index: 0, backends, places };
+        let mut discovery = Discovery { agents, shared, index: 0, backends, places };
         let told = discovery.told(known);
         (discovery, told)
     }
@@ -101,35 +107,46 @@
     }
 
     pub async fn run(mut self) {
+        let mut agents = self.agents.clone();
         let mut connection = None;
         // Changes may have passed unseen since a call that failed.
         let mut whole = false;
         loop {
-            let called = Instant::now();
-            match self.call(&mut connection, whole).await {
-                Ok(published) => {
-                    self.shared.book.count(Count::Lists);
-                    if std::mem::take(&mut whole) {
-                        tracing::info!("discovery gives lists again");
-                    }
-                    let told = self.told(published);
-                    if told.whole || !told.entries.is_empty() {
-                        self.shared.tell(Note::Listed(told));
-                    } else if called.elapsed() < PAUSE {
-                        // Against an agent that does not wait.
-                        tokio::time::sleep(PAUSE).await;
-                    }
+            tokio::select! {
+                biased;
+                // A call that is out asks an agent that has stopped listening.
+                Ok(()) = agents.changed() => (connection, whole) = (None, true),
+                () = self.ask(&mut connection, &mut whole) => {}
+            }
+        }
+    }
+
+    /// One call and what came of it.
+    async fn ask(&mut self, connection: &mut Option<(Connection, Held)>, whole: &mut bool) {
+        let called = Instant::now();
+        match self.call(connection, *whole).await {
+            Ok(published) => {
+                self.shared.book.count(Count::Lists);
+                if std::mem::take(whole) {
+                    tracing::info!("discovery gives the whole list again");
                 }
-                Err(reason) => {
-                    self.shared.book.count(Count::ListFailures);
-                    connection = None;
-                    // Once for each outage, not for each call: a full log would hold up the door.
-                    if !std::mem::replace(&mut whole, true) {
-                        tracing::info!(reason, "discovery gives no list");
-                    }
+                let told = self.told(published);
+                if told.whole || !told.entries.is_empty() {
+                    self.shared.tell(Note::Listed(told));
+                } else if called.elapsed() < PAUSE {
+                    // Against an agent that does not wait.
                     tokio::time::sleep(PAUSE).await;
                 }
             }
+            Err(reason) => {
+                self.shared.book.count(Count::ListFailures);
+                *connection = None;
+                // Once for each outage, not for each call: a full log would hold up the door.
+                if !std::mem::replace(whole, true) {
+                    tracing::info!(reason, "discovery gives no list");
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
         }
     }
 
@@ -138,10 +155,11 @@
         kept: &mut Option<(Connection, Held)>,
         whole: bool,
     ) -> Result<Published, &'static str> {
+        let address = *self.agents.borrow();
         let (connection, _) = match kept {
             Some(kept) => kept,
             None => {
-                let stream = timeout(PATIENCE, TcpStream::connect(self.address)).await;
+                let stream = timeout(PATIENCE, TcpStream::connect(address)).await;
                 let stream = stream.map_err(|_| "no connection in time")?.map_err(|_| "no connection")?;
                 let _ = stream.set_nodelay(true);
                 let held = Held::of(&self.shared.book, false);
@@ -153,7 +171,7 @@
         } else {
             (format!("/v1/servers?index={}&wait={}", self.index, WAIT.as_millis()), WAIT + PATIENCE)
         };
-        let request = Request::get(&self.address.to_string(), &target);
+        let request = Request::get(&address.to_string(), &target);
         let asked = async {
             connection.send(PassedOn { request: &request, anew: &[] }).await.ok()?;
             connection.next().await?.ok()
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -14,7 +14,7 @@
 mod shared;
 mod take_in;
 
-use book::{Book, Room};
+use book::{Book, Count, Room};
 use clock::Clock;
 use commission::Commission;
 use discovery::Discovery;
@@ -27,7 +27,7 @@
 use tokio::net::TcpSocket;
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 use vanewharf::decide::Door;
 
 /// New clients keep coming for a while after the front was told that this door stops.
@@ -54,10 +54,16 @@
 fn run() -> Result<(), String> {
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
     let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
-    runtime.block_on(async { serve(Commission::read()?).await })
+    runtime.block_on(async { serve().await })
 }
 
-async fn serve(commission: Commission) -> Result<(), String> {
+async fn serve() -> Result<(), String> {
+    let because = |what: &str, error: std::io::Error| format!("{what}: {error}");
+    let hear = |kind| signal(kind).map_err(|error| because("no signals", error));
+    // First, as a signal that nobody has asked for ends the program.
+    let (mut reload, mut end) = (hear(SignalKind::hangup())?, hear(SignalKind::terminate())?);
+    let mut print = hear(SignalKind::user_defined1())?;
+    let commission = Commission::read()?;
     let clock = Clock::start();
     let Commission { name, listen, discovery, seed, limits, known, options } = commission;
     let (start, named) =
@@ -69,9 +75,6 @@
     let txns = Cell::new(0);
     let shared = Rc::new(Shared { clock, book: Rc::clone(&book), named, lines, notes, txns });
 
-    let because = |what: &str, error: std::io::Error| format!("{what}: {error}");
-    let mut end = signal(SignalKind::terminate()).map_err(|error| because("no signals", error))?;
-    let mut print = signal(SignalKind::user_defined1()).map_err(|error| because("no signals", error))?;
     let listening = || {
         let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
         socket.set_reuseaddr(true)?;
@@ -80,16 +83,28 @@
     };
     let listener = listening().map_err(|error| because(&format!("cannot listen on {listen}"), error))?;
 
-    let (watch, known) = Discovery::start(discovery, Rc::clone(&shared), known);
+    let (agent, agents) = watch::channel(discovery);
+    let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), known);
     let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known);
     let mut routing = tokio::task::spawn_local(route.run(told));
-    let mut watching = tokio::task::spawn_local(watch.run());
+    let mut watching = tokio::task::spawn_local(discovery.run());
     let stop = Rc::new(Notify::new());
     let accepting = tokio::task::spawn_local(take_in::accept(listener, Rc::clone(&shared), Rc::clone(&stop)));
     tracing::info!(name, %listen, "serving");
     loop {
         tokio::select! {
             _ = end.recv() => break,
+            _ = reload.recv() => match Commission::read() {
+                Ok(anew) => {
+                    book.count(Count::Reloads);
+                    tracing::info!(discovery = %anew.discovery, "read anew");
+                    agent.send_replace(anew.discovery);
+                }
+                Err(reason) => {
+                    book.count(Count::ReloadFailures);
+                    tracing::warn!(reason, "what was read before stays in force");
+                }
+            },
             _ = print.recv() => tracing::info!("counters {book}"),
             // A door without either would hold what it takes for ever.
             ended = &mut routing => return Err(format!("route ended: {ended:?}")),
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -236,6 +236,26 @@
     assert_eq!(client.ask(&look()).status(), 503, "an empty list leaves nobody to send to");
 }
 
+#[test]
+fn asks_another_agent_once_its_file_names_one() {
+    let (old, new) = (Backend::new("a", vec![Reaction::Silence]), Backend::new("b", vec![ok("", "new")]));
+    let mut door = Door::start(&[&old]);
+    let mut open = door.client();
+    open.send(&txn("POST", "book", "gold", 1500, "x"));
+    old.asked();
+    door.reload(None);
+    door.says("what was read before stays in force");
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=4&wait=2000 HTTP/1.1");
+    let agent = Agent::new();
+    door.reload(Some(agent.address));
+    assert_eq!(agent.call(), "GET /v1/servers HTTP/1.1", "at once, though a call to the first is out");
+    agent.lists.send(list(7, true, &[new.entry("SERVING")])).expect("the agent runs");
+    assert_eq!(agent.call(), "GET /v1/servers?index=7&wait=2000 HTTP/1.1");
+    assert_eq!(door.client().ask(&look()).body, b"new");
+    assert_eq!(open.answer().status(), 502, "what was open has its answer in its own time");
+    assert_eq!((door.counter("reloads"), door.counter("reload_failures")), (1, 1));
+}
+
 #[test]
 fn ends_when_told_with_all_it_took_answered() {
     let backend = Backend::new("a", vec![ok("", "before"), Reaction::Silence, ok("", "after")]);
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -164,13 +164,13 @@
 
 /// Answers each call with the next list it is given.
 pub struct Agent {
-    address: SocketAddr,
+    pub address: SocketAddr,
     pub lists: Sender<String>,
     pub calls: Receiver<String>,
 }
 
 impl Agent {
-    fn new() -> Agent {
+    pub fn new() -> Agent {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (lists, given) = channel::<String>();
@@ -215,6 +215,7 @@
     pub agent: Agent,
     said: Receiver<String>,
     path: PathBuf,
+    commission: Value,
 }
 
 static DOORS: AtomicU32 = AtomicU32::new(0);
@@ -264,7 +265,7 @@
         let (tell, said) = channel();
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| tell.send(line)));
-        let door = Door { child, address: free, agent, said, path };
+        let door = Door { child, address: free, agent, said, path, commission };
         door.says("serving");
         door
     }
@@ -288,6 +289,16 @@
         count.unwrap_or_else(|| panic!("{name} is not counted: {line}"))
     }
 
+    /// Replaces the file and says so; with nothing, by one that cannot be read.
+    pub fn reload(&mut self, discovery: Option<SocketAddr>) {
+        let text = discovery.map_or("{".to_owned(), |address| {
+            self.commission["discovery"] = json!(address.to_string());
+            self.commission.to_string()
+        });
+        std::fs::write(&self.path, text).expect("a file of our own");
+        self.signal("-HUP");
+    }
+
     /// Nobody takes the log from the next line on.
     pub fn deafen(&mut self) {
         self.said = channel().1;
