Judge a crowd by what is out over eight usual answers

Checked in the probe's log: doors had 3 submissions out in the mean, and nearly all such declines came at 5, 6 or 7 out, which chance alone gives 8% of the time. Ruled out: a slow backend (the most out at one was 2) and slow answers (40 of 6,400 past the SLA time). At fault: decide.rs, Desk::pressed, which took the number out at one moment for a line. Change: the number out is averaged over eight usual answer times. It covers any burst shorter than that; a real jam is seen as much later, some tens of txns.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -43,6 +43,8 @@
 const IN_TIME: f64 = 3.0;
 /// The part of an answer's time that is held for waiting where too few are out to see a line.
 const QUEUED: f64 = 0.5;
+/// Usual answer times over which what is out is averaged: chance fills a door with few out in one or two.
+const CROWD_ANSWERS: f64 = 8.0;
 /// Seconds of settling that tell the pace of the fleet.
 const SETTLE_SPAN: f64 = 2.0;
 /// Long against an answer, short against a failure.
@@ -70,7 +72,8 @@
     pub fn start(told: Start) -> Door {
         let guess = |mean| Norm { mean, spread: mean, seen: 0.0 };
         let norms = told.products.iter().map(|product| guess(product.sla_time.seconds() / 4.0)).collect();
-        let desk = Desk { norms, rated_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
+        let desk =
+            Desk { norms, rated_at: told.at, counted_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
         let till = Till { swept: told.at, ..Till::default() };
         let (now, yard) = (told.at, BTreeMap::new());
         let (posted, stirring, actions) = (VecDeque::new(), BTreeSet::new(), Vec::new());
@@ -114,8 +117,7 @@
     fn watch(&mut self) {
         if let Some(within) = self.told.ask_within {
             let after = within.times(0.5).max(Tenths::SECOND);
-            self.actions.push(Action::Watch);
-            self.actions.push(Action::Wake { after, timer: TimerId(0) });
+            self.actions.extend([Action::Watch, Action::Wake { after, timer: TimerId(0) }]);
         }
     }
 
@@ -216,7 +218,7 @@
         let norm = self.desk.norms[product.0];
         let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
         let leaves = norm.seen >= 8.0 && (expiry - self.now).seconds() < IN_TIME * norm.mean;
-        let pressed = self.desk.pressed(value / norm.mean, &self.told) || leaves;
+        let pressed = self.desk.pressed(value / norm.mean, self.now, &self.told) || leaves;
         self.desk.txns.insert(id, txn);
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
@@ -249,12 +251,11 @@
             return;
         };
         let first = !std::mem::replace(&mut txn.answered, true);
-        let out = txn.submissions.iter().enumerate().filter(|(_, submission)| submission.out);
-        let out: Vec<_> = out.map(|(no, _)| SubmissionNo(no as u32)).collect();
-        if out.is_empty() {
+        let mut out = txn.submissions.iter().enumerate().filter(|(_, submission)| submission.out).peekable();
+        if out.peek().is_none() {
             self.desk.txns.remove(&id);
         } else if first && self.told.allowances.cancel && !txn.begun {
-            self.actions.extend(out.into_iter().map(|no| Action::Cancel { txn: id, no }));
+            self.actions.extend(out.map(|(no, _)| Action::Cancel { txn: id, no: SubmissionNo(no as u32) }));
         }
     }
 
@@ -313,9 +314,7 @@
             && txn.submissions.len() < self.told.allowances.most_submissions
             && answer <= in_time.min(txn.asked.expiry)
             && self.desk.spare >= 1.0;
-        if allowed {
-            self.desk.spare -= 1.0;
-        }
+        self.desk.spare -= f64::from(u8::from(allowed));
         allowed
     }
 
@@ -413,13 +412,17 @@
 
     /// What is out over what settles is how long a newcomer would wait. All products wait in the same lines,
     /// so the one tightest on time says when; the cheaper give way first.
-    fn pressed(&mut self, value: f64, told: &Start) -> bool {
+    fn pressed(&mut self, value: f64, now: Tenths, told: &Start) -> bool {
         let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
         // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
         let value = value * mean;
         self.mean_value += 0.02 * (value - self.mean_value);
         // What is stuck at a silent backend stands in nobody's way; a jammed one looks silent too.
         let out: f64 = self.board.values().map(|offer| offer.out - offer.stuck).sum();
+        let weight = 1.0 - (-(now - self.counted_at).seconds() / (CROWD_ANSWERS * mean)).exp();
+        self.out_mean += weight * (out - self.out_mean);
+        self.counted_at = now;
+        let out = self.out_mean;
         // Against taking a door's first seconds, when little can have settled yet, for a crowd.
         let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
         let rate = self.settle_rate / (1.0 - faded(told.at, self.rated_at)).max(0.05);
@@ -674,21 +677,17 @@
         let needed = cost.min(ENOUGH * plan.burst * self.slice) * if again { REPEATED } else { 1.0 };
         // Against declining what fits: a quota mostly unclaimed is lent from while what is left outweighs, at the
         // odds where admitting breaks even, the cost beyond. It leaves the slice in no debt.
-        let cost_beyond = (plan.beyond_cost - plan.beyond_worth).max(0.0);
-        let kept = cost_beyond / (1.0 + cost_beyond) + if again { REPEAT_KEEPS } else { 0.0 };
+        let beyond = plan.beyond_cost - plan.beyond_worth;
+        let kept = (beyond / (1.0 + beyond)).max(0.0) + if again { REPEAT_KEEPS } else { 0.0 };
         let lent = self.unclaimed - cost.min(ENOUGH * plan.burst) >= kept * plan.burst;
         if plan.rate > 0.0 && !lent && self.tokens < needed - 1e-9 {
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
         if plan.open_at_once > 0.0 {
-            let inside = chance_below(
-                self.open_mean * (self.width - 1.0) * self.metered.max(1.0),
-                plan.open_at_once - self.open,
-            );
+            let elsewhere = self.open_mean * (self.width - 1.0) * self.metered.max(1.0);
+            let inside = chance_below(elsewhere, plan.open_at_once - self.open);
             let slice = (plan.open_at_once / self.width).ceil();
-            if self.open >= slice
-                || CROWDED * inside + (1.0 - inside) * (plan.beyond_worth - plan.beyond_cost) <= 0.0
-            {
+            if self.open >= slice || CROWDED * inside <= (1.0 - inside) * beyond {
                 return Err(None);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -136,6 +136,8 @@
     pub norms: Vec<Norm>,
     pub settle_rate: f64,
     pub rated_at: Tenths,
+    pub out_mean: f64,
+    pub counted_at: Tenths,
     pub mean_value: f64,
     pub spare: f64,
 }
