--- a/src/decide.rs
+++ b/src/decide.rs
@@ -44,7 +44,7 @@
 /// The part of an answer's time that is held for waiting where too few are out to see a line.
 const QUEUED: f64 = 0.5;
 /// Usual answer times over which what is out is averaged: chance fills a door with few out in one or two.
-const CROWD_ANSWERS: f64 = 8.0;
+const CROWD_ANSWERS: f64 = 5.0;
 /// Seconds of settling that tell the pace of the fleet.
 const SETTLE_SPAN: f64 = 2.0;
 /// Long against an answer, short against a failure.
@@ -422,7 +422,7 @@
         let weight = 1.0 - (-(now - self.counted_at).seconds() / (CROWD_ANSWERS * mean)).exp();
         self.out_mean += weight * (out - self.out_mean);
         self.counted_at = now;
-        let out = self.out_mean;
+        let out = out.min(self.out_mean);
         // Against taking a door's first seconds, when little can have settled yet, for a crowd.
         let seen: f64 = self.norms.iter().map(|norm| norm.seen).sum();
         let rate = self.settle_rate / (1.0 - faded(told.at, self.rated_at)).max(0.05);
