Turn away what is out of range or under an open id; end slow and silent clients

Checked: the probe's log shows tries of 1e12 units let through (a bucket half full admits any cost and goes into debt: that customer is then declined for good), of no units and over 70,000 doors. The counters show one idle backend connection closed for each client accepted while the door is crowded, which it is for good once 288 clients stay. At fault: admit.rs, quota and arrival, which bound nothing; take_in.rs, accept, which shed on both sides at once, and next, which could wait for ever for the rest of a request and shed one that had begun. Change: units, set, customer, expiry and id are held to what the settings and the protocol say; an id that is open is answered 409; 2.5 s from connecting to a whole request and from a later one's first byte to its last; idle for 10 s at most; clients are shed before backends, never in mid-request; of what is given up 256 KiB are read at most.

--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -25,6 +25,8 @@
     BodyTooLarge,
     /// Never of a codec: for a reader that is short of memory.
     NoRoom,
+    /// Never of a codec: for a reader whose patience is over.
+    Slow,
     Malformed(&'static str),
 }
 
@@ -35,6 +37,7 @@
             Fault::Cut => f.write_str("the connection ended in mid-message"),
             Fault::HeadTooLarge => f.write_str("the head is too large"),
             Fault::BodyTooLarge => f.write_str("the body is too large"),
+            Fault::Slow => f.write_str("the message did not come whole in time"),
             Fault::NoRoom => f.write_str("there is no room for the message now"),
             Fault::Malformed(what) => f.write_str(what),
         }
--- a/frames/src/write.rs
+++ b/frames/src/write.rs
@@ -45,6 +45,8 @@
         200 => "OK",
         400 => "Bad Request",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -2,12 +2,22 @@
 
 use vanewharf::interface::{Arrival, CustomerId, PlanId, ProductId, Tenths, TxnId};
 use vanewharf_frames::Request;
-use vanewharf_told::Named;
+use vanewharf_told::{Bounds, Named};
 
 const CORRELATION: &str = "X-Correlation-Id";
 const AGAIN: &str = "X-Repeat";
+/// An id is kept while its txn is open.
+const LONGEST_ID: usize = 64;
+/// Customers are numbered below this.
+const CUSTOMERS: u64 = 1 << 33;
 pub const TIME_LEFT: &str = "X-Time-Left-Ms";
 
+/// What the door was told that a request is held to.
+pub struct Told {
+    pub named: Named,
+    pub bounds: Bounds,
+}
+
 #[derive(Debug, PartialEq)]
 pub enum Admitted {
     /// Asked whether this door serves.
@@ -20,23 +30,30 @@
 fn customer(query: &str) -> Option<CustomerId> {
     let key = query.split('&').find_map(|pair| pair.strip_prefix("key="))?;
     let digits = key.len() == 16 && key.bytes().all(|digit| digit.is_ascii_hexdigit());
-    digits.then(|| u64::from_str_radix(key, 16).ok())?.map(CustomerId)
+    digits.then(|| u64::from_str_radix(key, 16).ok())?.filter(|&key| key < CUSTOMERS).map(CustomerId)
 }
 
-/// The cost and the number of the customer's doors.
-fn quota(field: &str) -> Option<(f64, u32)> {
-    let (mut cost, mut width) = (None, None);
+/// The cost, the number of the customer's doors and which is the first of them.
+fn quota(field: &str, bounds: &Bounds) -> Option<(f64, u32)> {
+    let (mut cost, mut width, mut first) = (None, None, Some(0));
     for pair in field.split(',') {
         match pair.trim().split_once('=') {
             Some(("units", text)) => cost = text.parse::<f64>().ok(),
-            Some(("spread", text)) => width = text.parse().ok(),
+            Some(("spread", text)) => width = text.parse::<u32>().ok(),
+            Some(("first", text)) => first = text.parse::<u32>().ok(),
             _ => {}
         }
     }
-    cost.filter(|cost| cost.is_finite() && *cost >= 0.0).zip(width)
+    let doors = if bounds.doors > 0 { bounds.doors } else { u32::MAX };
+    let most = if bounds.cost > 0.0 { bounds.cost } else { f64::MAX };
+    // What no customer can owe would keep its bucket in debt for good.
+    let cost = cost.filter(|cost| *cost > 0.0 && *cost <= most)?;
+    let width = width.filter(|width| (1..=doors).contains(width))?;
+    first.filter(|first| *first < doors).map(|_| (cost, width))
 }
 
-fn arrival(request: &Request, named: &Named, now: Tenths, txn: TxnId) -> Result<Arrival, &'static str> {
+fn arrival(request: &Request, told: &Told, now: Tenths, txn: TxnId) -> Result<Arrival, &'static str> {
+    let Told { named, bounds } = told;
     let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
     let product = path.split('/').nth(1).unwrap_or_default();
     if request.field("X-Service-Class") != Some(product) {
@@ -46,20 +63,32 @@
     let plan = request.field("X-Plan").ok_or("X-Plan is missing")?;
     let plan: PlanId = *named.plans.get(plan).ok_or("the plan is not known")?;
     let customer = customer(query).ok_or("key is not 16 hex digits")?;
-    let (cost, width) = request.field("X-Quota").and_then(quota).ok_or("X-Quota cannot be read")?;
+    let (cost, width) = request
+        .field("X-Quota")
+        .and_then(|field| quota(field, bounds))
+        .ok_or("X-Quota cannot be read or is out of range")?;
     let left: Option<u32> = request.field(TIME_LEFT).and_then(|text| text.parse().ok());
     let left = Tenths(i64::from(left.ok_or("X-Time-Left-Ms cannot be read")?) * 10);
-    if request.field(CORRELATION).is_none_or(str::is_empty) {
-        return Err("X-Correlation-Id is missing");
+    let most = bounds.expiries.get(product.0).filter(|most| most.0 > 0);
+    if most.is_some_and(|most| left > *most) {
+        return Err("X-Time-Left-Ms is longer than the product's expiry");
+    }
+    if id(request).is_none() {
+        return Err("X-Correlation-Id is missing or too long");
     }
     let again = request.field(AGAIN) == Some("1");
     Ok(Arrival { txn, product, customer, plan, width, cost, expiry: now + left, again })
 }
 
-pub fn admit(request: &Request, named: &Named, now: Tenths, txn: TxnId) -> Admitted {
+/// By which clients and backends know the txn.
+pub fn id(request: &Request) -> Option<&str> {
+    request.field(CORRELATION).filter(|id| (1..=LONGEST_ID).contains(&id.len()))
+}
+
+pub fn admit(request: &Request, told: &Told, now: Tenths, txn: TxnId) -> Admitted {
     match (request.method(), request.target()) {
         ("GET", "/healthz") => Admitted::Health,
-        ("GET" | "POST", _) => match arrival(request, named, now, txn) {
+        ("GET" | "POST", _) => match arrival(request, told, now, txn) {
             Ok(arrival) => Admitted::Txn(arrival),
             Err(reason) => Admitted::Bad(400, reason),
         },
--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -33,6 +33,7 @@
     SubmissionsMoot "submissions_moot",
     ClientsAccepted "clients_accepted",
     ClientsShed "clients_shed",
+    ClientsClosedIdle "clients_closed_idle",
     AcceptFailed "accept_failed",
     BackendsDialled "backends_dialled",
     BackendsReused "backends_reused",
@@ -93,6 +94,7 @@
     sockets: Cell<usize>,
     bytes: Cell<usize>,
     clients: Cell<usize>,
+    idle: Cell<usize>,
     draining: Cell<bool>,
     /// A socket was closed.
     pub freed: Notify,
@@ -100,6 +102,15 @@
     pub idle_clients: Notify,
 }
 
+/// A client connection with no request begun, for as long as this lives.
+pub struct Idling<'a>(&'a Cell<usize>);
+
+impl Drop for Idling<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Book {
     pub fn new(room: Room) -> Book {
         Book {
@@ -109,6 +120,7 @@
             sockets: Cell::new(0),
             bytes: Cell::new(0),
             clients: Cell::new(0),
+            idle: Cell::new(0),
             draining: Cell::new(false),
             freed: Notify::new(),
             idle_clients: Notify::new(),
@@ -150,6 +162,20 @@
         self.clients.get()
     }
 
+    pub fn idle(&self) -> Idling<'_> {
+        self.idle.set(self.idle.get() + 1);
+        Idling(&self.idle)
+    }
+
+    /// Closes the client connection that has been idle longest, if there is one.
+    pub fn shed_client(&self) -> bool {
+        let any = self.idle.get() > 0;
+        if any {
+            self.idle_clients.notify_one();
+        }
+        any
+    }
+
     pub fn draining(&self) -> bool {
         self.draining.get()
     }
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -14,13 +14,14 @@
 mod shared;
 mod take_in;
 
+use admit::Told;
 use book::{Book, Count, Room};
 use clock::Clock;
 use commission::Commission;
 use discovery::Discovery;
 use route::Route;
 use shared::Shared;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -69,11 +70,13 @@
     let (start, named) =
         vanewharf_told::start(&options, seed, clock.now()).map_err(|error| error.to_string())?;
     let lines = vanewharf_told::lines(&options).map_err(|error| error.to_string())?;
+    let bounds = vanewharf_told::bounds(&options).map_err(|error| error.to_string())?;
     let repeats = start.products.iter().map(|product| product.repeat).collect();
     let book = Rc::new(Book::new(Room::within(limits.sockets, limits.memory_mb)));
     let (notes, told) = mpsc::unbounded_channel();
-    let txns = Cell::new(0);
-    let shared = Rc::new(Shared { clock, book: Rc::clone(&book), named, lines, notes, txns });
+    let (told_admit, txns, open) = (Told { named, bounds }, Cell::new(0), RefCell::default());
+    let shared =
+        Rc::new(Shared { clock, book: Rc::clone(&book), told: told_admit, lines, notes, txns, open });
 
     let listening = || {
         let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
--- a/frontdoor/src/note.rs
+++ b/frontdoor/src/note.rs
@@ -1,6 +1,7 @@
 //! What the stages tell each other.
 
 use crate::relay::Final;
+use crate::shared::Open;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -10,6 +11,7 @@
 pub struct Taken {
     pub arrival: Arrival,
     pub request: Rc<Request>,
+    pub open: Open,
     pub answer: oneshot::Sender<Final>,
 }
 
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -6,7 +6,7 @@
 use crate::pool::Pool;
 use crate::relay::Final;
 use crate::send;
-use crate::shared::Shared;
+use crate::shared::{Open, Shared};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
@@ -42,6 +42,8 @@
 
 struct Txn {
     request: Rc<Request>,
+    /// Held until nothing is out: a backend must not get a second copy under one id.
+    _open: Open,
     repeat: Repeat,
     until: Tenths,
     /// None once the final answer is given or the client has left.
@@ -141,11 +143,11 @@
 
     fn take(&mut self, note: Note, now: Tenths) {
         match note {
-            Note::Arrived(Taken { arrival, request, answer }) => {
+            Note::Arrived(Taken { arrival, request, open: _open, answer }) => {
                 let repeat = self.repeats[arrival.product.0];
                 let until = arrival.expiry - WAY_BACK;
                 let (answer, submissions) = (Some(answer), Vec::new());
-                self.txns.insert(arrival.txn, Txn { request, repeat, until, answer, submissions });
+                self.txns.insert(arrival.txn, Txn { request, _open, repeat, until, answer, submissions });
                 self.set(until, Timer::Expiry(arrival.txn));
                 self.events.push(Event::Arrived(arrival));
             }
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -1,19 +1,20 @@
 //! Take in: accepts clients and reads their requests, one at a time on a connection.
 
-use crate::admit::{Admitted, admit};
+use crate::admit::{Admitted, admit, id};
 use crate::book::{Count, Entry, Invariant, SMALL};
 use crate::note::{Note, Taken};
 use crate::relay::{Final, relay, say};
-use crate::shared::Shared;
+use crate::shared::{Open, Shared};
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use std::future::poll_fn;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::codec::Framed;
 use vanewharf::interface::{Tenths, TxnId};
 use vanewharf_frames::{Fault, Inward, Request};
@@ -22,9 +23,15 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// How long a request may take that crosses the end of its connection.
 const CROSSING: Duration = Duration::from_millis(200);
-/// How long what a client still sends is read after its connection was given up, so that a reset
-/// does not overtake the answer.
+/// From connecting to a whole first request, and from a later one's first byte to its last: against
+/// clients that say nothing or never come to an end. Usual ones write a request at once.
+const WHOLE: Duration = Duration::from_millis(2500);
+/// Against clients that asked once and stay for good. Closing on a usual one costs it a new connection.
+const IDLE: Duration = Duration::from_secs(10);
+/// How long, and how much of, what a client still sends is read after its connection was given up, so
+/// that a reset does not overtake the answer. What is too large to be taken is too dear to be read.
 const LINGER: Duration = Duration::from_millis(500);
+const MOST_WASTE: usize = 256 * 1024;
 
 /// Accepts until told to stop; then takes what the system has accepted already.
 pub async fn accept(listener: TcpListener, shared: Rc<Shared>, stop: Rc<Notify>) {
@@ -32,8 +39,7 @@
     let mut failing = false;
     loop {
         if book.crowded() {
-            book.idle_clients.notify_one();
-            shared.tell(Note::Shed);
+            shed(&shared);
         }
         if book.full() {
             tokio::select! {
@@ -56,8 +62,7 @@
                 if !std::mem::replace(&mut failing, true) {
                     tracing::warn!(%error, "no client accepted");
                 }
-                book.idle_clients.notify_one();
-                shared.tell(Note::Shed);
+                shed(&shared);
                 let _ = tokio::time::timeout(PAUSE, book.freed.notified()).await;
             }
         }
@@ -74,6 +79,13 @@
     }
 }
 
+/// Clients first: a connection to a backend is used by all of them, and dear to open.
+fn shed(shared: &Shared) {
+    if !shared.book.shed_client() {
+        shared.tell(Note::Shed);
+    }
+}
+
 fn serve(stream: TcpStream, shared: &Rc<Shared>) {
     shared.book.count(Count::ClientsAccepted);
     let entry = Entry::of(&shared.book, true);
@@ -85,6 +97,8 @@
     entry: Entry,
     /// Bytes of the txn in hand, beside those in the connection's buffers.
     carried: usize,
+    /// When the first request must be whole; nothing once it was.
+    first_by: Option<Instant>,
     shared: Rc<Shared>,
 }
 
@@ -95,23 +109,37 @@
     fn new(stream: TcpStream, entry: Entry, shared: Rc<Shared>) -> Client {
         // Answers are written whole; waiting to fill a segment only holds them up.
         let _ = stream.set_nodelay(true);
-        Client { framed: Framed::new(stream, Inward::default()), entry, carried: 0, shared }
+        let first_by = Some(Instant::now() + WHOLE);
+        Client { framed: Framed::new(stream, Inward::default()), entry, carried: 0, first_by, shared }
     }
 
     /// Reads on, keeping the book; what is not whole is given up when the door is out of memory.
+    fn poll_read(&mut self, cx: &mut Context<'_>) -> Poll<Read> {
+        let Client { framed, entry, carried, shared, .. } = self;
+        let read = framed.poll_next_unpin(cx);
+        let held = framed.read_buffer().capacity() + framed.codec().held();
+        entry.weigh(*carried + held + framed.write_buffer().capacity());
+        if read.is_pending() && held > SMALL && shared.book.heavy() {
+            return Poll::Ready((Some(Err(Fault::NoRoom)), shared.clock.now()));
+        }
+        read.map(|read| (read, shared.clock.now()))
+    }
+
     async fn read(&mut self) -> Read {
-        let Client { framed, entry, carried, shared } = self;
-        let read = poll_fn(|cx| {
-            let read = framed.poll_next_unpin(cx);
-            let held = framed.read_buffer().capacity() + framed.codec().held();
-            entry.weigh(*carried + held + framed.write_buffer().capacity());
-            if read.is_pending() && held > SMALL && shared.book.heavy() {
-                return Poll::Ready(Some(Err(Fault::NoRoom)));
+        poll_fn(|cx| self.poll_read(cx)).await
+    }
+
+    /// What is read, or nothing as soon as a request has begun.
+    async fn begin(&mut self) -> Option<Read> {
+        poll_fn(|cx| match self.poll_read(cx) {
+            Poll::Ready(read) => Poll::Ready(Some(read)),
+            // What a codec holds has left the connection's buffer.
+            Poll::Pending if self.framed.read_buffer().is_empty() && self.framed.codec().held() == 0 => {
+                Poll::Pending
             }
-            read
+            Poll::Pending => Poll::Ready(None),
         })
-        .await;
-        (read, shared.clock.now())
+        .await
     }
 
     async fn run(mut self) {
@@ -129,19 +157,29 @@
                 Some(Err(fault)) => return self.turn_back(fault).await,
                 Some(Ok(request)) => request,
             };
+            self.first_by = None;
             let last = request.last();
             let txn = self.shared.next_txn();
-            let goes_on = match admit(&request, &self.shared.named, at, txn) {
-                Admitted::Health => self.say(200, "ok", last).await,
-                Admitted::Bad(status, reason) => {
+            let admitted = match admit(&request, &self.shared.told, at, txn) {
+                Admitted::Health => Ok(None),
+                Admitted::Bad(status, reason) => Err((status, reason)),
+                Admitted::Txn(arrival) => match id(&request).and_then(|id| Open::of(id, &self.shared)) {
+                    Some(open) => Ok(Some((arrival, open))),
+                    None => Err((409, "a request with this id is open")),
+                },
+            };
+            let goes_on = match admitted {
+                Ok(None) => self.say(200, "ok", last).await,
+                Err((status, reason)) => {
                     self.shared.book.count(Count::TurnedBack);
                     self.say(status, reason, last).await
                 }
-                Admitted::Txn(arrival) => {
+                Ok(Some((arrival, open))) => {
                     self.shared.book.count(Count::Taken);
                     let (answer, answered) = oneshot::channel();
                     self.carried = request.bytes();
-                    self.shared.tell(Note::Arrived(Taken { arrival, request: Rc::new(request), answer }));
+                    let request = Rc::new(request);
+                    self.shared.tell(Note::Arrived(Taken { arrival, request, open, answer }));
                     let Some(answer) = self.answer(txn, answered, &mut ahead).await else {
                         return;
                     };
@@ -171,29 +209,34 @@
     /// The next request, unless the connection is closed while idle.
     async fn next(&mut self) -> Option<Read> {
         let shared = Rc::clone(&self.shared);
-        let book = &shared.book;
-        if !book.draining() {
+        let (book, first_by) = (&shared.book, self.first_by);
+        loop {
+            let _idle = book.idle();
+            // At the end, what the system has accepted counts as taken, read or not.
+            let ending = book.draining();
+            let until =
+                if ending { Instant::now() + CROSSING } else { first_by.unwrap_or(Instant::now() + IDLE) };
             tokio::select! {
                 biased;
-                read = self.read() => return Some(read),
-                () = book.idle_clients.notified() => {}
-            }
-            if !book.draining() {
-                book.count(Count::ClientsShed);
-                return None;
+                read = self.begin() => match read {
+                    Some(read) => return Some(read),
+                    None => break,
+                },
+                () = book.idle_clients.notified(), if !ending => if !book.draining() {
+                    book.count(Count::ClientsShed);
+                    return None;
+                },
+                () = sleep_until(until) => {
+                    book.count(Count::ClientsClosedIdle);
+                    return None;
+                }
             }
         }
-        // What the system has accepted counts as taken, read or not; what has begun may still come whole.
-        for _ in 0..2 {
-            if let Ok(read) = tokio::time::timeout(CROSSING, self.read()).await {
-                return Some(read);
-            }
-            // What a codec holds has left the connection's buffer.
-            if self.framed.read_buffer().is_empty() && self.framed.codec().held() == 0 {
-                break;
-            }
+        match timeout_at(first_by.unwrap_or(Instant::now() + WHOLE), self.read()).await {
+            Ok(read) => Some(read),
+            Err(_) if book.draining() => None,
+            Err(_) => Some((Some(Err(Fault::Slow)), shared.clock.now())),
         }
-        None
     }
 
     /// Waits for the answer and for the client to leave, whichever comes first.
@@ -227,6 +270,7 @@
         let status = match fault {
             Fault::HeadTooLarge => 431,
             Fault::BodyTooLarge => 413,
+            Fault::Slow => 408,
             // Nothing of it was passed on.
             Fault::NoRoom => 503,
             _ => 400,
@@ -238,10 +282,11 @@
         self.entry.weigh(0);
         let _ = stream.shutdown().await;
         let discard = async {
-            let mut waste = [0; 4096];
-            while stream.readable().await.is_ok() {
+            let (mut waste, mut read) = ([0; 4096], 0);
+            while read < MOST_WASTE && stream.readable().await.is_ok() {
                 match stream.try_read(&mut waste) {
                     Ok(0) => return,
+                    Ok(more) => read += more,
                     Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
                     _ => {}
                 }
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -197,6 +197,15 @@
         (look().replace("key=00000000b4d65521", "key=\u{e9}000000b4d6552"), 400),
         (look().replace("units=1", "units=NaN"), 400),
         (look().replace("units=1", "units=-1"), 400),
+        (look().replace("units=1", "units=0"), 400),
+        (look().replace("units=1", "units=9"), 400),
+        (look().replace("spread=1", "spread=0"), 400),
+        (look().replace("spread=1", "spread=2"), 400),
+        (look().replace("first=0", "first=1"), 400),
+        (look().replace("first=0", "first=none"), 400),
+        (look().replace("key=0000000", "key=0000002"), 400),
+        (look().replace("Ms: 3000", "Ms: 3001"), 400),
+        (look().replace("9b1f03aa5c7e2d41", &"9".repeat(65)), 400),
         (look().replace("Ms: 3000", "Ms: soon"), 400),
         (look().replace("X-Correlation-Id", "X-Other-Id"), 400),
         (look().replace("GET", "DELETE"), 405),
@@ -212,6 +221,46 @@
     assert!(backend.seen.try_recv().is_err(), "nothing bad is passed on");
 }
 
+#[test]
+fn an_id_is_open_once_and_a_bad_request_costs_its_customer_nothing() {
+    let backend = Backend::new("a", vec![Reaction::Silence, ok("", "seen")]);
+    let door = Door::start(&[&backend]);
+    let mut first = door.client();
+    first.send(&txn("POST", "book", "gold", 300, "x"));
+    backend.asked();
+    assert_eq!(door.client().ask(&book()).status(), 409);
+    assert_eq!(first.answer().status(), 502);
+    assert_eq!(backend.next(), Seen::GivenUp);
+    assert_eq!(door.client().ask(&book()).status(), 200, "free again");
+
+    let mut client = door.client();
+    let usual = txn("GET", "look", "basic", 3000, "").replace("b4d65521", "b4d65522");
+    assert_eq!(client.ask(&usual.replace("units=1", "units=1000000")).status(), 400);
+    assert_eq!(client.ask(&usual).status(), 200);
+}
+
+#[test]
+fn what_never_comes_whole_is_ended_in_time_and_what_began_is_not_shed() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let door = Door::with(&[&backend], 48, 64, 1024);
+    let ((), took) = timed(|| {
+        let (mut silent, mut slow) = (door.client(), door.client());
+        slow.send("GET /look HTTP/1.1\r\nX-Never: ");
+        let mut crowd: Vec<_> = (0..40).map(|_| door.client()).collect();
+        assert!(silent.ends() && crowd[0].ends());
+        assert_eq!(slow.answer().status(), 408);
+    });
+    assert!((2000..3000).contains(&took.as_millis()), "{took:?}");
+    let mut usual = door.client();
+    assert_eq!(usual.ask(&look()).status(), 200);
+    let ((), took) = timed(|| {
+        usual.send("GET /look");
+        assert_eq!(usual.answer().status(), 408);
+    });
+    assert!(took.as_millis() >= 2000, "its time counts from its first byte: {took:?}");
+    assert!(door.counter("clients_shed") > 0 && door.counter("clients_closed_idle") > 0);
+}
+
 #[test]
 fn follows_the_list_through_faults_of_its_agent() {
     let (old, new) = (Backend::new("a", vec![ok("", "old")]), Backend::new("b", vec![ok("", "new")]));
@@ -251,7 +300,7 @@
     assert_eq!(agent.call(), "GET /v1/servers HTTP/1.1", "at once, though a call to the first is out");
     agent.lists.send(list(7, true, &[new.entry("SERVING")])).expect("the agent runs");
     assert_eq!(agent.call(), "GET /v1/servers?index=7&wait=2000 HTTP/1.1");
-    assert_eq!(door.client().ask(&look()).body, b"new");
+    assert_eq!(door.client().ask(&other(look())).body, b"new");
     assert_eq!(open.answer().status(), 502, "what was open has its answer in its own time");
     assert_eq!((door.counter("reloads"), door.counter("reload_failures")), (1, 1));
 }
@@ -268,7 +317,7 @@
     door.signal("-TERM");
     door.says("ending");
     let mut late = door.client();
-    assert_eq!(late.ask(&look()).body, b"after", "clients still come for a while");
+    assert_eq!(late.ask(&other(look())).body, b"after", "clients still come for a while");
     assert!(idle.ends());
     let answer = busy.answer();
     assert_eq!((answer.status(), answer.field("Connection")), (502, Some("close")));
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -254,8 +254,9 @@
                 "balancers": 1,
                 "allowed": {"cancel": true, "second_copies": true, "retry_after": true, "max_retry_after": 500.0,
                     "most_tries": 3, "conn_idle": 15000.0, "dial_timeout": 250.0},
-                "classes": [{"name": "look", "aim": 400.0, "gain": 1.0, "idempotency": "retryable"},
-                    {"name": "book", "aim": 400.0, "gain": 1.0, "idempotency": "fragile"}],
+                "classes": [{"name": "look", "aim": 400.0, "gain": 1.0, "idempotency": "retryable", "hard_limit": 3000},
+                    {"name": "book", "aim": 400.0, "gain": 1.0, "idempotency": "fragile", "hard_limit": 3000}],
+                "family_info": {"most_units": 8},
                 "tiers_of_service": [plan("basic", 0.1), plan("gold", 0.0)],
                 "rules": {"cold_from": 0.2, "ramp_time": 1000.0}
             }
@@ -357,6 +358,11 @@
     txn("POST", "book", "gold", 3000, "two seats")
 }
 
+/// Under another id, for while the first is open.
+pub fn other(txn: String) -> String {
+    txn.replace("9b1f03aa5c7e2d41", "1c7e2d419b1f03aa")
+}
+
 impl Client {
     pub fn send(&mut self, text: &str) {
         self.try_send(text).expect("the door reads");
--- a/told/src/lib.rs
+++ b/told/src/lib.rs
@@ -172,6 +172,23 @@
     Ok((start, named))
 }
 
+/// What a request may say. Zero: never told, so anything goes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bounds {
+    pub cost: f64,
+    pub doors: u32,
+    /// The longest expiry of each product, rounded up to what a request can say.
+    pub expiries: Vec<Tenths>,
+}
+
+pub fn bounds(options: &Options) -> Result<Bounds, Unreadable> {
+    let products = 0..options.count("classes.count")?;
+    let expiry = |item| options.number(&format!("classes.{item}.hard_limit"));
+    let expiries = products.map(|item| Ok(tenths(expiry(item)?.ceil()))).collect::<Result<_, _>>()?;
+    let cost = options.number("family_info.most_units")?;
+    Ok(Bounds { cost, doors: options.read("balancers")?.unwrap_or(0), expiries })
+}
+
 /// How connections to backends are kept and opened.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Lines {
@@ -194,15 +211,17 @@
     fn flat_and_nested_tell_the_same() {
         let nested = json!({
             "balancers": 3,
+            "family_info": {"most_units": 8},
             "allowed": {"cancel": true, "most_tries": 3, "conn_idle": 15000.0, "dial_timeout": 250.0},
             "classes": [{"name": "look", "aim": 400.0, "gain": 1.5, "idempotency": "dedup", "group": "zone",
-                "window": 5000.25}],
+                "window": 5000.25, "hard_limit": 1500.4}],
             "tiers_of_service": [{"name": "basic", "rate": 2, "store_size": 16.0}, {"name": "gold"}],
             "odd": null
         });
         let flat = "balancers=3 allowed.cancel=true allowed.most_tries=3 allowed.conn_idle=15000.0 \
             allowed.dial_timeout=250.0 classes.count=1 classes.0.name=look classes.0.aim=400.0 \
             classes.0.gain=1.5 classes.0.idempotency=dedup classes.0.group=zone classes.0.window=5000.25 \
+            classes.0.hard_limit=1500.4 family_info.most_units=8 \
             tiers_of_service.count=2 tiers_of_service.0.name=basic tiers_of_service.0.rate=2 \
             tiers_of_service.0.store_size=16 tiers_of_service.1.name=gold";
         let flat = Options::flat(flat.split(' ').filter_map(|pair| pair.split_once('=')));
@@ -216,6 +235,9 @@
         let told = Lines { idle: Tenths(150_000), dial: Tenths(2_500) };
         assert_eq!(lines(&nested).expect("readable"), told);
         assert_eq!(lines(&flat).expect("readable"), told);
+        let told = Bounds { cost: 8.0, doors: 3, expiries: vec![Tenths(15_010)] };
+        assert_eq!(bounds(&nested).expect("readable"), told);
+        assert_eq!(bounds(&flat).expect("readable"), told);
     }
 
     #[test]
