Keep nothing of what is gone; ask a kept connection what came before using it again

Checked: a name, its address and its actor were kept for each backend ever listed (one a second comes new); an old name listed late kept its address beside the new one's. Reuse asked only the runtime, which hears of an end or of surplus bytes a turn later: those bytes would have been the next txn's answer. A dial that failed for want of a descriptor here was told as no connection and struck the backend. At fault: discovery.rs, Names; pool.rs, list and keep_only; send.rs, idle and dial; read.rs, where interim heads had no end. Tests: a new name at an old address, noise and an end before the runtime hears, interim heads without end, a pool left empty.

--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -11,6 +11,7 @@
 const MOST_HEAD: usize = 64 * 1024;
 const MOST_BODY: usize = 64 * 1024;
 const MOST_FIELDS: usize = 64;
+const MOST_INTERIM: usize = 16;
 /// Room for most messages whole.
 const USUAL: usize = 4 * 1024;
 /// A chunk's size line with its extensions, or all of a trailer.
@@ -84,6 +85,8 @@
 pub(crate) struct Reader<L> {
     /// How much of a head has been looked through, so that each byte of a slow one costs little.
     seen: usize,
+    /// Heads that another followed in their place.
+    interim: usize,
     begun: Option<(Message<L>, Left)>,
 }
 
@@ -155,6 +158,7 @@
         let mut text = Vec::with_capacity(length + body);
         text.extend_from_slice(&src[..length]);
         src.advance(length);
+        self.interim = 0;
         self.begun = Some((Message { line, text, fields, body_at: length, last }, left));
     }
 
@@ -183,6 +187,10 @@
             self.seen = 0;
             if head.line.interim() {
                 src.advance(head.length);
+                self.interim += 1;
+                if self.interim > MOST_INTERIM {
+                    return Err(Fault::Malformed("there is no end of interim answers"));
+                }
             } else {
                 self.begin(src, head);
             }
@@ -414,6 +422,18 @@
         }
     }
 
+    #[test]
+    fn interim_answers_come_to_an_end() {
+        let answer = |interim: usize| {
+            ["HTTP/1.1 103 Early\r\nA: b\r\n\r\n".repeat(interim).as_str(), "HTTP/1.1 204 None\r\n\r\n"]
+                .concat()
+        };
+        let twice = answer(MOST_INTERIM).repeat(2);
+        assert_eq!(fed(twice.as_bytes(), 1000, Outward::default()).0.len(), 2);
+        let endless = fed(answer(MOST_INTERIM + 1).as_bytes(), 1000, Outward::default());
+        assert_eq!((endless.0.len(), endless.1.is_some()), (0, true));
+    }
+
     #[test]
     fn what_is_too_large_is_a_fault_before_it_is_held() {
         let endless = |start: &str, more: &str| [start, &more.repeat(4 * MOST_BODY / more.len())].concat();
--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -36,6 +36,7 @@
     ClientsClosedIdle "clients_closed_idle",
     AcceptFailed "accept_failed",
     BackendsDialled "backends_dialled",
+    BackendsUndialled "backends_undialled",
     BackendsReused "backends_reused",
     BackendsStale "backends_stale",
     BackendsDroppedIdle "backends_dropped_idle",
--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::shared::Shared;
 use futures_util::{SinkExt, StreamExt};
 use serde::Deserialize;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,14 +47,11 @@
     since_ms: f64,
 }
 
-#[derive(Default)]
-struct Names(HashMap<String, u32>);
-
-impl Names {
-    fn id(&mut self, name: String) -> u32 {
-        let next = self.0.len() as u32;
-        *self.0.entry(name).or_insert(next)
-    }
+/// A backend that is listed.
+struct Known {
+    id: BackendId,
+    address: Option<SocketAddr>,
+    booted: Option<Tenths>,
 }
 
 pub struct Discovery {
@@ -62,8 +59,10 @@
     agents: watch::Receiver<SocketAddr>,
     shared: Rc<Shared>,
     index: u64,
-    backends: Names,
-    places: Names,
+    backends: BTreeMap<String, Known>,
+    /// An id is given once, so that what is told late of one that is gone never falls to another.
+    named: u32,
+    places: HashMap<String, PlaceId>,
 }
 
 type Connection = Framed<TcpStream, Outward>;
@@ -76,34 +75,73 @@
         known: Published,
     ) -> (Discovery, Told) {
         let (backends, places) = Default::default();
-        let mut discovery = Discovery { agents, shared, index: 0, backends, places };
+        let mut discovery = Discovery { agents, shared, index: 0, backends, named: 0, places };
         let told = discovery.told(known);
         (discovery, told)
     }
 
     fn told(&mut self, published: Published) -> Told {
         self.index = published.index;
-        let entries = published.endpoints.into_iter().map(|endpoint| self.entry(endpoint)).collect();
+        if published.snapshot {
+            let named: HashSet<_> = published.endpoints.iter().map(|endpoint| &endpoint.name).collect();
+            self.backends.retain(|name, _| named.contains(name));
+        }
+        let mut entries = Vec::new();
+        for endpoint in published.endpoints {
+            self.enter(endpoint, &mut entries);
+        }
         Told { whole: published.snapshot, entries }
     }
 
-    fn entry(&mut self, endpoint: Endpoint) -> (Listed, Option<SocketAddr>) {
-        let address = endpoint.address.parse().ok();
-        let standing = match endpoint.status.as_str() {
+    fn enter(&mut self, endpoint: Endpoint, entries: &mut Vec<(Listed, Option<SocketAddr>)>) {
+        let Endpoint { name, address, zone, group, status, weight, since_ms } = endpoint;
+        let address = address.parse().ok();
+        let booted = (since_ms > 0.0).then_some(Tenths((since_ms * 10.0) as i64));
+        let mut standing = match status.as_str() {
             "SERVING" if address.is_some() => Standing::Ready,
             "DELETED" => Standing::Gone,
             // What is not understood gets nothing new.
             _ => Standing::Draining,
         };
-        let listed = Listed {
-            backend: BackendId(self.backends.id(endpoint.name)),
-            standing,
-            size: endpoint.weight,
-            place: PlaceId(self.places.id(endpoint.zone)),
-            group: GroupId(endpoint.group),
-            booted: (endpoint.since_ms > 0.0).then_some(Tenths((endpoint.since_ms * 10.0) as i64)),
+        let next = PlaceId(self.places.len() as u32);
+        let place = *self.places.entry(zone).or_insert(next);
+        let group = GroupId(group);
+        if standing == Standing::Ready {
+            // An address is one process's: whoever started there later, the other is gone, listed or not.
+            let elsewhere = |known: &Known| known.address != address;
+            let newer = |known: &Known| !elsewhere(known) && known.booted > booted;
+            if self.backends.iter().any(|(other, known)| *other != name && newer(known)) {
+                standing = Standing::Gone;
+            } else {
+                self.backends.retain(|other, known| {
+                    let stays = *other == name || elsewhere(known);
+                    if !stays {
+                        let (backend, standing, booted) = (known.id, Standing::Gone, known.booted);
+                        entries
+                            .push((Listed { backend, standing, size: weight, place, group, booted }, None));
+                    }
+                    stays
+                });
+            }
+        }
+        let backend = match self.backends.get_mut(&name) {
+            Some(known) => {
+                known.booted = booted;
+                known.address = address.or(known.address);
+                known.id
+            }
+            None if standing == Standing::Gone => return,
+            None => {
+                let id = BackendId(self.named);
+                self.named += 1;
+                self.backends.insert(name.clone(), Known { id, address, booted });
+                id
+            }
         };
-        (listed, address)
+        if standing == Standing::Gone {
+            self.backends.remove(&name);
+        }
+        entries.push((Listed { backend, standing, size: weight, place, group, booted }, address));
     }
 
     pub async fn run(mut self) {
--- a/frontdoor/src/pool.rs
+++ b/frontdoor/src/pool.rs
@@ -28,6 +28,10 @@
     }
 
     pub fn list(&mut self, entry: &Listed, address: Option<SocketAddr>) {
+        if entry.standing == Standing::Gone {
+            self.peers.remove(&entry.backend);
+            return;
+        }
         let peer = self.peers.entry(entry.backend).or_default();
         let moved = address.is_some() && address != peer.address;
         if moved || entry.booted != peer.booted || entry.standing != Standing::Ready {
@@ -41,10 +45,7 @@
 
     /// Those that a whole list does not name are gone.
     pub fn keep_only(&mut self, named: impl Fn(BackendId) -> bool) {
-        for (_, peer) in self.peers.iter_mut().filter(|(id, _)| !named(**id)) {
-            peer.ready = false;
-            peer.idle.clear();
-        }
+        self.peers.retain(|id, _| named(*id));
     }
 
     pub fn ready(&self, id: BackendId) -> bool {
@@ -149,6 +150,7 @@
         let (mut pool, _connections) = pool(&[0]);
         pool.keep_only(|_| false);
         assert!(!pool.ready(ONE) && pool.take(ONE, Tenths(1)).is_none());
+        assert!(pool.peers.is_empty(), "nothing is kept of what is gone");
     }
 
     #[test]
--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -8,10 +8,12 @@
 use crate::shared::Shared;
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
+use socket2::SockRef;
 use std::future::poll_fn;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::oneshot;
 use tokio_util::codec::Framed;
 use vanewharf::interface::Outcome;
@@ -75,6 +77,15 @@
         }
     }
 
+    /// Whether nothing has come since the last answer. Asked of the system, as the runtime hears a turn later: a
+    /// submission written after an end would count as one that may have run, and after bytes that belong to none
+    /// it would be given them for its answer.
+    fn quiet(&self) -> bool {
+        let came = SockRef::from(self.framed.get_ref()).peek(&mut [MaybeUninit::uninit()]);
+        self.framed.read_buffer().is_empty()
+            && came.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// The next submission, unless the other side ends the connection first.
     async fn idle(&mut self, next: &mut oneshot::Receiver<Job>) -> Result<Job, Option<Job>> {
         tokio::select! {
@@ -84,7 +95,10 @@
                 next.close();
                 Err(next.try_recv().ok())
             }
-            job = &mut *next => job.map_err(|_| None),
+            job = &mut *next => match job {
+                Ok(job) if self.quiet() => Ok(job),
+                job => Err(job.ok()),
+            },
         }
     }
 }
@@ -97,21 +111,27 @@
     }
 }
 
-async fn dial(address: SocketAddr, shared: &Shared) -> Option<Connection> {
+/// Where it fails, whether for want of a socket here: that tells nothing of the backend.
+async fn dial(address: SocketAddr, shared: &Shared) -> Result<Connection, Outcome> {
     let book = &shared.book;
     if !book.may_dial() {
-        return None;
+        book.count(Count::BackendsUndialled);
+        return Err(Outcome::Moot);
     }
     let entry = Entry::of(book, false);
     book.count(Count::BackendsDialled);
-    let connecting = TcpStream::connect(address);
-    let stream = if shared.lines.dial.0 > 0 {
-        tokio::time::timeout(span(shared.lines.dial), connecting).await.ok()?.ok()?
+    // A refusal comes of the socket's own making only when the system has none to give.
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+    let connecting = socket.map_err(|_| Outcome::Moot)?.connect(address);
+    let connected = if shared.lines.dial.0 > 0 {
+        let in_time = tokio::time::timeout(span(shared.lines.dial), connecting).await;
+        in_time.map_err(|_| Outcome::NoConnection)?
     } else {
-        connecting.await.ok()?
+        connecting.await
     };
+    let stream = connected.map_err(|_| Outcome::NoConnection)?;
     let _ = stream.set_nodelay(true);
-    Some(Connection { framed: Framed::new(stream, Outward::default()), entry })
+    Ok(Connection { framed: Framed::new(stream, Outward::default()), entry })
 }
 
 /// Opens a connection for a submission and carries on with others that route gives it.
@@ -128,8 +148,8 @@
                     dialled = dial(address, &shared) => Ok(dialled),
                 };
                 match dialled {
-                    Ok(Some(connection)) => connection,
-                    Ok(None) => return end(&job, Outcome::NoConnection, None, None, &shared),
+                    Ok(Ok(connection)) => connection,
+                    Ok(Err(outcome)) => return end(&job, outcome, None, None, &shared),
                     Err(why) => return end(&job, why.outcome(false), None, None, &shared),
                 }
             }
@@ -171,3 +191,31 @@
     tracing::debug!(txn = job.txn.0, no = job.no.0, ?outcome, kept = idle.is_some(), "submission ended");
     shared.tell(Note::Ended(Ended { txn: job.txn, no: job.no, outcome, reply, idle }));
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::book::{Book, Room};
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    #[tokio::test]
+    async fn what_came_unasked_is_seen_before_the_runtime_hears_of_it() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let book = Rc::new(Book::new(Room::within(64, 64)));
+        for ends in [false, true] {
+            let address = listener.local_addr().expect("an address");
+            let stream = TcpStream::connect(address).await.expect("it listens");
+            let (mut other, _) = listener.accept().expect("it was connected");
+            let entry = Entry::of(&book, false);
+            let connection = Connection { framed: Framed::new(stream, Outward::default()), entry };
+            assert!(connection.quiet());
+            if ends {
+                drop(other);
+            } else {
+                other.write_all(b"H").expect("it is connected");
+            }
+            assert!(!connection.quiet());
+        }
+    }
+}
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -305,6 +305,26 @@
     assert_eq!((door.counter("reloads"), door.counter("reload_failures")), (1, 1));
 }
 
+#[test]
+fn a_new_name_at_an_address_inherits_nothing_of_the_old() {
+    let (first, other) =
+        (Backend::new("a", vec![ok("", "seen")]), Backend::new("b", vec![Reaction::Silence]));
+    let door = Door::start(&[&first]);
+    let mut client = door.client();
+    assert_eq!(client.ask(&look()).status(), 200);
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=4&wait=2000 HTTP/1.1");
+    let give = |text: String| door.agent.lists.send(text).expect("the agent runs");
+    let mut renamed = first.entry("SERVING");
+    renamed["name"] = "c".into();
+    give(list(5, false, &[renamed]));
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=5&wait=2000 HTTP/1.1");
+    // Told late, the old name's end must not touch the new one.
+    give(list(6, false, &[first.entry("DELETED"), other.entry("DRAINING")]));
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=6&wait=2000 HTTP/1.1");
+    assert_eq!(client.ask(&look()).status(), 200);
+    assert_eq!(first.connections.load(Ordering::SeqCst), 2, "a connection to the old name is not kept");
+}
+
 #[test]
 fn ends_when_told_with_all_it_took_answered() {
     let backend = Backend::new("a", vec![ok("", "before"), Reaction::Silence, ok("", "after")]);
