Close idle clients after 4 s, before they crowd the door

Cause: clients that ask once and stay came at 27 a second and were kept for 10 s, beside the silent ones more than the 288 descriptors from which idle clients are shed, so usual ones went after 2.2 s (take_in.rs, IDLE). Test: a client that asked once and stays is closed, in no less than 2 s. Descriptors still peak at 288, as those clients come in bursts.

--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -26,8 +26,9 @@
 /// From connecting to a whole first request, and from a later one's first byte to its last: against
 /// clients that say nothing or never come to an end. Usual ones write a request at once.
 const WHOLE: Duration = Duration::from_millis(2500);
-/// Against clients that asked once and stay for good. Closing on a usual one costs it a new connection.
-const IDLE: Duration = Duration::from_secs(10);
+/// Against clients that asked once and stay for good: left to crowd the door, they would have usual ones shed
+/// sooner than this. Closing on a usual one costs it a new connection.
+const IDLE: Duration = Duration::from_secs(4);
 /// How long, and how much of, what a client still sends is read after its connection was given up, so
 /// that a reset does not overtake the answer. What is too large to be taken is too dear to be read.
 const LINGER: Duration = Duration::from_millis(500);
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -373,6 +373,19 @@
     assert!(door.counter("sockets") <= 32, "a reserve is kept");
 }
 
+#[test]
+fn a_client_that_asked_once_and_stays_is_closed() {
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let door = Door::start(&[&backend]);
+    let mut client = door.client();
+    let ((), took) = timed(|| {
+        assert_eq!(client.ask(&look()).status(), 200);
+        assert!(client.ends());
+    });
+    assert!((2000..6000).contains(&took.as_millis()), "{took:?}");
+    assert_eq!(door.counter("clients_closed_idle"), 1);
+}
+
 #[test]
 fn fewer_descriptors_than_told_end_nothing() {
     let backend = Backend::new("a", vec![ok("", "seen")]);
