Turn away a field or key that the door reads and that comes twice

Seen in reading admit.rs beside the protocol: the first of two fields was read and both were passed on, so a backend that reads the last one would have taken a request under another id, or for another customer, than the door had admitted. At fault: admit.rs, arrival and customer (Request::field, find_map). Also shared.rs: an id was open in one case only. Change: such fields and keys must come just once; ids are compared without case. Tests: two ids, two quotas, two keys, an open id in capitals; each fails without.

--- a/frames/src/message.rs
+++ b/frames/src/message.rs
@@ -56,6 +56,12 @@
         found.and_then(|(_, value)| std::str::from_utf8(value).ok())
     }
 
+    /// The field of that name where there is just one: of two, another reader may take the other.
+    pub fn sole(&self, name: &str) -> Option<&str> {
+        let found = self.fields().filter(|(known, _)| known.eq_ignore_ascii_case(name.as_bytes()));
+        if found.count() == 1 { self.field(name) } else { None }
+    }
+
     pub fn body(&self) -> &[u8] {
         &self.text[self.body_at..]
     }
--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -28,7 +28,8 @@
 }
 
 fn customer(query: &str) -> Option<CustomerId> {
-    let key = query.split('&').find_map(|pair| pair.strip_prefix("key="))?;
+    let mut keys = query.split('&').filter_map(|pair| pair.strip_prefix("key="));
+    let key = keys.next().filter(|_| keys.next().is_none())?;
     let digits = key.len() == 16 && key.bytes().all(|digit| digit.is_ascii_hexdigit());
     digits.then(|| u64::from_str_radix(key, 16).ok())?.filter(|&key| key < CUSTOMERS).map(CustomerId)
 }
@@ -56,25 +57,25 @@
     let Told { named, bounds } = told;
     let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
     let product = path.split('/').nth(1).unwrap_or_default();
-    if request.field("X-Service-Class") != Some(product) {
+    if request.sole("X-Service-Class") != Some(product) {
         return Err("path and X-Service-Class differ");
     }
     let product: ProductId = *named.products.get(product).ok_or("the product is not known")?;
-    let plan = request.field("X-Plan").ok_or("X-Plan is missing")?;
+    let plan = request.sole("X-Plan").ok_or("X-Plan is missing or there are two")?;
     let plan: PlanId = *named.plans.get(plan).ok_or("the plan is not known")?;
     let customer = customer(query).ok_or("key is not 16 hex digits")?;
     let (cost, width) = request
-        .field("X-Quota")
+        .sole("X-Quota")
         .and_then(|field| quota(field, bounds))
         .ok_or("X-Quota cannot be read or is out of range")?;
-    let left: Option<u32> = request.field(TIME_LEFT).and_then(|text| text.parse().ok());
+    let left: Option<u32> = request.sole(TIME_LEFT).and_then(|text| text.parse().ok());
     let left = Tenths(i64::from(left.ok_or("X-Time-Left-Ms cannot be read")?) * 10);
     let most = bounds.expiries.get(product.0).filter(|most| most.0 > 0);
     if most.is_some_and(|most| left > *most) {
         return Err("X-Time-Left-Ms is longer than the product's expiry");
     }
     if id(request).is_none() {
-        return Err("X-Correlation-Id is missing or too long");
+        return Err("X-Correlation-Id is missing, too long or there are two");
     }
     let again = request.field(AGAIN) == Some("1");
     Ok(Arrival { txn, product, customer, plan, width, cost, expiry: now + left, again })
@@ -82,7 +83,7 @@
 
 /// By which clients and backends know the txn.
 pub fn id(request: &Request) -> Option<&str> {
-    request.field(CORRELATION).filter(|id| (1..=LONGEST_ID).contains(&id.len()))
+    request.sole(CORRELATION).filter(|id| (1..=LONGEST_ID).contains(&id.len()))
 }
 
 pub fn admit(request: &Request, told: &Told, now: Tenths, txn: TxnId) -> Admitted {
--- a/frontdoor/src/shared.rs
+++ b/frontdoor/src/shared.rs
@@ -30,8 +30,10 @@
 impl Open {
     /// Nothing where another txn has it.
     pub fn of(id: &str, shared: &Rc<Shared>) -> Option<Open> {
-        let fresh = shared.open.borrow_mut().insert(id.into());
-        fresh.then(|| Open { id: id.into(), shared: Rc::clone(shared) })
+        // A backend that takes ids for numbers takes both cases for one.
+        let id: Box<str> = id.to_ascii_lowercase().into();
+        let fresh = shared.open.borrow_mut().insert(id.clone());
+        fresh.then(|| Open { id, shared: Rc::clone(shared) })
     }
 }
 
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -187,6 +187,9 @@
         (with("Content-Length: +3"), 400),
         (with("Transfer-Encoding: gzip, chunked"), 400),
         (with("Host: another"), 400),
+        (with("X-Correlation-Id: 1c7e2d419b1f03aa"), 400),
+        (with("x-quota: units=1,spread=1,first=0"), 400),
+        (look().replace("b4d65521", "b4d65521&key=00000000b4d65522"), 400),
         (with("X-Spaced : 1"), 400),
         (book().replace("Content-Length: 9", "Transfer-Encoding: chunked"), 400),
         (look().replace("X-Plan: gold", "X-Plan: silver"), 400),
@@ -229,6 +232,7 @@
     first.send(&txn("POST", "book", "gold", 300, "x"));
     backend.asked();
     assert_eq!(door.client().ask(&book()).status(), 409);
+    assert_eq!(door.client().ask(&book().replace("9b1f03aa", "9B1F03AA")).status(), 409);
     assert_eq!(first.answer().status(), 502);
     assert_eq!(backend.next(), Seen::GivenUp);
     assert_eq!(door.client().ask(&book()).status(), 200, "free again");
