--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const SLICE_FLOOR: f64 = 0.25;
 /// The part of a slice's burst that lets in a txn of any size.
 const ENOUGH: f64 = 0.5;
-/// The part of a whole burst that lending leaves, for each part of a txn's worth that use beyond the quota costs.
+/// The part of a whole burst that lending leaves for each part of its worth that a txn beyond the quota costs.
 const KEPT: f64 = 0.25;
 /// Seconds of asking that show a surge.
 const SURGE_SPAN: f64 = 0.5;
@@ -603,7 +603,7 @@
         let mut account = Account { plan, width, slice, tokens, filled, reviewed, ..Account::default() };
         // What was spent before this instance began is unknown, so only time since then counts as refilled.
         let since = (now - told.at).seconds();
-        // What others spent before this door sees a customer is unknown too: of what may be lent, the even part.
+        // What others spent before is unknown too: of what may be lent, the even part.
         account.unclaimed = figures.burst * (KEPT + (1.0 - KEPT) / width);
         account.ceiling = (since * figures.ceiling_rate / width).min(account.ceiling_most(figures));
         account
@@ -617,7 +617,7 @@
         let gap = (now - self.filled).seconds();
         self.filled = now;
         self.tokens = (self.tokens + plan.rate * self.slice * gap).min(plan.burst * self.slice);
-        // The meter tells of a surge a second late: others are taken to have half of it as soon as this door does.
+        // The meter tells of a surge late: others are taken to have half of it as soon as this door does.
         // With no reading they may take all that is theirs.
         self.asked *= (-gap / SURGE_SPAN).exp();
         let surging = 0.5 * self.asked * (1.0 / self.slice - 1.0);
@@ -675,8 +675,8 @@
         // A slice below one txn's cost would never admit it, and one little above it seldom: a fair part of a
         // full one is enough, the rest is debt.
         let needed = cost.min(ENOUGH * plan.burst * self.slice) * (1.0 + again);
-        // Against declining what fits: a quota mostly unclaimed is lent from, down to what is kept against the
-        // cost of being wrong. It leaves the slice in no debt.
+        // Against declining what fits: a quota mostly unclaimed is lent from, down to what is kept against
+        // the cost of being wrong. It leaves the slice in no debt.
         let beyond = plan.beyond_cost - plan.beyond_worth;
         let kept = KEPT * (beyond.max(0.0) + again);
         let lent = self.unclaimed - cost.min(ENOUGH * plan.burst) >= kept * plan.burst;
