--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 const SLICE_FLOOR: f64 = 0.25;
 /// The part of a slice's burst that lets in a txn of any size.
 const ENOUGH: f64 = 0.5;
-/// The part of a whole burst that lending leaves for each part of its worth that a txn beyond the quota costs.
+/// The part of a whole burst that lending leaves, for each part of its worth that use beyond the quota costs.
 const KEPT: f64 = 0.25;
 /// Seconds of asking that show a surge.
 const SURGE_SPAN: f64 = 0.5;
