Decode what was never told once; end a submission by one path

Seen on reading the change again: that zero stands for never told was decided anew at four places (admit.rs quota twice and arrival, route.rs ended), where told/ is the one decoder; it now gives the type's own most instead. A submission's end with nothing to show was spelt out in full in send.rs (for a connection that ended silently) and in route.rs, beside send.rs's own end, and the first of these skipped the debug line that each end has. All three go by Ended::of and end. Behaviour as before, but for that debug line; no bound, check or assertion was touched.

--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -45,12 +45,10 @@
             _ => {}
         }
     }
-    let doors = if bounds.doors > 0 { bounds.doors } else { u32::MAX };
-    let most = if bounds.cost > 0.0 { bounds.cost } else { f64::MAX };
     // What no customer can owe would keep its bucket in debt for good.
-    let cost = cost.filter(|cost| *cost > 0.0 && *cost <= most)?;
-    let width = width.filter(|width| (1..=doors).contains(width))?;
-    first.filter(|first| *first < doors).map(|_| (cost, width))
+    let cost = cost.filter(|cost| *cost > 0.0 && *cost <= bounds.cost)?;
+    let width = width.filter(|width| (1..=bounds.doors).contains(width))?;
+    first.filter(|first| *first < bounds.doors).map(|_| (cost, width))
 }
 
 fn arrival(request: &Request, told: &Told, now: Tenths, txn: TxnId) -> Result<Arrival, &'static str> {
@@ -70,8 +68,7 @@
         .ok_or("X-Quota cannot be read or is out of range")?;
     let left: Option<u32> = request.sole(TIME_LEFT).and_then(|text| text.parse().ok());
     let left = Tenths(i64::from(left.ok_or("X-Time-Left-Ms cannot be read")?) * 10);
-    let most = bounds.expiries.get(product.0).filter(|most| most.0 > 0);
-    if most.is_some_and(|most| left > *most) {
+    if left > bounds.expiries[product.0] {
         return Err("X-Time-Left-Ms is longer than the product's expiry");
     }
     if id(request).is_none() {
--- a/frontdoor/src/note.rs
+++ b/frontdoor/src/note.rs
@@ -25,6 +25,13 @@
     pub broke: Option<Tenths>,
 }
 
+impl Ended {
+    /// With nothing else to tell.
+    pub fn of(txn: TxnId, no: SubmissionNo, outcome: Outcome) -> Ended {
+        Ended { txn, no, outcome, reply: None, idle: None, broke: None }
+    }
+}
+
 /// What the other stages tell route.
 pub enum Note {
     Arrived(Taken),
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -214,7 +214,7 @@
         };
         let metered = figure("X-Quota-Used").filter(|&used| used >= 0.0).map(|used| used / 100.0);
         let most = self.shared.told.bounds.cost;
-        let true_cost = figure("X-Units-Charged").filter(|&cost| cost > 0.0 && (most <= 0.0 || cost <= most));
+        let true_cost = figure("X-Units-Charged").filter(|&cost| cost > 0.0 && cost <= most);
         if let Some(reply) = reply.filter(|_| outcome == Outcome::Settled)
             && let Some(answer) = txn.answer.take()
         {
@@ -342,14 +342,7 @@
         let shared = Rc::clone(&self.shared);
         match self.pool.address(backend) {
             Some(address) => drop(tokio::task::spawn_local(send::run(job, address, shared))),
-            None => shared.tell(Note::Ended(Ended {
-                txn: id,
-                no,
-                outcome: Outcome::NoConnection,
-                reply: None,
-                idle: None,
-                broke: None,
-            })),
+            None => shared.tell(Note::Ended(Ended::of(id, no, Outcome::NoConnection))),
         }
     }
 }
--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -142,6 +142,8 @@
     let mut kept: Option<Connection> = None;
     let mut answered = None;
     loop {
+        let (txn, no) = (job.txn, job.no);
+        let of = |outcome| Ended::of(txn, no, outcome);
         let fresh = kept.is_none();
         let idle = answered.take().map(|at| shared.clock.now() - at).filter(|_| !fresh);
         let mut connection = match kept.take() {
@@ -154,8 +156,8 @@
                 };
                 match dialled {
                     Ok(Ok(connection)) => connection,
-                    Ok(Err(outcome)) => return end(&job, outcome, None, None, &shared),
-                    Err(why) => return end(&job, why.outcome(false), None, None, &shared),
+                    Ok(Err(outcome)) => return end(of(outcome), &shared),
+                    Err(why) => return end(of(why.outcome(false)), &shared),
                 }
             }
         };
@@ -166,31 +168,22 @@
                 shared.book.count(Count::BackendsStale);
                 continue;
             }
-            Carried::Unwritten => return end(&job, Outcome::NoConnection, None, None, &shared),
-            Carried::Silently => {
-                let (txn, no, outcome) = (job.txn, job.no, Outcome::Broken);
-                return shared.tell(Note::Ended(Ended {
-                    txn,
-                    no,
-                    outcome,
-                    reply: None,
-                    idle: None,
-                    broke: idle,
-                }));
-            }
-            Carried::Ended(outcome) => return end(&job, outcome, None, None, &shared),
+            Carried::Unwritten => return end(of(Outcome::NoConnection), &shared),
+            Carried::Silently => return end(Ended { broke: idle, ..of(Outcome::Broken) }, &shared),
+            Carried::Ended(outcome) => return end(of(outcome), &shared),
         };
         let outcome = outcome(&reply);
         if job.request.bytes() > SMALL {
             *connection.framed.write_buffer_mut() = BytesMut::new();
         }
         if reply.last() || !connection.framed.read_buffer().is_empty() {
-            return end(&job, outcome, Some(reply), None, &shared);
+            return end(Ended { reply: Some(reply), ..of(outcome) }, &shared);
         }
         let (next, mut jobs) = oneshot::channel();
         let since = shared.clock.now();
         answered = Some(since);
-        end(&job, outcome, Some(reply), Some(Idle { next, since }), &shared);
+        let idle = Some(Idle { next, since });
+        end(Ended { reply: Some(reply), idle, ..of(outcome) }, &shared);
         match connection.idle(&mut jobs).await {
             Ok(next) => {
                 job = next;
@@ -205,9 +198,10 @@
     }
 }
 
-fn end(job: &Job, outcome: Outcome, reply: Option<Reply>, idle: Option<Idle>, shared: &Shared) {
-    tracing::debug!(txn = job.txn.0, no = job.no.0, ?outcome, kept = idle.is_some(), "submission ended");
-    shared.tell(Note::Ended(Ended { txn: job.txn, no: job.no, outcome, reply, idle, broke: None }));
+fn end(ended: Ended, shared: &Shared) {
+    let Ended { txn, no, outcome, ref idle, .. } = ended;
+    tracing::debug!(txn = txn.0, no = no.0, ?outcome, kept = idle.is_some(), "submission ended");
+    shared.tell(Note::Ended(ended));
 }
 
 #[cfg(test)]
--- a/told/src/lib.rs
+++ b/told/src/lib.rs
@@ -172,7 +172,7 @@
     Ok((start, named))
 }
 
-/// What a request may say. Zero: never told, so anything goes.
+/// What a request may say at most. What was never told is the type's own most, so anything goes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Bounds {
     pub cost: f64,
@@ -184,9 +184,11 @@
 pub fn bounds(options: &Options) -> Result<Bounds, Unreadable> {
     let products = 0..options.count("classes.count")?;
     let expiry = |item| options.number(&format!("classes.{item}.hard_limit"));
-    let expiries = products.map(|item| Ok(tenths(expiry(item)?.ceil()))).collect::<Result<_, _>>()?;
-    let cost = options.number("family_info.most_units")?;
-    Ok(Bounds { cost, doors: options.read("balancers")?.unwrap_or(0), expiries })
+    let bound = |expiry: f64| if expiry > 0.0 { tenths(expiry.ceil()) } else { Tenths(i64::MAX) };
+    let expiries = products.map(|item| expiry(item).map(bound)).collect::<Result<_, _>>()?;
+    let cost = Some(options.number("family_info.most_units")?).filter(|&cost| cost > 0.0);
+    let doors = options.read("balancers")?.filter(|&doors| doors > 0);
+    Ok(Bounds { cost: cost.unwrap_or(f64::MAX), doors: doors.unwrap_or(u32::MAX), expiries })
 }
 
 /// How connections to backends are kept and opened.
