Ask the shared quota counter where a slice cannot hold a txn and no meter reads

A probe of every ask showed customers at 34 doors on the average, slices of 0.47 units for a burst of 16, no meter reading in any answer, and 94% of the units beyond quotas let in by the debt departure in Account::ask (`needed = cost.min(ENOUGH * plan.burst * self.slice)`): each door lets in one txn of up to 8 units on half a unit. Lending (83 units beyond of 422) and the ceiling were ruled out.

Change: where the settings allow the counter and the platform names it, a customer's first try whose slice burst (burst over width) is below its cost, with no current meter reading, is decided by one call to the counter: its window, as long as the plan's bucket takes to fill, holds rate x span units over all doors. A crowded or silent counter leaves the slice to decide, by chance tokens over cost where it is short, not into debt; after an unanswered call the door rests the counter for ten waits, doubling to 8 s. Interface: Action::Count, Event::Counted. benchlink speaks INCR and COUNTER_REPLY and hashes the wire's customer name so all doors agree on it. frontdoor/src/counter.rs speaks RESP2 ADDGET on redis-protocol's codec. The till draws from a seeded rand generator of its own.

--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -2,11 +2,13 @@
 
 use crate::wire::{Line, Malformed, Millis};
 use std::collections::HashMap;
+use std::collections::hash_map::DefaultHasher;
 use std::fmt::Write;
+use std::hash::{Hash, Hasher};
 use vanewharf::decide::Door;
 use vanewharf::interface::{
-    Action, Arrival, BackendId, CustomerId, Ending, Event, GroupId, Listed, Outcome, PlaceId, Standing,
-    SubmissionNo, TimerId, TxnId,
+    Action, Arrival, BackendId, CountName, Counted, CustomerId, Ending, Event, GroupId, Listed, Outcome,
+    PlaceId, Standing, SubmissionNo, TimerId, TxnId,
 };
 use vanewharf_told::Named;
 
@@ -33,7 +35,6 @@
     pub events: Vec<Event>,
     named: Named,
     backends: Names,
-    customers: Names,
     places: Names,
 }
 
@@ -57,16 +58,17 @@
     names.get(name).copied().ok_or_else(fault)
 }
 
+/// Every door must give a customer the same id, as the shared counter's names are made of it: the
+/// wire's name, hashed by the standard library's fixed keys into the range of the sockets' keys (2^33).
+fn customer(name: &str) -> CustomerId {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    CustomerId(hasher.finish() & ((1 << 33) - 1))
+}
+
 impl Host {
     pub fn new(door: Door, named: Named) -> Host {
-        Host {
-            door,
-            named,
-            events: Vec::new(),
-            backends: Names::default(),
-            customers: Names::default(),
-            places: Names::default(),
-        }
+        Host { door, named, events: Vec::new(), backends: Names::default(), places: Names::default() }
     }
 
     pub fn entry(&mut self, line: &Line<'_>) -> Result<Listed, Malformed> {
@@ -90,7 +92,7 @@
         Ok(Arrival {
             txn: TxnId(line.whole("txn")?),
             product: known(line, "band", &self.named.products)?,
-            customer: CustomerId(self.customers.id(line.need("client_id")?).into()),
+            customer: customer(line.need("client_id")?),
             plan: known(line, "plan", &self.named.plans)?,
             width: line.number("width")?.unwrap_or_default() as u32,
             cost: line.number("cost_units")?.unwrap_or_default(),
@@ -125,9 +127,15 @@
                 None
             }
             "COUNTER_REPLY" => {
-                outcome(line)?;
-                line.whole::<u64>("name")?;
-                None
+                let counted = match line.whole::<u32>("state_code")? {
+                    0 => Counted::Total(line.number("result_value")?.unwrap_or_default()),
+                    2 | 4 => Counted::NotAdded,
+                    3 => Counted::Unknown,
+                    other => {
+                        return Err(line.fault(format!("field state_code is no counter's answer: '{other}'")));
+                    }
+                };
+                Some(Event::Counted { name: CountName(line.whole("name")?), counted })
             }
             "INBOX" => {
                 line.need("by")?;
@@ -162,6 +170,9 @@
                     write!(reply, "SCHEDULE after={} ctx={}", Millis(after), timer.0)
                 }
                 Action::Watch => write!(reply, "WATCH on=1"),
+                Action::Count { name, step, forget_after } => {
+                    write!(reply, "INCR name={} step={step} forget_after={}", name.0, Millis(forget_after))
+                }
             };
             written.expect("a string takes all that is written to it");
             reply.push('\n');
--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -44,6 +44,10 @@
     ListFailures "list_failures",
     Reloads "reloads",
     ReloadFailures "reload_failures",
+    CounterCalls "counter_calls",
+    CounterTotals "counter_totals",
+    CounterNotAdded "counter_not_added",
+    CounterUnknown "counter_unknown",
 );
 
 kinds!(Invariant, INVARIANTS:
--- a/frontdoor/src/commission.rs
+++ b/frontdoor/src/commission.rs
@@ -14,6 +14,8 @@
     seed: String,
     limits: Limits,
     known: Published,
+    #[serde(default)]
+    counter: Option<SocketAddr>,
     settings: Value,
 }
 
@@ -30,6 +32,8 @@
     pub seed: u64,
     pub limits: Limits,
     pub known: Published,
+    /// The shared quota counter, where the platform names one.
+    pub counter: Option<SocketAddr>,
     pub options: Options,
 }
 
@@ -39,9 +43,9 @@
         let text = std::fs::read(&path).map_err(|error| format!("cannot read {path}: {error}"))?;
         let written: Written =
             serde_json::from_slice(&text).map_err(|error| format!("cannot read {path}: {error}"))?;
-        let Written { name, listen, discovery, seed, limits, known, settings } = written;
+        let Written { name, listen, discovery, seed, limits, known, counter, settings } = written;
         let seed = u64::from_str_radix(&seed, 16).map_err(|_| format!("seed is not hex: '{seed}'"))?;
         let options = Options::nested(&settings);
-        Ok(Commission { name, listen, discovery, seed, limits, known, options })
+        Ok(Commission { name, listen, discovery, seed, limits, known, counter, options })
     }
 }
--- /dev/null
+++ b/frontdoor/src/counter.rs
@@ -0,0 +1,123 @@
+//! The shared quota counter, over RESP2: `ADDGET NAME STEP LIFE` on one connection, the calls written one after
+//! another and answered in their order. Nothing here decides whether to call. A call left unanswered past the
+//! settings' wait is told as unknown (it may have been added, or may yet be), and its answer, when it comes, is
+//! read and dropped; a connection that ends leaves all it had unanswered unknown.
+
+use crate::clock::span;
+use crate::note::Note;
+use crate::shared::Shared;
+use futures_util::{SinkExt, StreamExt};
+use redis_protocol::codec::Resp2;
+use redis_protocol::resp2::types::BytesFrame;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+use tokio_util::codec::{FramedRead, FramedWrite};
+use vanewharf::interface::{CountName, Counted, Tenths};
+
+/// One call, as the decisions ask for it: `step` units (below 0 takes off) to `name`, which a new name keeps
+/// for `forget_after` (the counter takes 1 ms to 60 s).
+pub struct Call {
+    pub name: CountName,
+    pub step: f64,
+    pub forget_after: Tenths,
+}
+
+struct Out {
+    name: CountName,
+    until: Instant,
+    told: bool,
+}
+
+fn frame(call: &Call) -> BytesFrame {
+    let life = (call.forget_after.0 / 10).clamp(1, 60_000);
+    let words = ["ADDGET".to_owned(), call.name.0.to_string(), call.step.to_string(), life.to_string()];
+    BytesFrame::Array(words.into_iter().map(|word| BytesFrame::BulkString(word.into())).collect())
+}
+
+/// A total is a bulk string; `-BUSY` and `-ERR` added nothing.
+fn counted(answer: BytesFrame) -> Counted {
+    let total = match answer {
+        BytesFrame::BulkString(text) | BytesFrame::SimpleString(text) => {
+            std::str::from_utf8(&text).ok().and_then(|text| text.trim().parse::<f64>().ok())
+        }
+        BytesFrame::Integer(total) => Some(total as f64),
+        _ => None,
+    };
+    total.filter(|total| total.is_finite()).map_or(Counted::NotAdded, Counted::Total)
+}
+
+pub async fn run(
+    address: SocketAddr,
+    wait: Tenths,
+    mut calls: mpsc::UnboundedReceiver<Call>,
+    shared: Rc<Shared>,
+) {
+    let wait = span(wait);
+    let mut reader: Option<FramedRead<OwnedReadHalf, Resp2>> = None;
+    let mut writer: Option<FramedWrite<OwnedWriteHalf, Resp2>> = None;
+    let mut out: VecDeque<Out> = VecDeque::new();
+    let tell = |name, counted| shared.tell(Note::Counted(name, counted));
+    loop {
+        let due = out.iter().filter(|one| !one.told).map(|one| one.until).min();
+        let answer = async {
+            match reader.as_mut() {
+                Some(reader) => reader.next().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            call = calls.recv() => {
+                let Some(call) = call else {
+                    return;
+                };
+                if writer.is_none() {
+                    match timeout(wait, TcpStream::connect(address)).await {
+                        Ok(Ok(stream)) => {
+                            let _ = stream.set_nodelay(true);
+                            let (read, write) = stream.into_split();
+                            reader = Some(FramedRead::new(read, Resp2::default()));
+                            writer = Some(FramedWrite::new(write, Resp2::default()));
+                        }
+                        _ => {
+                            tell(call.name, Counted::NotAdded);
+                            continue;
+                        }
+                    }
+                }
+                let Some(write) = writer.as_mut() else {
+                    continue;
+                };
+                out.push_back(Out { name: call.name, until: Instant::now() + wait, told: false });
+                if write.send(frame(&call)).await.is_err() {
+                    (reader, writer) = (None, None);
+                    out.drain(..).filter(|one| !one.told).for_each(|one| tell(one.name, Counted::Unknown));
+                }
+            }
+            answer = answer => match (answer, out.pop_front()) {
+                (Some(Ok(answer)), Some(one)) => {
+                    if !one.told {
+                        tell(one.name, counted(answer));
+                    }
+                }
+                // Ended, unreadable, or an answer to no call: nothing more on it can be trusted.
+                (_, first) => {
+                    (reader, writer) = (None, None);
+                    let unanswered = first.into_iter().chain(out.drain(..)).filter(|one| !one.told);
+                    unanswered.for_each(|one| tell(one.name, Counted::Unknown));
+                }
+            },
+            () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
+                let now = Instant::now();
+                for one in out.iter_mut().filter(|one| !one.told && one.until <= now) {
+                    one.told = true;
+                    tell(one.name, Counted::Unknown);
+                }
+            }
+        }
+    }
+}
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -5,6 +5,7 @@
 mod book;
 mod clock;
 mod commission;
+mod counter;
 mod discovery;
 mod note;
 mod pool;
@@ -66,8 +67,8 @@
     let mut print = hear(SignalKind::user_defined1())?;
     let commission = Commission::read()?;
     let clock = Clock::start();
-    let Commission { name, listen, discovery, seed, limits, known, options } = commission;
-    let (start, named) =
+    let Commission { name, listen, discovery, seed, limits, known, counter, options } = commission;
+    let (mut start, named) =
         vanewharf_told::start(&options, seed, clock.now()).map_err(|error| error.to_string())?;
     let lines = vanewharf_told::lines(&options).map_err(|error| error.to_string())?;
     let bounds = vanewharf_told::bounds(&options).map_err(|error| error.to_string())?;
@@ -88,7 +89,17 @@
 
     let (agent, agents) = watch::channel(discovery);
     let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), known);
-    let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known);
+    // The decisions call the counter only where the settings allow it and the platform names one.
+    start.counter = start.counter.filter(|_| counter.is_some());
+    let calls = match (counter, start.counter) {
+        (Some(address), Some(wait)) => {
+            let (calls, taken) = mpsc::unbounded_channel();
+            drop(tokio::task::spawn_local(counter::run(address, wait, taken, Rc::clone(&shared))));
+            Some(calls)
+        }
+        _ => None,
+    };
+    let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known, calls);
     let mut routing = tokio::task::spawn_local(route.run(told));
     let mut watching = tokio::task::spawn_local(discovery.run());
     let stop = Rc::new(Notify::new());
--- a/frontdoor/src/note.rs
+++ b/frontdoor/src/note.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use vanewharf::interface::{Arrival, Listed, Outcome, SubmissionNo, Tenths, TxnId};
+use vanewharf::interface::{Arrival, CountName, Counted, Listed, Outcome, SubmissionNo, Tenths, TxnId};
 use vanewharf_frames::{Reply, Request};
 
 pub struct Taken {
@@ -40,6 +40,8 @@
     Listed(Told),
     /// Sockets are short.
     Shed,
+    /// The shared counter's answer to one call.
+    Counted(CountName, Counted),
 }
 
 /// A list of backends or a change of it, with this door's ids for the names.
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -2,6 +2,7 @@
 //! carries the actions out in order.
 
 use crate::book::{Count, Invariant};
+use crate::counter::Call;
 use crate::note::{CalledOff, Ended, Job, Note, Taken, Told};
 use crate::pool::Pool;
 use crate::relay::Final;
@@ -14,7 +15,7 @@
 use tokio::time::Instant;
 use vanewharf::decide::Door;
 use vanewharf::interface::{
-    Action, Among, BackendId, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
+    Action, Among, BackendId, Counted, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
 };
 use vanewharf_frames::Request;
 
@@ -62,14 +63,24 @@
     events: Vec<Event>,
     /// Kept until the batch is decided: an action of the same batch may still name them.
     over: Vec<TxnId>,
+    /// None where no counter was named: then the decisions are told that there is none.
+    counter: Option<mpsc::UnboundedSender<Call>>,
 }
 
 impl Route {
-    pub fn new(shared: Rc<Shared>, door: Door, repeats: Vec<Repeat>, known: Told) -> Route {
+    pub fn new(
+        shared: Rc<Shared>,
+        door: Door,
+        repeats: Vec<Repeat>,
+        known: Told,
+        counter: Option<mpsc::UnboundedSender<Call>>,
+    ) -> Route {
         let pool = Pool::new(shared.lines.idle);
         let (txns, timers) = (BTreeMap::new(), BinaryHeap::new());
         let (events, over) = (Vec::new(), Vec::new());
-        let mut route = Route { shared, door, repeats, pool, txns, timers, timers_set: 0, events, over };
+        let timers_set = 0;
+        let mut route =
+            Route { shared, door, repeats, pool, txns, timers, timers_set, events, over, counter };
         let now = route.shared.clock.now();
         route.listed(known);
         route.set(now + SWEEP, Timer::Sweep);
@@ -164,6 +175,14 @@
             Note::Ended(ended) => self.ended(ended, now),
             Note::Listed(told) => self.listed(told),
             Note::Shed => self.pool.shed(),
+            Note::Counted(name, counted) => {
+                self.shared.book.count(match counted {
+                    Counted::Total(_) => Count::CounterTotals,
+                    Counted::NotAdded => Count::CounterNotAdded,
+                    Counted::Unknown => Count::CounterUnknown,
+                });
+                self.events.push(Event::Counted { name, counted });
+            }
         }
     }
 
@@ -284,6 +303,14 @@
             Action::Wake { after, timer } => self.set(now + after, Timer::Wake(timer)),
             // The list is watched from the start on, so there is nothing to ask for.
             Action::Watch => {}
+            Action::Count { name, step, forget_after } => {
+                self.shared.book.count(Count::CounterCalls);
+                let call = Call { name, step, forget_after };
+                // Told at once where nobody takes the call, as the counter's own refusal would be.
+                if self.counter.as_ref().is_none_or(|counter| counter.send(call).is_err()) {
+                    self.events.push(Event::Counted { name, counted: Counted::NotAdded });
+                }
+            }
         }
     }
 
--- /dev/null
+++ b/frontdoor/tests/counter.rs
@@ -0,0 +1,127 @@
+//! The door and a stand-in for the shared quota counter over loopback: one that answers, one that is always
+//! crowded, and one that never answers. Each txn gets one final answer in time whatever the counter does, and
+//! a once-only txn reaches the backend at most once.
+
+mod stand_ins;
+
+use redis_protocol::resp2::decode::decode;
+use redis_protocol::resp2::types::OwnedFrame;
+use stand_ins::*;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread;
+use std::time::Duration;
+
+#[derive(Clone, Copy)]
+enum Manner {
+    Answers,
+    Busy,
+    Silent,
+}
+
+/// The calls it took, as (name, step).
+struct Counter {
+    address: SocketAddr,
+    calls: Receiver<(String, f64)>,
+}
+
+impl Counter {
+    fn new(manner: Manner) -> Counter {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("its address");
+        let (tell, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let tell = tell.clone();
+                thread::spawn(move || {
+                    let (mut stream, mut totals, mut bytes) =
+                        (stream, HashMap::<String, f64>::new(), Vec::new());
+                    let mut buffer = [0; 4096];
+                    while let Ok(read @ 1..) = stream.read(&mut buffer) {
+                        bytes.extend_from_slice(&buffer[..read]);
+                        while let Ok(Some((frame, used))) = decode(&bytes) {
+                            bytes.drain(..used);
+                            let OwnedFrame::Array(words) = frame else { return };
+                            let word = |at: usize| match words.get(at) {
+                                Some(OwnedFrame::BulkString(word)) => {
+                                    String::from_utf8_lossy(word).into_owned()
+                                }
+                                _ => String::new(),
+                            };
+                            assert_eq!(word(0), "ADDGET");
+                            let (name, step) = (word(1), word(2).parse::<f64>().expect("a number"));
+                            assert!(word(3).parse::<u64>().is_ok_and(|life| (1..=60_000).contains(&life)));
+                            let _ = tell.send((name.clone(), step));
+                            let answer = match manner {
+                                Manner::Answers => {
+                                    let total = totals.entry(name).or_default();
+                                    *total += step;
+                                    let text = total.to_string();
+                                    format!("${}\r\n{text}\r\n", text.len())
+                                }
+                                Manner::Busy => "-BUSY\r\n".to_owned(),
+                                Manner::Silent => continue,
+                            };
+                            if stream.write_all(answer.as_bytes()).is_err() {
+                                return;
+                            }
+                        }
+                    }
+                });
+            }
+        });
+        Counter { address, calls }
+    }
+}
+
+/// A plan of 0.1 units a second and a burst of 2: the counter's window of 20 s holds 2 units. The customer
+/// comes through eight doors, so that a slice holds a quarter of a unit.
+fn basic(product: &str) -> String {
+    let method = if product == "look" { "GET" } else { "POST" };
+    let text = txn(method, product, "basic", 3000, if method == "GET" { "" } else { "x" });
+    text.replace("spread=1,", "spread=8,")
+}
+
+#[test]
+fn the_counter_decides_what_the_quota_holds() {
+    let counter = Counter::new(Manner::Answers);
+    let backend = Backend::new("a", vec![ok("", "seen")]);
+    let door = Door::counting(&[&backend], counter.address);
+    let mut client = door.client();
+    assert_eq!((client.ask(&basic("look")).status(), client.ask(&basic("look")).status()), (200, 200));
+    let answer = client.ask(&basic("look"));
+    assert_eq!(answer.status(), 429, "the window holds two units");
+    assert!(answer.field("Retry-After").is_some());
+    let calls: Vec<_> = counter.calls.try_iter().collect();
+    assert_eq!(calls.len(), 3, "one call for each first try: {calls:?}");
+    assert!(calls.iter().all(|(name, step)| *name == calls[0].0 && *step == 1.0), "{calls:?}");
+    assert_eq!(door.counter("counter_totals"), 3);
+    assert_eq!(client.ask(&look()).status(), 200, "a plan with no rate asks no counter");
+}
+
+#[test]
+fn a_crowded_or_silent_counter_leaves_every_txn_one_answer_in_time() {
+    for manner in [Manner::Busy, Manner::Silent] {
+        let counter = Counter::new(manner);
+        let backend = Backend::new("a", vec![ok("", "done")]);
+        let door = Door::counting(&[&backend], counter.address);
+        let mut client = door.client();
+        let mut sent = 0;
+        for _ in 0..6 {
+            let (answer, took) = timed(|| client.ask(&basic("book")));
+            assert!([200, 429].contains(&answer.status()), "{answer:?}");
+            sent += usize::from(answer.status() == 200);
+            // The counter's wait, and no more, is all a txn may lose to it.
+            assert!(took < Duration::from_millis(80 + 250), "{took:?}");
+        }
+        for _ in 0..sent {
+            backend.asked();
+        }
+        assert!(backend.seen.recv_timeout(Duration::from_millis(200)).is_err(), "nothing is sent twice");
+        assert!(counter.calls.try_iter().count() >= 1, "the counter was asked");
+        let failed = door.counter("counter_not_added") + door.counter("counter_unknown");
+        assert!(failed >= 1, "its failures are counted");
+    }
+}
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -1,4 +1,6 @@
 //! The program under test and small stand-ins for all it talks to.
+// Shared by several test files, each of which uses a part of it.
+#![allow(dead_code)]
 
 use serde_json::{Value, json};
 use std::collections::VecDeque;
@@ -240,7 +242,28 @@
         Door::with(backends, 1024, 64, 1024)
     }
 
+    /// With the shared quota counter allowed, at `counter`, 80 ms for a call, and eight doors.
+    pub fn counting(backends: &[&Backend], counter: SocketAddr) -> Door {
+        let change = |commission: &mut Value| {
+            commission["counter"] = json!(counter.to_string());
+            commission["settings"]["balancers"] = json!(8);
+            commission["settings"]["family_info"] =
+                json!({"most_units": 8, "shared_counter": true, "count_wait": 80.0});
+        };
+        Door::shaped(backends, 1024, 64, 1024, change)
+    }
+
     pub fn with(backends: &[&Backend], sockets: usize, memory_mb: usize, descriptors: usize) -> Door {
+        Door::shaped(backends, sockets, memory_mb, descriptors, |_| {})
+    }
+
+    fn shaped(
+        backends: &[&Backend],
+        sockets: usize,
+        memory_mb: usize,
+        descriptors: usize,
+        change: impl FnOnce(&mut Value),
+    ) -> Door {
         let agent = Agent::new();
         let free = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a free port");
         let known: Vec<_> = backends.iter().map(|backend| backend.entry("SERVING")).collect();
@@ -261,6 +284,8 @@
                 "rules": {"cold_from": 0.2, "ramp_time": 1000.0}
             }
         });
+        let mut commission = commission;
+        change(&mut commission);
         let (mut command, path) = program(Some(&commission.to_string()), descriptors);
         let mut child = command.spawn().expect("the program starts");
         let (tell, said) = channel();
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -15,8 +15,10 @@
 
 use crate::interface::*;
 use crate::state::{
-    Account, Backend, Board, Desk, Norm, Offer, Submission, Till, ToBackend, ToDesk, ToTill, Txn,
+    Account, Backend, Board, Desk, Held, Norm, Offer, Submission, Till, ToBackend, ToDesk, ToTill, Txn,
 };
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -57,11 +59,17 @@
 /// Further submissions for each first one, and the most saved up: enough for one silent backend's txns.
 const COPY_SHARE: f64 = 0.1;
 const COPY_DEPTH: f64 = 12.0;
+/// Seconds of a counter window: longer than a call takes; two and a spare inside a name's 60 s of life.
+const COUNT_SPAN: (f64, f64) = (1.0, 25.0);
+/// Calls that fail may take this part of a txn's time, and no longer than a backend's rest in all.
+const COUNT_QUIET: f64 = 10.0;
 
 pub struct Door {
     told: Start,
     now: Tenths,
     draws: u64,
+    /// For the till alone, so that the draws for backends stay as they were.
+    luck: SmallRng,
     desk: Desk,
     till: Till,
     yard: BTreeMap<BackendId, Backend>,
@@ -80,7 +88,8 @@
         let till = Till { swept: told.at, ..Till::default() };
         let (now, yard) = (told.at, BTreeMap::new());
         let (posted, stirring, actions) = (VecDeque::new(), BTreeSet::new(), Vec::new());
-        let mut door = Door { now, told, desk, till, yard, posted, stirring, draws: 0, actions };
+        let luck = SmallRng::seed_from_u64(told.seed.rotate_left(32));
+        let mut door = Door { now, told, desk, till, yard, posted, stirring, draws: 0, luck, actions };
         door.watch();
         door
     }
@@ -107,6 +116,9 @@
                 Event::Due(TimerId(0)) => self.watch(),
                 Event::Due(TimerId(1)) => self.actions.push(Action::Watch),
                 Event::Due(_) => {}
+                Event::Counted { name, counted } => {
+                    self.till.inbox.push_back(ToTill::Counted { name, counted })
+                }
             }
         }
         self.settle_mail();
@@ -186,6 +198,7 @@
                 if let Some(answer) = self.till.hear(note, self.now, &self.told) {
                     self.desk.inbox.push_front(answer);
                 }
+                self.actions.append(&mut self.till.calls);
             } else if let Some(note) = self.desk.inbox.pop_front() {
                 self.hear(note);
             } else {
@@ -229,7 +242,8 @@
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
         } else {
-            self.till.inbox.push_back(ToTill::Ask { txn: id, customer, plan, width, cost, again });
+            let chance = self.luck.random::<f64>();
+            self.till.inbox.push_back(ToTill::Ask { txn: id, customer, plan, width, cost, again, chance });
         }
     }
 
@@ -539,7 +553,7 @@
 impl Till {
     fn hear(&mut self, note: ToTill, now: Tenths, told: &Start) -> Option<ToDesk> {
         match note {
-            ToTill::Ask { txn, customer, plan, width, cost, again } => {
+            ToTill::Ask { txn, customer, plan, width, cost, again, chance } => {
                 let figures = &told.plans[plan.0];
                 let width = f64::from(if width == 0 { told.doors.max(1) } else { width });
                 let account =
@@ -547,12 +561,59 @@
                 // A width that grows must not leave this door with more than its part of a ceiling.
                 account.width = width;
                 account.refill(now, figures, told);
-                let verdict = account.ask(cost, again, figures);
+                // Over many doors a slice's burst is less than a txn, and where no meter tells of the others
+                // the total of all doors decides, if the counter can be asked.
+                let short = told.counter.is_some() && figures.burst / width < cost && !account.current(now);
+                let ceiling_holds = figures.ceiling_rate <= 0.0 || account.ceiling >= cost;
+                let fits = figures.open_at_once <= 0.0 && ceiling_holds && now >= self.quiet_until;
+                if let Some(span) = count_span(figures).filter(|_| short && fits) {
+                    let window = now.0.div_euclid(span.0);
+                    let held = Held { txn: Some(txn), customer, plan, width, cost, again, chance, window };
+                    self.call(held, cost, span);
+                    return None;
+                }
+                let verdict = account.ask(cost, again, figures, short.then_some(chance));
                 self.sweep(now, told);
                 return Some(
                     verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn)),
                 );
             }
+            ToTill::Counted { name, counted } => {
+                let held = self.held.get_mut(&name).and_then(VecDeque::pop_front)?;
+                if self.held.get(&name).is_some_and(VecDeque::is_empty) {
+                    self.held.remove(&name);
+                }
+                let (figures, txn) = (&told.plans[held.plan.0], held.txn?);
+                let new = || Account::new(held.plan, held.width, now, told);
+                let account = self.accounts.entry(held.customer).or_insert_with(new);
+                account.refill(now, figures, told);
+                let verdict = match (counted, count_span(figures)) {
+                    (Counted::Total(total), Some(span)) => {
+                        self.quiet_for = Tenths(0);
+                        let turns = Tenths((held.window + 1) * span.0);
+                        let allowed = figures.rate * span.seconds();
+                        let through = 1.0 - (turns - now).seconds() / span.seconds();
+                        let verdict = account.counted(&held, total, through.clamp(0.0, 1.0), allowed);
+                        // What did not fit, though there was room before it, leaves that room to smaller ones.
+                        if verdict.is_err() && total - held.cost < allowed {
+                            self.call(Held { txn: None, ..held }, -held.cost, span);
+                        }
+                        verdict.map_err(|()| Some(turns - now))
+                    }
+                    // Crowded or silent: the slice decides; silent, it is left alone a while, as a call costs the wait.
+                    _ => {
+                        if counted == Counted::Unknown {
+                            let least = told.counter.unwrap_or_default().times(COUNT_QUIET);
+                            self.quiet_for = self.quiet_for.times(2.0).clamp(least, REST.max(least));
+                            self.quiet_until = now + self.quiet_for;
+                        }
+                        account.ask(held.cost, held.again, figures, Some(held.chance))
+                    }
+                };
+                return Some(
+                    verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn)),
+                );
+            }
             ToTill::Returned { customer, cost } => {
                 let account = self.known(customer, now, told)?;
                 account.ceiling += cost;
@@ -571,6 +632,13 @@
         None
     }
 
+    fn call(&mut self, held: Held, step: f64, span: Tenths) {
+        let name = CountName((held.customer.0 << 12) | (held.window as u64 & 0xfff));
+        let forget_after = span.times(2.0) + Tenths::SECOND;
+        self.calls.push(Action::Count { name, step, forget_after });
+        self.held.entry(name).or_default().push_back(held);
+    }
+
     fn known(&mut self, customer: CustomerId, now: Tenths, told: &Start) -> Option<&mut Account> {
         let account = self.accounts.get_mut(&customer)?;
         account.refill(now, &told.plans[account.plan.0], told);
@@ -662,7 +730,9 @@
         }
     }
 
-    fn ask(&mut self, cost: f64, again: bool, plan: &Plan) -> Result<(), Option<Tenths>> {
+    /// `luck`, where the counter lets other doors in against the whole quota: a slice short of the cost lets
+    /// it in only as often as it has the tokens for, by the chance drawn, and no debt sums past the quota.
+    fn ask(&mut self, cost: f64, again: bool, plan: &Plan, luck: Option<f64>) -> Result<(), Option<Tenths>> {
         // The next try may come through any of the customer's doors: some other one has refilled sooner.
         self.asked += cost / SURGE_SPAN;
         // A repeat counts from its first try and often comes past the SLA time, so it must find more left.
@@ -674,7 +744,11 @@
         }
         // A slice below one txn's cost would never admit it, and one little above it seldom: a fair part of a
         // full one is enough, the rest is debt.
-        let needed = cost.min(ENOUGH * plan.burst * self.slice) * (1.0 + again);
+        let needed = match luck {
+            Some(chance) if self.tokens < cost && chance * cost < self.tokens => self.tokens,
+            Some(_) => cost,
+            None => cost.min(ENOUGH * plan.burst * self.slice),
+        } * (1.0 + again);
         // Against declining what fits: a quota mostly unclaimed is lent from, down to what is kept against
         // the cost of being wrong. It leaves the slice in no debt.
         let beyond = plan.beyond_cost - plan.beyond_worth;
@@ -700,6 +774,28 @@
         Ok(())
     }
 
+    /// The counter's window holds the plan's rate times its span; what the window before held counts for the
+    /// part of it that is still within one span, as a bucket drained for as long would have refilled the rest.
+    /// `through`: the part of the window gone; `allowed`: the units it holds.
+    fn counted(&mut self, held: &Held, total: f64, through: f64, allowed: f64) -> Result<(), ()> {
+        if held.window > self.window {
+            self.before_total = if held.window == self.window + 1 { self.window_total } else { 0.0 };
+            (self.window, self.window_total) = (held.window, 0.0);
+        }
+        let same = held.window == self.window;
+        self.window_total = if same { self.window_total.max(total) } else { self.window_total };
+        // What was asked beyond the quota then was not let through.
+        let before = if same { self.before_total.min(allowed) * (1.0 - through) } else { 0.0 };
+        if total + before + f64::from(u8::from(held.again)) * held.cost > allowed + 1e-9 {
+            return Err(());
+        }
+        self.ceiling -= held.cost;
+        self.let_since += held.cost;
+        self.tokens = (self.tokens - held.cost).max(self.tokens.min(0.0));
+        self.unclaimed -= held.cost;
+        Ok(())
+    }
+
     fn spend(&mut self, cost: f64) {
         self.tokens -= cost;
         self.unclaimed -= cost;
@@ -707,6 +803,12 @@
     }
 }
 
+/// A customer's bucket drains in burst over rate: over a window as long, the rate alone bounds the total.
+fn count_span(plan: &Plan) -> Option<Tenths> {
+    let span = (plan.burst / plan.rate).clamp(COUNT_SPAN.0, COUNT_SPAN.1);
+    (plan.rate > 0.0 && plan.burst > 0.0).then(|| Tenths::SECOND.times(span))
+}
+
 /// The chance that fewer than `limit` are out elsewhere, where `mean` are on the average.
 fn chance_below(mean: f64, limit: f64) -> f64 {
     let (mut term, mut sum, mut count) = ((-mean).exp(), 0.0, 0.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,6 +50,7 @@
     GroupId(u64),
     SubmissionNo(u32),
     TimerId(u64),
+    CountName(u64),
 );
 
 /// How far a product may be repeated.
@@ -119,6 +120,19 @@
     pub meter_period: Tenths,
     /// Where lists come only when asked for: how often the door must ask.
     pub ask_within: Option<Tenths>,
+    /// Where the shared quota counter may be called: how long a call may go unanswered.
+    pub counter: Option<Tenths>,
+}
+
+/// What became of one call to the shared quota counter (the wire's `COUNTER_REPLY`).
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Counted {
+    /// The name's total after this call, in units.
+    Total(f64),
+    /// Turned away or never connected: nothing was added.
+    NotAdded,
+    /// No answer in time: the amount may have been added, or may yet be.
+    Unknown,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -193,6 +207,11 @@
     Ended(Ending),
     Left(TxnId),
     Due(TimerId),
+    /// The answer to a `Count`; answers for one name come in the order of the calls.
+    Counted {
+        name: CountName,
+        counted: Counted,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -219,4 +238,10 @@
         timer: TimerId,
     },
     Watch,
+    /// Add `step` units to the shared counter's `name`, which a new name keeps for `forget_after`.
+    Count {
+        name: CountName,
+        step: f64,
+        forget_after: Tenths,
+    },
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,10 +27,26 @@
 
 #[derive(Clone, Debug)]
 pub enum ToTill {
-    Ask { txn: TxnId, customer: CustomerId, plan: PlanId, width: u32, cost: f64, again: bool },
+    Ask { txn: TxnId, customer: CustomerId, plan: PlanId, width: u32, cost: f64, again: bool, chance: f64 },
     Returned { customer: CustomerId, cost: f64 },
     Opened(CustomerId),
     Closed { customer: CustomerId, metered: Option<f64>, owed: f64 },
+    Counted { name: CountName, counted: Counted },
+}
+
+/// A first try held for the shared counter's total, in the order of the calls for its name.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// None for a call that gives back what was not let in: its answer is of no use.
+    pub txn: Option<TxnId>,
+    pub customer: CustomerId,
+    pub plan: PlanId,
+    pub width: f64,
+    pub cost: f64,
+    pub again: bool,
+    /// Drawn at arrival, for a slice that is short of the cost.
+    pub chance: f64,
+    pub window: i64,
 }
 
 // For one submission.
@@ -121,6 +137,10 @@
     pub reading: f64,
     pub read_at: Option<Tenths>,
     pub reviewed: Tenths,
+    /// The customer's counter window last heard of, its total and the total of the one before, in units.
+    pub window: i64,
+    pub window_total: f64,
+    pub before_total: f64,
 }
 
 /// How long a product's answers take at this door.
@@ -150,4 +170,10 @@
     pub inbox: VecDeque<ToTill>,
     pub accounts: BTreeMap<CustomerId, Account>,
     pub swept: Tenths,
+    /// Calls out to the shared counter, and the calls to make.
+    pub held: BTreeMap<CountName, VecDeque<Held>>,
+    pub calls: Vec<Action>,
+    /// After a call that failed the counter is left alone until then, for twice as long each time.
+    pub quiet_until: Tenths,
+    pub quiet_for: Tenths,
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -57,6 +57,7 @@
             cold: ColdFigures { from: 0.25, ramp_time: Tenths(100_000) },
             meter_period: Tenths(5_000),
             ask_within: None,
+            counter: None,
         };
         let (products, plans, names) = (Vec::new(), Vec::new(), Vec::new());
         let (out, tries) = (Vec::new(), HashMap::new());
@@ -275,6 +276,7 @@
             Action::Void { txn } => format!("void {}", txn.0),
             Action::Watch => "watch".to_owned(),
             Action::Wake { after, timer } => format!("wake {} after {}", timer.0, after.0 / 10),
+            Action::Count { name, step, .. } => format!("count {} {step}", name.0),
         }
     }
 }
--- a/told/src/lib.rs
+++ b/told/src/lib.rs
@@ -168,6 +168,9 @@
         },
         meter_period: options.time("family_info.use_period")?,
         ask_within: on_request.then_some(options.time("rules.ask_within")?),
+        counter: options
+            .flag("family_info.shared_counter")?
+            .then_some(options.time("family_info.count_wait")?),
     };
     Ok((start, named))
 }
