--- a/benchlink/tests/transcript.rs
+++ b/benchlink/tests/transcript.rs
@@ -73,3 +73,43 @@
         assert!(["", "EOR\n"].contains(&String::from_utf8_lossy(&output.stdout).as_ref()));
     }
 }
+
+#[test]
+fn calls_the_counter_and_hears_its_answers_where_the_settings_allow_it() {
+    // Eight doors share a customer of a plan whose burst of 1 cannot hold a txn of 1 at any of them.
+    let start = START
+        .replace("LAUNCH init_seed=5 balancers=1", "LAUNCH init_seed=5 balancers=8")
+        .replace("odd.key=3", "family_info.shared_counter=true family_info.count_wait=80.0");
+    let ask = TXNS.replace("width=1", "width=8");
+    let call = |output: &Output| {
+        let replies = String::from_utf8(output.stdout.clone()).expect("text");
+        let calls: Vec<_> =
+            replies.lines().filter(|line| line.starts_with("INCR ")).map(str::to_owned).collect();
+        (replies, calls)
+    };
+    let (replies, calls) = call(&play(&format!("{start}{ask}")));
+    assert_eq!(calls.len(), 2, "one call for each first try: {replies}");
+    assert!(
+        calls.iter().all(|line| line.contains(" step=1 ") && line.contains("forget_after=")),
+        "{calls:?}"
+    );
+    assert!(!replies.contains("TRANSMIT") && !replies.contains("DECLINE"), "held for the answers: {replies}");
+    let name = calls[0].split(' ').find_map(|field| field.strip_prefix("name=")).expect("a name");
+
+    // The window holds the rate times its span, 1 unit: the first goes, the second does not.
+    let answers = format!(
+        "SYNC t=106\nON door=door_0\nCOUNTER_REPLY result_value=1 name={name} state_code=0 delay_seen=1.5\n\
+         COUNTER_REPLY result_value=2 name={name} state_code=0 delay_seen=1.5\nEOF_BATCH\n"
+    );
+    let output = play(&format!("{start}{ask}{answers}"));
+    let (replies, calls) = call(&output);
+    assert!(replies.contains("TRANSMIT txn=9 "), "{replies}");
+    assert!(replies.contains("DECLINE txn=10"), "{replies}");
+    assert!(!calls.iter().any(|line| line.contains("step=-")), "the first took all the room: {calls:?}");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+
+    // Without the counter the same day asks nothing of it.
+    let (_, calls) =
+        call(&play(&format!("{}{ask}", start.replace("shared_counter=true", "shared_counter=false"))));
+    assert!(calls.is_empty());
+}
