--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -268,7 +268,7 @@
         let free = TcpListener::bind("127.0.0.1:0").and_then(|free| free.local_addr()).expect("a free port");
         let known: Vec<_> = backends.iter().map(|backend| backend.entry("SERVING")).collect();
         let plan = |name: &str, rate: f64| json!({"name": name, "rate": rate, "store_size": 2.0, "value_factor": 1.0, "excess_cost": 1.0});
-        let commission = json!({
+        let mut commission = json!({
             "name": "n0", "listen": free.to_string(), "discovery": agent.address.to_string(), "seed": "8c1f",
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "counter": "127.0.0.1:1",
@@ -284,7 +284,6 @@
                 "rules": {"cold_from": 0.2, "ramp_time": 1000.0}
             }
         });
-        let mut commission = commission;
         change(&mut commission);
         let (mut command, path) = program(Some(&commission.to_string()), descriptors);
         let mut child = command.spawn().expect("the program starts");
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -574,9 +574,7 @@
                 }
                 let verdict = account.ask(cost, again, figures, short.then_some(chance));
                 self.sweep(now, told);
-                return Some(
-                    verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn)),
-                );
+                return Some(answer(txn, verdict));
             }
             ToTill::Counted { name, counted } => {
                 let held = self.held.get_mut(&name).and_then(VecDeque::pop_front)?;
@@ -610,9 +608,7 @@
                         account.ask(held.cost, held.again, figures, Some(held.chance))
                     }
                 };
-                return Some(
-                    verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn)),
-                );
+                return Some(answer(txn, verdict));
             }
             ToTill::Returned { customer, cost } => {
                 let account = self.known(customer, now, told)?;
@@ -783,16 +779,19 @@
             (self.window, self.window_total) = (held.window, 0.0);
         }
         let same = held.window == self.window;
-        self.window_total = if same { self.window_total.max(total) } else { self.window_total };
+        if same {
+            self.window_total = self.window_total.max(total);
+        }
         // What was asked beyond the quota then was not let through.
         let before = if same { self.before_total.min(allowed) * (1.0 - through) } else { 0.0 };
         if total + before + f64::from(u8::from(held.again)) * held.cost > allowed + 1e-9 {
             return Err(());
         }
+        // As a slice that had the tokens: no debt beyond what it had.
+        let least = self.tokens.min(0.0);
         self.ceiling -= held.cost;
-        self.let_since += held.cost;
-        self.tokens = (self.tokens - held.cost).max(self.tokens.min(0.0));
-        self.unclaimed -= held.cost;
+        self.spend(held.cost);
+        self.tokens = self.tokens.max(least);
         Ok(())
     }
 
@@ -803,6 +802,10 @@
     }
 }
 
+fn answer(txn: TxnId, verdict: Result<(), Option<Tenths>>) -> ToDesk {
+    verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn))
+}
+
 /// A customer's bucket drains in burst over rate: over a window as long, the rate alone bounds the total.
 fn count_span(plan: &Plan) -> Option<Tenths> {
     let span = (plan.burst / plan.rate).clamp(COUNT_SPAN.0, COUNT_SPAN.1);
--- a/tests/counting.rs
+++ b/tests/counting.rs
@@ -63,6 +63,20 @@
     Event::Listing((0..4).map(backend).collect())
 }
 
+/// A first try of `customer` through all its doors, with 2 s to wait.
+fn arrival(txn: u64, customer: u64, cost: f64, at: Tenths) -> Arrival {
+    Arrival {
+        txn: TxnId(txn),
+        product: ProductId(0),
+        customer: CustomerId(customer),
+        plan: PlanId(0),
+        width: DOORS,
+        cost,
+        expiry: at + Tenths(20_000),
+        again: false,
+    }
+}
+
 struct Fleet {
     doors: Vec<Door>,
     counter: Counter,
@@ -136,16 +150,7 @@
         while now < Tenths(SECONDS * 10_000) {
             txn += 1;
             let door = (txn % u64::from(DOORS)) as usize;
-            let arrival = Arrival {
-                txn: TxnId(txn),
-                product: ProductId(0),
-                customer: CustomerId(77),
-                plan: PlanId(0),
-                width: DOORS,
-                cost: (1 + txn * 5 % 8) as f64,
-                expiry: now + Tenths(20_000),
-                again: false,
-            };
+            let arrival = arrival(txn, 77, (1 + txn * 5 % 8) as f64, now);
             self.costs.insert(arrival.txn, arrival.cost);
             self.batch(door, now, vec![Event::Arrived(arrival)]);
             // The counter's answer comes a little later, in the door's next batch.
@@ -194,16 +199,7 @@
 fn a_silent_counter_is_left_alone_after_its_first_failures() {
     let mut door = Door::start(start(0, Counter::Answers));
     door.decide(Tenths(0), vec![listing()]);
-    let arrival = |txn, at| Arrival {
-        txn: TxnId(txn),
-        product: ProductId(0),
-        customer: CustomerId(5),
-        plan: PlanId(0),
-        width: DOORS,
-        cost: 1.0,
-        expiry: at + Tenths(20_000),
-        again: false,
-    };
+    let arrival = |txn, at| arrival(txn, 5, 1.0, at);
     let calls =
         |actions: &[Action]| actions.iter().filter(|action| matches!(action, Action::Count { .. })).count();
     let first = door.decide(Tenths(10), vec![Event::Arrived(arrival(1, Tenths(10)))]);
