Pace the counter's calls by chance at each door, and weigh a first try in doubt by its worth

All doors that met the line rested for the same ten waits (Till::hear, quiet_until and quiet_for, no random part) and came back in the same moment; while they rested, the slice's chance declined 97 of 100 first tries it could not hold, 34 to 49% of all tries with half of the quota unused.

Ruled out: the counter turning calls away (1%), its latency at rest (4 ms), pressing (below 5% of the tries but in the lost zone).

Now each door draws whether a try calls, halves that share at each failed or slow answer (half the wait: a line shows before it times out) and lets it come back over 4 s; a marked repeat and a txn whose window is known to be full call no more. A first try left without an answer goes in where the part of its plan's counted tries that fit, corrected by the part that is answered, makes it worth more than it costs. With a current reading of the meter a txn that no slice can hold is not let in on debt: such customers are the busiest, and the counter never heard of it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,9 +19,7 @@
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::{Hash, Hasher};
 
 // Figures without a site of their own; docs/results.md and the journal have what else was tried.
 /// Seconds over a few meter readings, so that one reading moves a slice little.
@@ -61,15 +59,17 @@
 const COPY_DEPTH: f64 = 12.0;
 /// Seconds of a counter window: longer than a call takes; two and a spare inside a name's 60 s of life.
 const COUNT_SPAN: (f64, f64) = (1.0, 25.0);
-/// Calls that fail may take this part of a txn's time, and no longer than a backend's rest in all.
-const COUNT_QUIET: f64 = 10.0;
+/// Of a call's wait: an answer later than that tells of a line at the counter.
+const COUNT_LINE: f64 = 0.5;
+/// Seconds in which calls held back for the counter's sake come back.
+const COUNT_BACK: f64 = 4.0;
+/// What one counted first try weighs in the part of a plan's that fit.
+const COUNT_WEIGHT: f64 = 0.1;
 
 pub struct Door {
     told: Start,
     now: Tenths,
-    draws: u64,
-    /// For the till alone, so that the draws for backends stay as they were.
-    luck: SmallRng,
+    chance: SmallRng,
     desk: Desk,
     till: Till,
     yard: BTreeMap<BackendId, Backend>,
@@ -85,11 +85,13 @@
         let norms = told.products.iter().map(|product| guess(product.sla_time.seconds() / 4.0)).collect();
         let desk =
             Desk { norms, rated_at: told.at, counted_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
-        let till = Till { swept: told.at, ..Till::default() };
+        let fits = vec![0.5; told.plans.len()];
+        let till =
+            Till { swept: told.at, paced: told.at, calling: 1.0, answered: 1.0, fits, ..Till::default() };
         let (now, yard) = (told.at, BTreeMap::new());
         let (posted, stirring, actions) = (VecDeque::new(), BTreeSet::new(), Vec::new());
-        let luck = SmallRng::seed_from_u64(told.seed.rotate_left(32));
-        let mut door = Door { now, told, desk, till, yard, posted, stirring, draws: 0, luck, actions };
+        let chance = SmallRng::seed_from_u64(told.seed);
+        let mut door = Door { now, told, desk, till, yard, posted, stirring, chance, actions };
         door.watch();
         door
     }
@@ -160,19 +162,12 @@
         let warm_rate = rate / size;
         let patience = self.desk.patience();
         // The random part keeps doors that rested a backend together from returning to it together.
-        let rest = REST.times(1.0 + 0.5 * self.chance());
+        let rest = REST.times(1.0 + 0.5 * self.chance.random::<f64>());
         for id in std::mem::take(&mut self.stirring) {
             self.post(id, ToBackend::Tick { patience, warm_rate, rest });
         }
     }
 
-    fn chance(&mut self) -> f64 {
-        self.draws += 1;
-        let mut hasher = DefaultHasher::new();
-        (self.told.seed, self.draws).hash(&mut hasher);
-        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// Backends first, then the till, so that the desk never acts on a board that is behind.
     fn settle_mail(&mut self) {
         loop {
@@ -242,7 +237,7 @@
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
         } else {
-            let chance = self.luck.random::<f64>();
+            let chance = self.chance.random::<f64>();
             self.till.inbox.push_back(ToTill::Ask { txn: id, customer, plan, width, cost, again, chance });
         }
     }
@@ -339,7 +334,7 @@
 
     /// One draw at random, odds in step with room; false where no backend may take the txn.
     fn submit(&mut self, id: TxnId) -> bool {
-        let chance = self.chance();
+        let chance = self.chance.random::<f64>();
         let Some(txn) = self.desk.txns.get_mut(&id) else {
             return false;
         };
@@ -556,24 +551,34 @@
             ToTill::Ask { txn, customer, plan, width, cost, again, chance } => {
                 let figures = &told.plans[plan.0];
                 let width = f64::from(if width == 0 { told.doors.max(1) } else { width });
+                self.sweep(now, told);
                 let account =
                     self.accounts.entry(customer).or_insert_with(|| Account::new(plan, width, now, told));
                 // A width that grows must not leave this door with more than its part of a ceiling.
                 account.width = width;
                 account.refill(now, figures, told);
-                // Over many doors a slice's burst is less than a txn, and where no meter tells of the others
-                // the total of all doors decides, if the counter can be asked.
-                let short = told.counter.is_some() && figures.burst / width < cost && !account.current(now);
+                // Over many doors a slice's burst is less than a txn: there the customer's window decides, and
+                // where no meter tells of the others the counter is asked for it, once and not for repeats.
+                let slim = told.counter.is_some() && figures.burst / width < cost;
                 let ceiling_holds = figures.ceiling_rate <= 0.0 || account.ceiling >= cost;
-                let fits = figures.open_at_once <= 0.0 && ceiling_holds && now >= self.quiet_until;
-                if let Some(span) = count_span(figures).filter(|_| short && fits) {
-                    let window = now.0.div_euclid(span.0);
-                    let held = Held { txn: Some(txn), customer, plan, width, cost, again, chance, window };
+                let windowed = slim && ceiling_holds && figures.open_at_once <= 0.0;
+                let Some(span) = count_span(figures).filter(|_| windowed) else {
+                    return Some(answer(txn, account.ask(cost, again, figures)));
+                };
+                let (window, asked) = (now.0.div_euclid(span.0), now);
+                let held = Held { txn: Some(txn), customer, plan, width, cost, window, asked };
+                let full =
+                    account.window == window && account.window_total + cost > figures.rate * span.seconds();
+                let open = !(again || full || account.current(now));
+                let fits = open && self.fits[plan.0] > fair_odds(figures);
+                let gap = (now - std::mem::replace(&mut self.paced, now)).seconds();
+                self.calling = 1.0 - (1.0 - self.calling) * (-gap / COUNT_BACK).exp();
+                if open && chance < self.calling {
                     self.call(held, cost, span);
                     return None;
                 }
-                let verdict = account.ask(cost, again, figures, short.then_some(chance));
-                self.sweep(now, told);
+                self.answered -= COUNT_WEIGHT * f64::from(u8::from(open)) * self.answered;
+                let verdict = account.let_in(cost, fits).map_err(|()| Some(held.turns(span) - now));
                 return Some(answer(txn, verdict));
             }
             ToTill::Counted { name, counted } => {
@@ -582,32 +587,35 @@
                     self.held.remove(&name);
                 }
                 let (figures, txn) = (&told.plans[held.plan.0], held.txn?);
+                let span = count_span(figures)?;
                 let new = || Account::new(held.plan, held.width, now, told);
                 let account = self.accounts.entry(held.customer).or_insert_with(new);
                 account.refill(now, figures, told);
-                let verdict = match (counted, count_span(figures)) {
-                    (Counted::Total(total), Some(span)) => {
-                        self.quiet_for = Tenths(0);
-                        let turns = Tenths((held.window + 1) * span.0);
-                        let allowed = figures.rate * span.seconds();
-                        let through = 1.0 - (turns - now).seconds() / span.seconds();
-                        let verdict = account.counted(&held, total, through.clamp(0.0, 1.0), allowed);
-                        // What did not fit, though there was room before it, leaves that room to smaller ones.
-                        if verdict.is_err() && total - held.cost < allowed {
-                            self.call(Held { txn: None, ..held }, -held.cost, span);
-                        }
-                        verdict.map_err(|()| Some(turns - now))
-                    }
-                    // Crowded or silent: the slice decides; silent, it is left alone a while, as a call costs the wait.
-                    _ => {
-                        if counted == Counted::Unknown {
-                            let least = told.counter.unwrap_or_default().times(COUNT_QUIET);
-                            self.quiet_for = self.quiet_for.times(2.0).clamp(least, REST.max(least));
-                            self.quiet_until = now + self.quiet_for;
-                        }
-                        account.ask(held.cost, held.again, figures, Some(held.chance))
-                    }
+                let line = told.counter.unwrap_or_default().times(COUNT_LINE);
+                if counted == Counted::NotAdded || now - held.asked > line {
+                    self.calling *= 0.5;
+                }
+                let allowed = figures.rate * span.seconds();
+                let fits = &mut self.fits[held.plan.0];
+                let mut given_back = false;
+                self.answered -= COUNT_WEIGHT * self.answered;
+                let room = if let Counted::Total(total) = counted {
+                    self.answered += COUNT_WEIGHT;
+                    (account.window, account.window_total) = (held.window, total);
+                    let room = total <= allowed + 1e-9;
+                    // Where many go uncounted, a total is that much less than what was asked for.
+                    let fair = total <= allowed * self.answered + 1e-9;
+                    *fits += COUNT_WEIGHT * (f64::from(u8::from(fair)) - *fits);
+                    // What did not fit, though there was room before it, leaves that room to smaller ones.
+                    given_back = !room && total - held.cost < allowed;
+                    room
+                } else {
+                    *fits > fair_odds(figures)
                 };
+                let verdict = account.let_in(held.cost, room).map_err(|()| Some(held.turns(span) - now));
+                if given_back {
+                    self.call(Held { txn: None, ..held }, -held.cost, span);
+                }
                 return Some(answer(txn, verdict));
             }
             ToTill::Returned { customer, cost } => {
@@ -726,9 +734,7 @@
         }
     }
 
-    /// `luck`, where the counter lets other doors in against the whole quota: a slice short of the cost lets
-    /// it in only as often as it has the tokens for, by the chance drawn, and no debt sums past the quota.
-    fn ask(&mut self, cost: f64, again: bool, plan: &Plan, luck: Option<f64>) -> Result<(), Option<Tenths>> {
+    fn ask(&mut self, cost: f64, again: bool, plan: &Plan) -> Result<(), Option<Tenths>> {
         // The next try may come through any of the customer's doors: some other one has refilled sooner.
         self.asked += cost / SURGE_SPAN;
         // A repeat counts from its first try and often comes past the SLA time, so it must find more left.
@@ -740,11 +746,7 @@
         }
         // A slice below one txn's cost would never admit it, and one little above it seldom: a fair part of a
         // full one is enough, the rest is debt.
-        let needed = match luck {
-            Some(chance) if self.tokens < cost && chance * cost < self.tokens => self.tokens,
-            Some(_) => cost,
-            None => cost.min(ENOUGH * plan.burst * self.slice),
-        } * (1.0 + again);
+        let needed = cost.min(ENOUGH * plan.burst * self.slice) * (1.0 + again);
         // Against declining what fits: a quota mostly unclaimed is lent from, down to what is kept against
         // the cost of being wrong. It leaves the slice in no debt.
         let beyond = plan.beyond_cost - plan.beyond_worth;
@@ -770,27 +772,14 @@
         Ok(())
     }
 
-    /// The counter's window holds the plan's rate times its span; what the window before held counts for the
-    /// part of it that is still within one span, as a bucket drained for as long would have refilled the rest.
-    /// `through`: the part of the window gone; `allowed`: the units it holds.
-    fn counted(&mut self, held: &Held, total: f64, through: f64, allowed: f64) -> Result<(), ()> {
-        if held.window > self.window {
-            self.before_total = if held.window == self.window + 1 { self.window_total } else { 0.0 };
-            (self.window, self.window_total) = (held.window, 0.0);
-        }
-        let same = held.window == self.window;
-        if same {
-            self.window_total = self.window_total.max(total);
-        }
-        // What was asked beyond the quota then was not let through.
-        let before = if same { self.before_total.min(allowed) * (1.0 - through) } else { 0.0 };
-        if total + before + f64::from(u8::from(held.again)) * held.cost > allowed + 1e-9 {
+    /// By the customer's window, not the slice, which is left in no more debt than it had.
+    fn let_in(&mut self, cost: f64, room: bool) -> Result<(), ()> {
+        if !room {
             return Err(());
         }
-        // As a slice that had the tokens: no debt beyond what it had.
         let least = self.tokens.min(0.0);
-        self.ceiling -= held.cost;
-        self.spend(held.cost);
+        self.ceiling -= cost;
+        self.spend(cost);
         self.tokens = self.tokens.max(least);
         Ok(())
     }
@@ -806,6 +795,12 @@
     verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn))
 }
 
+/// The part of a plan's first tries that must fit for one in doubt to be worth more than it costs.
+fn fair_odds(plan: &Plan) -> f64 {
+    let beyond = (plan.beyond_cost - plan.beyond_worth).max(0.0);
+    beyond / (1.0 + beyond)
+}
+
 /// A customer's bucket drains in burst over rate: over a window as long, the rate alone bounds the total.
 fn count_span(plan: &Plan) -> Option<Tenths> {
     let span = (plan.burst / plan.rate).clamp(COUNT_SPAN.0, COUNT_SPAN.1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,10 +43,15 @@
     pub plan: PlanId,
     pub width: f64,
     pub cost: f64,
-    pub again: bool,
-    /// Drawn at arrival, for a slice that is short of the cost.
-    pub chance: f64,
     pub window: i64,
+    pub asked: Tenths,
+}
+
+impl Held {
+    /// When its window ends.
+    pub fn turns(&self, span: Tenths) -> Tenths {
+        Tenths((self.window + 1) * span.0)
+    }
 }
 
 // For one submission.
@@ -137,10 +142,9 @@
     pub reading: f64,
     pub read_at: Option<Tenths>,
     pub reviewed: Tenths,
-    /// The customer's counter window last heard of, its total and the total of the one before, in units.
+    /// The customer's counter window last heard of and its total, in units.
     pub window: i64,
     pub window_total: f64,
-    pub before_total: f64,
 }
 
 /// How long a product's answers take at this door.
@@ -173,7 +177,11 @@
     /// Calls out to the shared counter, and the calls to make.
     pub held: BTreeMap<CountName, VecDeque<Held>>,
     pub calls: Vec<Action>,
-    /// After a call that failed the counter is left alone until then, for twice as long each time.
-    pub quiet_until: Tenths,
-    pub quiet_for: Tenths,
+    /// The part of the asks that call the counter: halved by each call that fails or waits in a line, back to
+    /// all of them with time, as it stood then.
+    pub calling: f64,
+    pub paced: Tenths,
+    /// The part of the asks that the counter answered lately, and for each plan the part that then fit.
+    pub answered: f64,
+    pub fits: Vec<f64>,
 }
