Space out calls to discovery where lists cost, and leave it in peace when it turns one away

Now, where the settings say that lists come only on request, a watch waits one to two times the time within which a door must ask, at random; a call turned away is made again after a random part of 0.4 of that time, doubling up to twice it, as a watch from the version held, not for the whole list. Pushed lists are watched as before, and a lost or silent agent is asked as before. The times are worked out in frontdoor/src/recall.rs, which does no I/O.

--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::book::{Count, Entry as Held};
 use crate::note::{Note, Told};
+use crate::recall::{PAUSE, Recall};
 use crate::shared::Shared;
 use futures_util::{SinkExt, StreamExt};
 use serde::Deserialize;
@@ -16,12 +17,16 @@
 use vanewharf::interface::{BackendId, GroupId, Listed, PlaceId, Standing, Tenths};
 use vanewharf_frames::{Outward, PassedOn, Request};
 
-/// How long a watch may wait. Short, so that an agent gone silent is soon asked anew.
-const WAIT: Duration = Duration::from_secs(2);
 /// For an answer that is due, and for a connection to the agent.
 const PATIENCE: Duration = Duration::from_millis(500);
-/// Between two calls where the first failed or told nothing at once; within the time in which the next call must come.
-const PAUSE: Duration = Duration::from_millis(100);
+
+/// Why a call gave no list.
+enum Failure {
+    /// An answer other than 200: discovery is there and takes no more calls.
+    TurnedAway,
+    /// Changes may have passed unseen, so the whole list comes next.
+    Lost(&'static str),
+}
 
 /// A list or a change of it, in its published form.
 #[derive(Debug, Deserialize)]
@@ -63,6 +68,7 @@
     /// An id is given once, so that what is told late of one that is gone never falls to another.
     named: u32,
     places: HashMap<String, PlaceId>,
+    recall: Recall,
 }
 
 type Connection = Framed<TcpStream, Outward>;
@@ -73,9 +79,10 @@
         agents: watch::Receiver<SocketAddr>,
         shared: Rc<Shared>,
         known: Published,
+        recall: Recall,
     ) -> (Discovery, Told) {
         let (backends, places) = Default::default();
-        let mut discovery = Discovery { agents, shared, index: 0, backends, named: 0, places };
+        let mut discovery = Discovery { agents, shared, index: 0, backends, named: 0, places, recall };
         let told = discovery.told(known);
         (discovery, told)
     }
@@ -165,6 +172,7 @@
         match self.call(connection, *whole).await {
             Ok(published) => {
                 self.shared.book.count(Count::Lists);
+                self.recall.answered();
                 if std::mem::take(whole) {
                     tracing::info!("discovery gives the whole list again");
                 }
@@ -176,29 +184,41 @@
                     tokio::time::sleep(PAUSE).await;
                 }
             }
-            Err(reason) => {
+            Err(failure) => {
                 self.shared.book.count(Count::ListFailures);
-                *connection = None;
-                // Once for each outage, not for each call: a full log would hold up the door.
-                if !std::mem::replace(whole, true) {
-                    tracing::info!(reason, "discovery gives no list");
-                }
-                tokio::time::sleep(PAUSE).await;
+                let pause = match failure {
+                    // What the next watch is told starts from the version that this door has: nothing is missed.
+                    Failure::TurnedAway => {
+                        tracing::debug!("discovery takes no more calls");
+                        self.recall.away()
+                    }
+                    Failure::Lost(reason) => {
+                        *connection = None;
+                        // Once for each outage, not for each call: a full log would hold up the door.
+                        if !std::mem::replace(whole, true) {
+                            tracing::info!(reason, "discovery gives no list");
+                        }
+                        PAUSE
+                    }
+                };
+                tokio::time::sleep(pause).await;
             }
         }
     }
 
     async fn call(
-        &self,
+        &mut self,
         kept: &mut Option<(Connection, Held)>,
         whole: bool,
-    ) -> Result<Published, &'static str> {
+    ) -> Result<Published, Failure> {
+        let lost = Failure::Lost;
         let address = *self.agents.borrow();
         let (connection, _) = match kept {
             Some(kept) => kept,
             None => {
                 let stream = timeout(PATIENCE, TcpStream::connect(address)).await;
-                let stream = stream.map_err(|_| "no connection in time")?.map_err(|_| "no connection")?;
+                let stream = stream.map_err(|_| lost("no connection in time"))?;
+                let stream = stream.map_err(|_| lost("no connection"))?;
                 let _ = stream.set_nodelay(true);
                 let held = Held::of(&self.shared.book, false);
                 kept.insert((Framed::new(stream, Outward::default()), held))
@@ -207,20 +227,22 @@
         let (target, patience) = if whole {
             ("/v1/servers".to_owned(), PATIENCE)
         } else {
-            (format!("/v1/servers?index={}&wait={}", self.index, WAIT.as_millis()), WAIT + PATIENCE)
+            let wait = self.recall.wait();
+            (format!("/v1/servers?index={}&wait={}", self.index, wait.as_millis()), wait + PATIENCE)
         };
         let request = Request::get(&address.to_string(), &target);
         let asked = async {
             connection.send(PassedOn { request: &request, anew: &[] }).await.ok()?;
             connection.next().await?.ok()
         };
-        let reply = timeout(patience, asked).await.map_err(|_| "silent")?.ok_or("connection broken")?;
-        if reply.status() != 200 {
-            return Err("an answer other than 200");
-        }
+        let reply = timeout(patience, asked).await.map_err(|_| lost("silent"))?;
+        let reply = reply.ok_or(lost("connection broken"))?;
         if reply.last() {
             *kept = None;
         }
-        serde_json::from_slice(reply.body()).map_err(|_| "a list that cannot be read")
+        if reply.status() != 200 {
+            return Err(Failure::TurnedAway);
+        }
+        serde_json::from_slice(reply.body()).map_err(|_| lost("a list that cannot be read"))
     }
 }
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod note;
 mod pool;
+mod recall;
 mod relay;
 mod route;
 mod send;
@@ -20,6 +21,7 @@
 use clock::Clock;
 use commission::Commission;
 use discovery::Discovery;
+use recall::Recall;
 use route::Route;
 use shared::Shared;
 use std::cell::{Cell, RefCell};
@@ -88,7 +90,8 @@
     let listener = listening().map_err(|error| because(&format!("cannot listen on {listen}"), error))?;
 
     let (agent, agents) = watch::channel(discovery);
-    let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), known);
+    let recall = Recall::new(start.ask_within, seed);
+    let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), known, recall);
     // The decisions call the counter only where the settings allow it and the platform names one.
     start.counter = start.counter.filter(|_| counter.is_some());
     let calls = match (counter, start.counter) {
--- a/frontdoor/tests/door.rs
+++ b/frontdoor/tests/door.rs
@@ -291,6 +291,23 @@
     assert_eq!(client.ask(&look()).status(), 503, "an empty list leaves nobody to send to");
 }
 
+#[test]
+fn a_discovery_that_turns_calls_away_is_left_in_peace_and_the_watch_goes_on_from_what_is_known() {
+    let (old, new) = (Backend::new("a", vec![ok("", "old")]), Backend::new("b", vec![ok("", "new")]));
+    let door = Door::start(&[&old]);
+    let mut client = door.client();
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=4&wait=2000 HTTP/1.1");
+    let ((), took) = timed(|| {
+        door.agent.lists.send(AWAY.to_owned()).expect("the agent runs");
+        assert_eq!(door.agent.call(), "GET /v1/servers?index=4&wait=2000 HTTP/1.1", "no whole list");
+    });
+    assert!(took >= Duration::from_millis(400), "asked again after {took:?}");
+    assert_eq!(client.ask(&look()).body, b"old", "the list it has stays in force");
+    door.agent.lists.send(list(5, false, &[old.entry("DRAINING"), new.entry("SERVING")])).expect("it runs");
+    assert_eq!(door.agent.call(), "GET /v1/servers?index=5&wait=2000 HTTP/1.1");
+    assert_eq!(client.ask(&look()).body, b"new");
+}
+
 #[test]
 fn asks_another_agent_once_its_file_names_one() {
     let (old, new) = (Backend::new("a", vec![Reaction::Silence]), Backend::new("b", vec![ok("", "new")]));
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -163,6 +163,7 @@
 /// In a list's place: the agent closes its connection, or waits until the door does.
 pub const CLOSE: &str = "close";
 pub const SILENCE: &str = "silence";
+pub const AWAY: &str = "away";
 
 /// Answers each call with the next list it is given.
 pub struct Agent {
@@ -196,7 +197,8 @@
                 SILENCE => return reader.read_to_end(&mut Vec::new()).ok().map(drop),
                 _ => {}
             }
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            let status = if body == AWAY { "503 Service Unavailable" } else { "200 OK" };
+            let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
             stream.write_all((head + &body).as_bytes()).ok()?;
         }
     }
