Draw a backend whose connection this door keeps with eight times the odds

The draw stays random in step with room; an idle backend that answered this door within the time for which connections are kept has eight times the odds, a cold one is left out, as its budget is the fleet's. The time is told by the one rule the pool keeps them by (vanewharf_told::kept). The give-back of counted units is told by the verdict, two lines shorter.

--- a/frontdoor/src/pool.rs
+++ b/frontdoor/src/pool.rs
@@ -22,10 +22,9 @@
 }
 
 impl Pool {
-    /// `closes`: when a backend closes an idle connection, at the latest. Most of it is kept clear
-    /// of, as a submission that crosses the close may have run, and a new connection costs little.
+    /// `closes`: when a backend closes an idle connection, at the latest.
     pub fn new(closes: Tenths) -> Pool {
-        let most_idle = if closes.0 > 0 { closes.times(0.25) } else { Tenths::SECOND };
+        let most_idle = vanewharf_told::kept(closes);
         Pool { peers: BTreeMap::new(), most_idle, told_idle: most_idle }
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,6 +50,8 @@
 const CROWD_ANSWERS: f64 = 5.0;
 /// Seconds of settling that tell the pace of the fleet.
 const SETTLE_SPAN: f64 = 2.0;
+/// A backend whose connection is kept has so much more room: a new one costs it work and the txn time.
+const KEPT_ODDS: f64 = 8.0;
 /// Long against an answer, short against a failure.
 const REST: Tenths = Tenths(80_000);
 /// One failure is chance, three with nothing settled between are not.
@@ -290,11 +292,11 @@
         let (answered, waiting) = (txn.answered, txn.submissions.iter().any(|submission| submission.out));
         self.till.inbox.push_back(ToTill::Closed { customer, metered: ending.metered, owed });
         let took = ending.took.seconds();
-        let relative = took / self.desk.norms[product.0].mean.max(1e-4);
+        let (relative, kept) = (took / self.desk.norms[product.0].mean.max(1e-4), self.told.kept);
         if settled {
             self.desk.learn(product, took, self.now);
         }
-        self.post(backend, ToBackend::Ended { txn: id, no, outcome: ending.outcome, relative });
+        self.post(backend, ToBackend::Ended { txn: id, no, outcome: ending.outcome, relative, kept });
         if answered || ending.complete {
             self.conclude(id);
         } else if !(waiting || self.may_resubmit(id) && self.submit(id)) {
@@ -385,7 +387,10 @@
     let out: f64 = open.iter().map(|(_, offer)| offer.out).sum();
     let strength: f64 = open.iter().map(|(_, offer)| offer.strength).sum();
     let limit = out + open.len() as f64;
+    // A cold one is held to its budget, not to its door's convenience.
+    let kept = |offer: &Offer| !offer.cold && offer.out < 1.0 && offer.kept_until > now;
     let room = |offer: &Offer| (offer.strength / strength * limit - offer.out).max(0.0);
+    let room = |offer: &Offer| room(offer) * if kept(offer) { KEPT_ODDS } else { 1.0 };
     let mut left = chance * open.iter().map(|(_, offer)| room(offer)).sum::<f64>();
     for (id, offer) in &open {
         left -= room(offer);
@@ -471,13 +476,14 @@
                 self.rated_at = now;
                 self.cold_credit -= work;
             }
-            ToBackend::Ended { txn, no, outcome, relative } => {
+            ToBackend::Ended { txn, no, outcome, relative, kept } => {
                 let Some(sent) = self.out.remove(&(txn, no)) else {
                     return;
                 };
                 match outcome {
                     Outcome::Settled => {
                         self.heard = now;
+                        self.kept_until = now + kept;
                         self.strikes *= 0.5;
                         self.on_trial = false;
                         self.pace += 0.1 * (relative.min(20.0) - self.pace);
@@ -541,6 +547,7 @@
             shut: (warmth < 1.0 && self.cold_credit <= 0.0) || tried,
             sent_rate: self.sent_rate,
             rated_at: self.rated_at,
+            kept_until: self.kept_until,
         }
     }
 }
@@ -597,7 +604,6 @@
                 }
                 let allowed = figures.rate * span.seconds();
                 let fits = &mut self.fits[held.plan.0];
-                let mut given_back = false;
                 self.answered -= COUNT_WEIGHT * self.answered;
                 let room = if let Counted::Total(total) = counted {
                     self.answered += COUNT_WEIGHT;
@@ -606,14 +612,14 @@
                     // Where many go uncounted, a total is that much less than what was asked for.
                     let fair = total <= allowed * self.answered + 1e-9;
                     *fits += COUNT_WEIGHT * (f64::from(u8::from(fair)) - *fits);
-                    // What did not fit, though there was room before it, leaves that room to smaller ones.
-                    given_back = !room && total - held.cost < allowed;
                     room
                 } else {
                     *fits > fair_odds(figures)
                 };
                 let verdict = account.let_in(held.cost, room).map_err(|()| Some(held.turns(span) - now));
-                if given_back {
+                // What did not fit, though there was room before it, leaves that room to smaller ones.
+                let had_room = matches!(counted, Counted::Total(total) if total - held.cost < allowed);
+                if had_room && verdict.is_err() {
                     self.call(Held { txn: None, ..held }, -held.cost, span);
                 }
                 return Some(answer(txn, verdict));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,6 +116,8 @@
     pub plans: Vec<Plan>,
     pub allowances: Allowances,
     pub cold: ColdFigures,
+    /// How long this door keeps an idle connection to a backend.
+    pub kept: Tenths,
     /// Zero: answers tell nothing of a customer's use.
     pub meter_period: Tenths,
     /// Where lists come only when asked for: how often the door must ask.
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,7 +11,7 @@
     Unlisted,
     Tick { patience: Tenths, warm_rate: f64, rest: Tenths },
     Sent { txn: TxnId, no: SubmissionNo, work: f64 },
-    Ended { txn: TxnId, no: SubmissionNo, outcome: Outcome, relative: f64 },
+    Ended { txn: TxnId, no: SubmissionNo, outcome: Outcome, relative: f64, kept: Tenths },
 }
 
 #[derive(Clone, Debug)]
@@ -90,6 +90,7 @@
     pub out: BTreeMap<(TxnId, SubmissionNo), Tenths>,
     pub stuck: f64,
     pub heard: Tenths,
+    pub kept_until: Tenths,
     pub since: Tenths,
     pub pace: f64,
     pub strikes: f64,
@@ -115,6 +116,7 @@
     pub shut: bool,
     pub sent_rate: f64,
     pub rated_at: Tenths,
+    pub kept_until: Tenths,
 }
 
 pub type Board = BTreeMap<BackendId, Offer>;
--- a/tests/counting.rs
+++ b/tests/counting.rs
@@ -45,13 +45,14 @@
             most_submissions: 2,
         },
         cold: ColdFigures { from: 1.0, ramp_time: Tenths(0) },
+        kept: Tenths(0),
         meter_period: Tenths(5_000),
         ask_within: None,
         counter: (counter != Counter::Absent).then_some(Tenths(800)),
     }
 }
 
-fn listing() -> Event {
+fn listing(backends: u32) -> Event {
     let backend = |id| Listed {
         backend: BackendId(id),
         standing: Standing::Ready,
@@ -60,7 +61,7 @@
         group: GroupId(0),
         booted: None,
     };
-    Event::Listing((0..4).map(backend).collect())
+    Event::Listing((0..backends).map(backend).collect())
 }
 
 /// A first try of `customer` through all its doors, with 2 s to wait.
@@ -94,7 +95,7 @@
     fn new(counter: Counter) -> Fleet {
         let mut doors: Vec<Door> = (0..DOORS).map(|door| Door::start(start(door, counter))).collect();
         for door in &mut doors {
-            door.decide(Tenths(0), vec![listing()]);
+            door.decide(Tenths(0), vec![listing(4)]);
         }
         let pending = vec![Vec::new(); DOORS as usize];
         let (totals, answered) = (HashMap::new(), BTreeMap::new());
@@ -252,7 +253,7 @@
 #[test]
 fn a_silent_counter_is_asked_ever_more_seldom_and_all_again_when_it_is_back() {
     let mut door = Door::start(start(0, Counter::Answers));
-    door.decide(Tenths(0), vec![listing()]);
+    door.decide(Tenths(0), vec![listing(4)]);
     let mut asked = |from: i64, counter: Counted, took: Tenths| {
         let mut made = 0;
         for txn in 0..20 {
@@ -275,7 +276,7 @@
 #[test]
 fn repeats_and_customers_whose_window_is_full_are_declined_without_a_call() {
     let mut door = Door::start(start(0, Counter::Answers));
-    door.decide(Tenths(0), vec![listing()]);
+    door.decide(Tenths(0), vec![listing(4)]);
     let at = |txn, again, now| Event::Arrived(Arrival { again, ..arrival(txn, 5, 2.0, now) });
     let repeat = door.decide(Tenths(10), vec![at(1, true, Tenths(10))]);
     assert_eq!(calls(&repeat), 0, "{repeat:?}");
@@ -291,3 +292,38 @@
     let later = door.decide(Tenths(170_000), vec![at(4, false, Tenths(170_000))]);
     assert_eq!(calls(&later), 1, "{later:?}");
 }
+
+/// The part of one door's txns, five a second over 40 backends, that go where an answer came less than 4 s ago.
+fn sent_to_known(kept: Tenths) -> f64 {
+    let mut door = Door::start(Start { kept, ..start(0, Counter::Absent) });
+    door.decide(Tenths(0), vec![listing(40)]);
+    let (mut settled, mut known): (HashMap<BackendId, Tenths>, u32) = (HashMap::new(), 0);
+    for txn in 0..400 {
+        let now = Tenths(txn * 2_000 + 10);
+        // A customer each, so that no quota is in the way.
+        let arrived = Event::Arrived(Arrival { width: 1, ..arrival(txn as u64, txn as u64, 1.0, now) });
+        let actions = door.decide(now, vec![arrived]);
+        let [Action::Submit { txn, backend, .. }] = actions[..] else {
+            panic!("sent at once, and nothing else: {actions:?}");
+        };
+        known += u32::from(settled.insert(backend, now).is_some_and(|at| now - at < Tenths(40_000)));
+        let ending = Ending {
+            txn,
+            no: SubmissionNo(0),
+            outcome: Outcome::Settled,
+            took: Tenths(500),
+            complete: true,
+            metered: None,
+            true_cost: None,
+        };
+        door.decide(now + Tenths(500), vec![Event::Ended(ending)]);
+    }
+    f64::from(known) / 400.0
+}
+
+#[test]
+fn a_backend_with_a_kept_connection_is_drawn_more_often_and_not_alone() {
+    let (without, with) = (sent_to_known(Tenths(0)), sent_to_known(Tenths(40_000)));
+    assert!(without < 0.5, "at random {without}");
+    assert!((0.65..0.98).contains(&with), "kept {with}");
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -55,6 +55,7 @@
             plans: Vec::new(),
             allowances,
             cold: ColdFigures { from: 0.25, ramp_time: Tenths(100_000) },
+            kept: Tenths(0),
             meter_period: Tenths(5_000),
             ask_within: None,
             counter: None,
--- a/told/src/lib.rs
+++ b/told/src/lib.rs
@@ -166,6 +166,7 @@
             from: options.number("rules.cold_from")?,
             ramp_time: options.time("rules.ramp_time")?,
         },
+        kept: kept(options.time("allowed.conn_idle")?),
         meter_period: options.time("family_info.use_period")?,
         ask_within: on_request.then_some(options.time("rules.ask_within")?),
         counter: options
@@ -203,6 +204,12 @@
     pub dial: Tenths,
 }
 
+/// For how long an idle connection is kept, where backends close theirs after `closes` at the latest. Most of it is kept
+/// clear of, as a submission that crosses the close may have run, and a new connection costs little.
+pub fn kept(closes: Tenths) -> Tenths {
+    if closes.0 > 0 { closes.times(0.25) } else { Tenths::SECOND }
+}
+
 pub fn lines(options: &Options) -> Result<Lines, Unreadable> {
     Ok(Lines { idle: options.time("allowed.conn_idle")?, dial: options.time("allowed.dial_timeout")? })
 }
