Answer the calls queued during a failed dial of the counter together with it

Now a dial that fails answers all that queued during it as not added. A test with a dial that never comes up, on the runtime's paused clock, holds each of five calls to one wait and fails without the change (400 ms).

--- a/frontdoor/src/counter.rs
+++ b/frontdoor/src/counter.rs
@@ -54,14 +54,23 @@
 pub async fn run(
     address: SocketAddr,
     wait: Tenths,
-    mut calls: mpsc::UnboundedReceiver<Call>,
+    calls: mpsc::UnboundedReceiver<Call>,
     shared: Rc<Shared>,
+) {
+    let tell = |name, counted| shared.tell(Note::Counted(name, counted));
+    serve(|| TcpStream::connect(address), wait, calls, tell).await;
+}
+
+async fn serve<D: Future<Output = std::io::Result<TcpStream>>>(
+    dial: impl Fn() -> D,
+    wait: Tenths,
+    mut calls: mpsc::UnboundedReceiver<Call>,
+    tell: impl Fn(CountName, Counted),
 ) {
     let wait = span(wait);
     let mut reader: Option<FramedRead<OwnedReadHalf, Resp2>> = None;
     let mut writer: Option<FramedWrite<OwnedWriteHalf, Resp2>> = None;
     let mut out: VecDeque<Out> = VecDeque::new();
-    let tell = |name, counted| shared.tell(Note::Counted(name, counted));
     loop {
         let due = out.iter().filter(|one| !one.told).map(|one| one.until).min();
         let answer = async {
@@ -76,7 +85,7 @@
                     return;
                 };
                 if writer.is_none() {
-                    match timeout(wait, TcpStream::connect(address)).await {
+                    match timeout(wait, dial()).await {
                         Ok(Ok(stream)) => {
                             let _ = stream.set_nodelay(true);
                             let (read, write) = stream.into_split();
@@ -85,6 +94,11 @@
                         }
                         _ => {
                             tell(call.name, Counted::NotAdded);
+                            // Those made meanwhile have waited as long: another dial each would hold their txns
+                            // one wait after the other.
+                            while let Ok(call) = calls.try_recv() {
+                                tell(call.name, Counted::NotAdded);
+                            }
                             continue;
                         }
                     }
@@ -121,3 +135,31 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::cell::RefCell;
+
+    const WAIT: Tenths = Tenths(800);
+
+    #[tokio::test(start_paused = true)]
+    async fn a_counter_that_takes_no_connection_holds_no_call_longer_than_one_wait() {
+        let (calls, taken) = mpsc::unbounded_channel();
+        let told = RefCell::new(Vec::new());
+        let began = Instant::now();
+        for name in 0..5 {
+            let call = Call { name: CountName(name), step: 1.0, forget_after: Tenths::SECOND };
+            assert!(calls.send(call).is_ok());
+        }
+        drop(calls);
+        let tell = |name, counted| told.borrow_mut().push((name, counted, began.elapsed()));
+        serve(std::future::pending, WAIT, taken, tell).await;
+        let told = told.into_inner();
+        assert_eq!(told.len(), 5, "{told:?}");
+        for (no, (name, counted, took)) in told.iter().enumerate() {
+            assert_eq!((*name, *counted), (CountName(no as u64), Counted::NotAdded));
+            assert!(*took < span(WAIT) + span(WAIT).div_f64(2.0), "{told:?}");
+        }
+    }
+}
