--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,7 +50,7 @@
 const CROWD_ANSWERS: f64 = 5.0;
 /// Seconds of settling that tell the pace of the fleet.
 const SETTLE_SPAN: f64 = 2.0;
-/// A backend whose connection is kept has so much more room: a new one costs it work and the txn time.
+/// A kept connection is so much more room, as a new one costs work and time; a cold backend keeps its budget.
 const KEPT_ODDS: f64 = 8.0;
 /// Long against an answer, short against a failure.
 const REST: Tenths = Tenths(80_000);
@@ -387,7 +387,6 @@
     let out: f64 = open.iter().map(|(_, offer)| offer.out).sum();
     let strength: f64 = open.iter().map(|(_, offer)| offer.strength).sum();
     let limit = out + open.len() as f64;
-    // A cold one is held to its budget, not to its door's convenience.
     let kept = |offer: &Offer| !offer.cold && offer.out < 1.0 && offer.kept_until > now;
     let room = |offer: &Offer| (offer.strength / strength * limit - offer.out).max(0.0);
     let room = |offer: &Offer| room(offer) * if kept(offer) { KEPT_ODDS } else { 1.0 };
@@ -564,12 +563,12 @@
                 // A width that grows must not leave this door with more than its part of a ceiling.
                 account.width = width;
                 account.refill(now, figures, told);
-                // Over many doors a slice's burst is less than a txn: there the customer's window decides, and
-                // where no meter tells of the others the counter is asked for it, once and not for repeats.
-                let slim = told.counter.is_some() && figures.burst / width < cost;
+                // Over many doors a slice's burst is less than a txn: the customer's window decides, and where
+                // no meter tells of the others the counter is asked for it, once and not for repeats.
+                let slim =
+                    told.counter.is_some() && figures.burst / width < cost && figures.open_at_once <= 0.0;
                 let ceiling_holds = figures.ceiling_rate <= 0.0 || account.ceiling >= cost;
-                let windowed = slim && ceiling_holds && figures.open_at_once <= 0.0;
-                let Some(span) = count_span(figures).filter(|_| windowed) else {
+                let Some(span) = count_span(figures).filter(|_| slim && ceiling_holds) else {
                     return Some(answer(txn, account.ask(cost, again, figures)));
                 };
                 let (window, asked) = (now.0.div_euclid(span.0), now);
@@ -585,7 +584,7 @@
                     return None;
                 }
                 self.answered -= COUNT_WEIGHT * f64::from(u8::from(open)) * self.answered;
-                let verdict = account.let_in(cost, fits).map_err(|()| Some(held.turns(span) - now));
+                let verdict = account.let_in(cost, fits, figures).map_err(|()| Some(held.turns(span) - now));
                 return Some(answer(txn, verdict));
             }
             ToTill::Counted { name, counted } => {
@@ -616,7 +615,8 @@
                 } else {
                     *fits > fair_odds(figures)
                 };
-                let verdict = account.let_in(held.cost, room).map_err(|()| Some(held.turns(span) - now));
+                let verdict =
+                    account.let_in(held.cost, room, figures).map_err(|()| Some(held.turns(span) - now));
                 // What did not fit, though there was room before it, leaves that room to smaller ones.
                 let had_room = matches!(counted, Counted::Total(total) if total - held.cost < allowed);
                 if had_room && verdict.is_err() {
@@ -778,9 +778,9 @@
         Ok(())
     }
 
-    /// By the customer's window, not the slice, which is left in no more debt than it had.
-    fn let_in(&mut self, cost: f64, room: bool) -> Result<(), ()> {
-        if !room {
+    /// By the window: the slice is left in no more debt than it had. Others may have used the ceiling.
+    fn let_in(&mut self, cost: f64, room: bool, plan: &Plan) -> Result<(), ()> {
+        if !room || plan.ceiling_rate > 0.0 && self.ceiling < cost {
             return Err(());
         }
         let least = self.tokens.min(0.0);
--- a/tests/counting.rs
+++ b/tests/counting.rs
@@ -321,6 +321,24 @@
     assert!(!in_doubt(BURST + 8.0), "none of the counted ones fit");
 }
 
+#[test]
+fn two_calls_out_for_one_customer_do_not_pass_its_ceiling() {
+    let mut told = start(0, Counter::Answers);
+    (told.plans[0].ceiling_rate, told.plans[0].ceiling_depth) = (4.0, 160.0);
+    let mut door = Door::start(told);
+    door.decide(Tenths(0), vec![listing(4)]);
+    // This door's part of the ceiling is four units; each txn alone is within it.
+    let now = Tenths(1_000_000);
+    let both = [1, 2].map(|txn| Event::Arrived(arrival(txn, 5, 3.0, now)));
+    let asked = door.decide(now, both.to_vec());
+    assert_eq!(calls(&asked), 2, "{asked:?}");
+    let told = counted(&asked, Counted::Total(6.0)).expect("it called");
+    let answers = door.decide(now + Tenths(20), vec![told.clone(), told]);
+    let sent = |action: &&Action| matches!(action, Action::Submit { .. });
+    assert_eq!(answers.iter().filter(sent).count(), 1, "{answers:?}");
+    assert!(answers.iter().any(|action| matches!(action, Action::Decline { .. })), "{answers:?}");
+}
+
 /// The part of one door's txns, five a second over 40 backends, that go where an answer came less than 4 s ago.
 fn sent_to_known(kept: Tenths) -> f64 {
     let mut door = Door::start(Start { kept, ..start(0, Counter::Absent) });
