--- a/src/decide.rs
+++ b/src/decide.rs
@@ -563,7 +563,7 @@
                 // A width that grows must not leave this door with more than its part of a ceiling.
                 account.width = width;
                 account.refill(now, figures, told);
-                // Over many doors a slice's burst is less than a txn: the customer's window decides, and where
+                // Over many doors a slice's burst is less than a txn: its customer's window decides; where
                 // no meter tells of the others the counter is asked for it, once and not for repeats.
                 let slim =
                     told.counter.is_some() && figures.burst / width < cost && figures.open_at_once <= 0.0;
