Take a txn's units by one method and ask after its ceiling by one

Read back, the change wrote again what the till had: Account::let_in repeated the end of Account::ask (ceiling, spend, floor of the debt), the Returned note undid the same by hand, and whether a txn passes its ceiling stood in three places. Account::take and Account::passes_ceiling now serve them.

--- a/frontdoor/src/counter.rs
+++ b/frontdoor/src/counter.rs
@@ -1,7 +1,7 @@
-//! The shared quota counter, over RESP2: `ADDGET NAME STEP LIFE` on one connection, the calls written one after
-//! another and answered in their order. Nothing here decides whether to call. A call left unanswered past the
-//! settings' wait is told as unknown (it may have been added, or may yet be), and its answer, when it comes, is
-//! read and dropped; a connection that ends leaves all it had unanswered unknown.
+//! The shared quota counter, over RESP2: `ADDGET NAME STEP LIFE` on one connection, the calls written one
+//! after another and answered in their order. Nothing here decides whether to call. A call left unanswered
+//! past the settings' wait is told as unknown (it may have been added, or may yet be), and its answer, when
+//! it comes, is read and dropped; a connection that ends leaves all it had unanswered unknown.
 
 use crate::clock::span;
 use crate::note::Note;
@@ -94,8 +94,8 @@
                         }
                         _ => {
                             tell(call.name, Counted::NotAdded);
-                            // Those made meanwhile have waited as long: another dial each would hold their txns
-                            // one wait after the other.
+                            // Those made meanwhile have waited as long: another dial each would hold their
+                            // txns one wait after the other.
                             while let Ok(call) = calls.try_recv() {
                                 tell(call.name, Counted::NotAdded);
                             }
--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -187,7 +187,8 @@
             Err(failure) => {
                 self.shared.book.count(Count::ListFailures);
                 let pause = match failure {
-                    // What the next watch is told starts from the version that this door has: nothing is missed.
+                    // What the next watch is told starts from the version that this door has: nothing is
+                    // missed.
                     Failure::TurnedAway => {
                         tracing::debug!("discovery takes no more calls");
                         self.recall.away()
--- a/frontdoor/src/recall.rs
+++ b/frontdoor/src/recall.rs
@@ -1,8 +1,8 @@
 //! When discovery is called, and when again after a call that failed. Nothing here calls it.
 //!
-//! Against doors that started together: each call of one is harmless, but where lists come only on request, all of
-//! them in one moment are more than discovery can answer, and again at each fixed pause after it. So waits and pauses
-//! there have a random part, and a call turned away is made again ever later.
+//! Against doors that started together: each call of one is harmless, but where lists come only on request,
+//! all of them in one moment are more than discovery can answer, and again at each fixed pause after it. So
+//! waits and pauses there have a random part, and a call turned away is made again ever later.
 
 use crate::clock::span;
 use rand::rngs::SmallRng;
@@ -10,15 +10,16 @@
 use std::time::Duration;
 use vanewharf::interface::Tenths;
 
-/// How long a watch may wait where lists are pushed to the agent and cost nothing: short, so that an agent gone silent
-/// is soon asked anew.
+/// How long a watch may wait where lists are pushed to the agent and cost nothing: short, so that an agent
+/// gone silent is soon asked anew.
 const WAIT: Duration = Duration::from_secs(2);
 /// The longest wait that an agent takes.
 const LONGEST: Duration = Duration::from_secs(60);
-/// Between two calls where the first failed or told nothing at once; within the time in which the next call must come.
+/// Between two calls where the first failed or told nothing at once; within the time in which the next call
+/// must come.
 pub const PAUSE: Duration = Duration::from_millis(100);
-/// Of the time within which a door must ask: the first pause after a call turned away, and the longest. A door whose
-/// call failed may take four times that time.
+/// Of the time within which a door must ask: the first pause after a call turned away, and the longest. A
+/// door whose call failed may take four times that time.
 const AWAY: (f64, f64) = (0.4, 2.0);
 
 pub struct Recall {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -567,8 +567,8 @@
                 // no meter tells of the others the counter is asked for it, once and not for repeats.
                 let slim =
                     told.counter.is_some() && figures.burst / width < cost && figures.open_at_once <= 0.0;
-                let ceiling_holds = figures.ceiling_rate <= 0.0 || account.ceiling >= cost;
-                let Some(span) = count_span(figures).filter(|_| slim && ceiling_holds) else {
+                let windowed = slim && !account.passes_ceiling(cost, figures);
+                let Some(span) = count_span(figures).filter(|_| windowed) else {
                     return Some(answer(txn, account.ask(cost, again, figures)));
                 };
                 let (window, asked) = (now.0.div_euclid(span.0), now);
@@ -624,11 +624,7 @@
                 }
                 return Some(answer(txn, verdict));
             }
-            ToTill::Returned { customer, cost } => {
-                let account = self.known(customer, now, told)?;
-                account.ceiling += cost;
-                account.spend(-cost);
-            }
+            ToTill::Returned { customer, cost } => self.known(customer, now, told)?.take(-cost, f64::MIN),
             ToTill::Opened(customer) => self.known(customer, now, told)?.open += 1.0,
             ToTill::Closed { customer, metered, owed } => {
                 let account = self.known(customer, now, told)?;
@@ -747,7 +743,7 @@
         let again = f64::from(u8::from(again));
         let others = (self.width - 1.0).max(1.0);
         let wait = |missing: f64, rate: f64| Some(Tenths::SECOND.times(missing / rate.max(1e-6) / others));
-        if plan.ceiling_rate > 0.0 && self.ceiling < cost {
+        if self.passes_ceiling(cost, plan) {
             return Err(wait(cost - self.ceiling, plan.ceiling_rate / self.width));
         }
         // A slice below one txn's cost would never admit it, and one little above it seldom: a fair part of a
@@ -772,22 +768,28 @@
         let weight = if self.mean_cost > 0.0 { 0.1 } else { 1.0 };
         self.mean_cost += weight * (cost - self.mean_cost);
         let least = if self.tokens < needed - 1e-9 { self.tokens.min(0.0) } else { f64::MIN };
-        self.ceiling -= cost;
-        self.spend(cost);
-        self.tokens = self.tokens.max(least);
+        self.take(cost, least);
         Ok(())
     }
 
     /// By the window: the slice is left in no more debt than it had. Others may have used the ceiling.
     fn let_in(&mut self, cost: f64, room: bool, plan: &Plan) -> Result<(), ()> {
-        if !room || plan.ceiling_rate > 0.0 && self.ceiling < cost {
+        if !room || self.passes_ceiling(cost, plan) {
             return Err(());
         }
-        let least = self.tokens.min(0.0);
+        self.take(cost, self.tokens.min(0.0));
+        Ok(())
+    }
+
+    /// A first submission's units, from the ceiling too; the slice is left with `least` at least.
+    fn take(&mut self, cost: f64, least: f64) {
         self.ceiling -= cost;
         self.spend(cost);
         self.tokens = self.tokens.max(least);
-        Ok(())
+    }
+
+    fn passes_ceiling(&self, cost: f64, plan: &Plan) -> bool {
+        plan.ceiling_rate > 0.0 && self.ceiling < cost
     }
 
     fn spend(&mut self, cost: f64) {
--- a/tests/counting.rs
+++ b/tests/counting.rs
@@ -1,8 +1,8 @@
 //! Many doors in one process around a stand-in for the shared quota counter: one customer asks three times
 //! its quota, spread evenly over all its doors, and what all doors let in together is held against what a
 //! bucket of the plan's burst and rate lets in. Without the counter each door's slice is below one txn, and
-//! the doors together let in far more: the cause the counter is called for. Beside it, what one door does as its
-//! calls fail, and which backends it draws.
+//! the doors together let in far more: the cause the counter is called for. Beside it, what one door does as
+//! its calls fail, and which backends it draws.
 
 use std::collections::{BTreeMap, HashMap};
 use vanewharf::decide::Door;
@@ -201,9 +201,9 @@
     assert!(fleet.admitted >= 0.5 * (BURST + RATE * SECONDS as f64), "admitted only {}", fleet.admitted);
 }
 
-/// The calls answered in each second, where all doors together ask for twice what the counter takes. Calls stand in one
-/// line, those that stand in it longer than the wait are told as silence, and it works on them all the same: what many
-/// doors do at once, each harmless alone.
+/// The calls answered in each second, where all doors together ask for twice what the counter takes. Calls
+/// stand in one line, those that stand in it longer than the wait are told as silence, and it works on them
+/// all the same: what many doors do at once, each harmless alone.
 fn answered_by_second(capacity: usize) -> Vec<u64> {
     let mut fleet = Fleet::new(Counter::Answers);
     let (mut txn, mut line, mut answered) = (0, 0, vec![0; 20]);
@@ -339,7 +339,8 @@
     assert!(answers.iter().any(|action| matches!(action, Action::Decline { .. })), "{answers:?}");
 }
 
-/// The part of one door's txns, five a second over 40 backends, that go where an answer came less than 4 s ago.
+/// The part of one door's txns, five a second over 40 backends, that go where an answer came less than 4 s
+/// ago.
 fn sent_to_known(kept: Tenths) -> f64 {
     let mut door = Door::start(Start { kept, ..start(0, Counter::Absent) });
     door.decide(Tenths(0), vec![listing(40)]);
--- a/told/src/lib.rs
+++ b/told/src/lib.rs
@@ -204,8 +204,9 @@
     pub dial: Tenths,
 }
 
-/// For how long an idle connection is kept, where backends close theirs after `closes` at the latest. Most of it is kept
-/// clear of, as a submission that crosses the close may have run, and a new connection costs little.
+/// For how long an idle connection is kept, where backends close theirs after `closes` at the latest. Most of
+/// it is kept clear of, as a submission that crosses the close may have run, and a new connection costs
+/// little.
 pub fn kept(closes: Tenths) -> Tenths {
     if closes.0 > 0 { closes.times(0.25) } else { Tenths::SECOND }
 }
