Let three doors keep a customer's quota where a slice is below a txn and doors may talk

Change: where doors may send each other words and a slice's burst is below the largest txn, three doors of the customer's set keep a third of the store each (the design's own bucket); a door asks one of them, drawn by chance, the next where no answer comes in a tenth of the SLA time, and after the last weighs the first try as it does without the counter's word. What is let in too late is given back. Ceilings stay even-split at the doors that send. The counter is asked also beside a current reading, for customers whose slice is below 0.15 of the largest txn and for all their txns; in doubt beside a reading a try is declined.

The door on sockets has no way for words yet: it tells the module that there are none.

--- a/benchlink/src/door.rs
+++ b/benchlink/src/door.rs
@@ -7,9 +7,10 @@
 use std::hash::{Hash, Hasher};
 use vanewharf::decide::Door;
 use vanewharf::interface::{
-    Action, Arrival, BackendId, CountName, Counted, CustomerId, Ending, Event, GroupId, Listed, Outcome,
-    PlaceId, Standing, SubmissionNo, TimerId, TxnId,
+    Action, Arrival, BackendId, CountName, Counted, CustomerId, DoorId, Ending, Event, GroupId, Listed,
+    Outcome, PlaceId, Standing, SubmissionNo, TimerId, TxnId,
 };
+use vanewharf::letter;
 use vanewharf_told::Named;
 
 #[derive(Default)]
@@ -66,6 +67,15 @@
     CustomerId(hasher.finish() & ((1 << 33) - 1))
 }
 
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digit = |byte: u8| char::from(byte).to_digit(16);
+    let pair = |pair: &[u8]| match *pair {
+        [high, low] => Some((digit(high)? << 4 | digit(low)?) as u8),
+        _ => None,
+    };
+    text.as_bytes().chunks(2).map(pair).collect()
+}
+
 impl Host {
     pub fn new(door: Door, named: Named) -> Host {
         Host { door, named, events: Vec::new(), backends: Names::default(), places: Names::default() }
@@ -94,6 +104,7 @@
             product: known(line, "band", &self.named.products)?,
             customer: customer(line.need("client_id")?),
             plan: known(line, "plan", &self.named.plans)?,
+            first: line.number("from_no")?.unwrap_or_default() as u32,
             width: line.number("width")?.unwrap_or_default() as u32,
             cost: line.number("cost_units")?.unwrap_or_default(),
             expiry: line.need_time("client_deadline")?,
@@ -138,8 +149,11 @@
                 Some(Event::Counted { name: CountName(line.whole("name")?), counted })
             }
             "INBOX" => {
-                line.need("by")?;
-                None
+                let from = DoorId(line.whole("by")?);
+                // What cannot be read is another build's, and none of this one's concern.
+                unhex(line.need("content")?)
+                    .and_then(|letter| letter::read(&letter))
+                    .map(|word| Event::Heard { from, word })
             }
             _ => return Err(line.fault("unknown message".to_owned())),
         })
@@ -173,6 +187,12 @@
                 Action::Count { name, step, forget_after } => {
                     write!(reply, "INCR name={} step={step} forget_after={}", name.0, Millis(forget_after))
                 }
+                Action::Tell { to, word } => {
+                    let begun = write!(reply, "NOTIFY to={} content=", to.0);
+                    letter::write(&word)
+                        .iter()
+                        .fold(begun, |so_far, byte| so_far.and_then(|()| write!(reply, "{byte:02x}")))
+                }
             };
             written.expect("a string takes all that is written to it");
             reply.push('\n');
--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -35,7 +35,7 @@
 }
 
 /// The cost, the number of the customer's doors and which is the first of them.
-fn quota(field: &str, bounds: &Bounds) -> Option<(f64, u32)> {
+fn quota(field: &str, bounds: &Bounds) -> Option<(f64, u32, u32)> {
     let (mut cost, mut width, mut first) = (None, None, Some(0));
     for pair in field.split(',') {
         match pair.trim().split_once('=') {
@@ -48,7 +48,7 @@
     // What no customer can owe would keep its bucket in debt for good.
     let cost = cost.filter(|cost| *cost > 0.0 && *cost <= bounds.cost)?;
     let width = width.filter(|width| (1..=bounds.doors).contains(width))?;
-    first.filter(|first| *first < bounds.doors).map(|_| (cost, width))
+    first.filter(|first| *first < bounds.doors).map(|first| (cost, width, first))
 }
 
 fn arrival(request: &Request, told: &Told, now: Tenths, txn: TxnId) -> Result<Arrival, &'static str> {
@@ -62,7 +62,7 @@
     let plan = request.sole("X-Plan").ok_or("X-Plan is missing or there are two")?;
     let plan: PlanId = *named.plans.get(plan).ok_or("the plan is not known")?;
     let customer = customer(query).ok_or("key is not 16 hex digits")?;
-    let (cost, width) = request
+    let (cost, width, first) = request
         .sole("X-Quota")
         .and_then(|field| quota(field, bounds))
         .ok_or("X-Quota cannot be read or is out of range")?;
@@ -75,7 +75,7 @@
         return Err("X-Correlation-Id is missing, too long or there are two");
     }
     let again = request.field(AGAIN) == Some("1");
-    Ok(Arrival { txn, product, customer, plan, width, cost, expiry: now + left, again })
+    Ok(Arrival { txn, product, customer, plan, first, width, cost, expiry: now + left, again })
 }
 
 /// By which clients and backends know the txn.
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -92,6 +92,7 @@
     let (agent, agents) = watch::channel(discovery);
     let recall = Recall::new(start.ask_within, seed);
     let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), known, recall);
+    start.peers = false;
     // The decisions call the counter only where the settings allow it and the platform names one.
     start.counter = start.counter.filter(|_| counter.is_some());
     let calls = match (counter, start.counter) {
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -303,6 +303,7 @@
             Action::Wake { after, timer } => self.set(now + after, Timer::Wake(timer)),
             // The list is watched from the start on, so there is nothing to ask for.
             Action::Watch => {}
+            Action::Tell { .. } => {}
             Action::Count { name, step, forget_after } => {
                 self.shared.book.count(Count::CounterCalls);
                 let call = Call { name, step, forget_after };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,17 +5,16 @@
 //! Each backend is an actor with an inbox; so are the till (the design: what each customer may spend) and
 //! the desk (the txns). They talk only by notes, and the loop in `settle_mail` empties all inboxes.
 //!
-//! Beside the design stand six mechanisms:
+//! Beside the design stand five mechanisms:
 //! 1. ceiling: a second, even-split bucket that knows nothing but this instance's own time (`Till`)
-//! 2. open at once: a cap on submissions out, by weighing value inside against cost beyond (`Till`)
-//! 3. room: one backend drawn at random in step with its room; declines what cannot be in time (`Desk`)
-//! 4. set aside: a backend that is silent or fails rests for a while (`Backend`)
-//! 5. cold: a backend that has just started gets this door's part of its budget (`Backend`)
-//! 6. resubmission: second tries and second copies out of a budget that first submissions fill (`Desk`)
+//! 2. room: one backend drawn at random in step with its room; declines what cannot be in time (`Desk`)
+//! 3. set aside: a backend that is silent or fails rests for a while (`Backend`)
+//! 4. cold: a backend that has just started gets this door's part of its budget (`Backend`)
+//! 5. resubmission: second tries and second copies out of a budget that first submissions fill (`Desk`)
 
 use crate::interface::*;
 use crate::state::{
-    Account, Backend, Board, Desk, Held, Norm, Offer, Submission, Till, ToBackend, ToDesk, ToTill, Txn,
+    Account, Ask, Backend, Board, Desk, Held, Norm, Offer, Submission, Till, ToBackend, ToDesk, ToTill, Txn,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -36,10 +35,19 @@
 const KEPT: f64 = 0.25;
 /// Seconds of asking that show a surge.
 const SURGE_SPAN: f64 = 0.5;
-/// What is let in inside a cap takes the place of another that would have been inside too.
-const CROWDED: f64 = 0.35;
-/// Seconds of a burst, in which the other doors are as busy as this one.
-const OPEN_SPAN: f64 = 1.5;
+/// Of the largest txn: a slice that holds less is no use to most, and the customer is counted whole.
+const SLIM: f64 = 0.15;
+/// Doors that keep a customer's store between them where a slice holds less than a txn.
+const KEEPERS: u32 = 3;
+/// Smaller timers are the door's own.
+const FIRST_ASK: u32 = 3;
+/// Seconds between a door's beats, and what each leaves of the longest stall that they showed.
+const BEAT: f64 = 0.25;
+const STALL_FADES: f64 = 0.99;
+/// A client that stays no longer than so many such stalls, or shortest SLA times, is not made to wait.
+const STAYS: (f64, f64) = (1.3, 2.25);
+/// The part of the SLA time that a keeper's answer may take: longer than messages do, shorter than a stall.
+const ASK_PART: f64 = 0.1;
 /// The part of the SLA time that the cheapest may be expected to take; the dearest up to half of it more.
 const PATIENCE: f64 = 0.1;
 /// A client that leaves sooner than so many usual answer times is seldom served, and its repeat counts anew.
@@ -79,6 +87,7 @@
     posted: VecDeque<BackendId>,
     stirring: BTreeSet<BackendId>,
     actions: Vec<Action>,
+    heard: Tenths,
 }
 
 impl Door {
@@ -88,18 +97,29 @@
         let desk =
             Desk { norms, rated_at: told.at, counted_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
         let fits = vec![0.5; told.plans.len()];
-        let till =
-            Till { swept: told.at, paced: told.at, calling: 1.0, answered: 1.0, fits, ..Till::default() };
+        let till = Till {
+            asks: FIRST_ASK,
+            swept: told.at,
+            paced: told.at,
+            calling: 1.0,
+            answered: 1.0,
+            fits,
+            ..Till::default()
+        };
         let (now, yard) = (told.at, BTreeMap::new());
         let (posted, stirring, actions) = (VecDeque::new(), BTreeSet::new(), Vec::new());
         let chance = SmallRng::seed_from_u64(told.seed);
-        let mut door = Door { now, told, desk, till, yard, posted, stirring, chance, actions };
+        let mut door = Door { now, told, desk, till, yard, posted, stirring, chance, actions, heard: now };
         door.watch();
+        door.beat();
         door
     }
 
     pub fn decide(&mut self, now: Tenths, events: Vec<Event>) -> Vec<Action> {
         self.now = self.now.max(now);
+        // Against holding txns that no stall leaves time for: the next one may come at any moment.
+        self.till.stall = self.till.stall.max(self.now - self.heard);
+        self.heard = self.now;
         for event in events {
             match event {
                 Event::Listing(entries) => {
@@ -119,7 +139,9 @@
                 Event::Left(txn) => self.desk.inbox.push_back(ToDesk::Left(txn)),
                 Event::Due(TimerId(0)) => self.watch(),
                 Event::Due(TimerId(1)) => self.actions.push(Action::Watch),
-                Event::Due(_) => {}
+                Event::Due(TimerId(2)) => self.beat(),
+                Event::Due(TimerId(ask)) => self.till.inbox.push_back(ToTill::Overdue(AskNo(ask as u32))),
+                Event::Heard { from, word } => self.till.inbox.push_back(ToTill::Heard(from, word)),
                 Event::Counted { name, counted } => {
                     self.till.inbox.push_back(ToTill::Counted { name, counted })
                 }
@@ -140,6 +162,14 @@
         }
     }
 
+    /// Where txns are held for other doors' words, a door must know when it stood still itself.
+    fn beat(&mut self) {
+        if self.told.peers {
+            self.till.stall = self.till.stall.times(STALL_FADES);
+            self.actions.push(Action::Wake { after: Tenths::SECOND.times(BEAT), timer: TimerId(2) });
+        }
+    }
+
     fn list(&mut self, entries: Vec<Listed>) {
         for entry in entries {
             self.yard.entry(entry.backend).or_insert_with(|| Backend::new(self.now));
@@ -214,8 +244,8 @@
             }
             ToDesk::Offer(id, None) => drop(self.desk.board.remove(&id)),
             ToDesk::Arrived(arrival) => self.arrived(arrival),
-            ToDesk::Granted(id) if self.submit(id) => {}
-            ToDesk::Granted(id) => {
+            ToDesk::Granted(id, inside) if (inside || self.spares(id)) && self.submit(id) => {}
+            ToDesk::Granted(id, _) => {
                 if let Some(Arrival { customer, cost, .. }) = self.desk.txns.get(&id).map(|txn| &txn.asked) {
                     self.till.inbox.push_back(ToTill::Returned { customer: *customer, cost: *cost });
                 }
@@ -229,21 +259,37 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { txn: id, product, customer, plan, width, cost, expiry, again } = arrival;
+        let Arrival { txn: id, product, customer, plan, first, width, cost, expiry, again } = arrival;
         let txn = Txn { asked: arrival, arrived: self.now, ..Txn::default() };
         let norm = self.desk.norms[product.0];
         let value = self.told.products[product.0].value * self.told.plans[plan.0].value_factor;
         let leaves = norm.seen >= 8.0 && (expiry - self.now).seconds() < IN_TIME * norm.mean;
-        let pressed = self.desk.pressed(value / norm.mean, self.now, &self.told) || leaves;
+        self.desk.crowd(value / norm.mean, self.now, &self.told);
+        let pressed = self.desk.pressed(value / norm.mean) || leaves;
         self.desk.txns.insert(id, txn);
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
         } else {
             let chance = self.chance.random::<f64>();
-            self.till.inbox.push_back(ToTill::Ask { txn: id, customer, plan, width, cost, again, chance });
+            let width = if width == 0 { self.told.doors } else { width };
+            let want = Want { customer, plan, width, cost, again };
+            let (stays, turn) = (expiry - self.now, 0);
+            let patience = self.told.products[product.0].sla_time.min(stays).times(ASK_PART);
+            let ask = Ask { txn: id, want, first, chance, patience, stays, turn };
+            self.till.inbox.push_back(ToTill::Ask(ask));
         }
     }
 
+    /// Whether there is room for what is beyond its quota, by what it is worth there.
+    fn spares(&self, id: TxnId) -> bool {
+        let Some(Arrival { product, plan, .. }) = self.desk.txns.get(&id).map(|txn| &txn.asked) else {
+            return false;
+        };
+        let plan = &self.told.plans[plan.0];
+        let value = self.told.products[product.0].value * plan.value_factor * plan.beyond_worth;
+        !self.desk.pressed(value / self.desk.norms[product.0].mean)
+    }
+
     /// A decline says that another try is harmless, so it is kept from what may have run and must not again.
     fn give_up(&mut self, id: TxnId, wait: Option<Tenths>) {
         let Some(txn) = self.desk.txns.get(&id) else {
@@ -358,7 +404,6 @@
         if no.0 == 0 {
             self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
         }
-        self.till.inbox.push_back(ToTill::Opened(txn.asked.customer));
         self.post(backend, ToBackend::Sent { txn: id, no, work: norm.mean });
         true
     }
@@ -419,8 +464,8 @@
 
     /// What is out over what settles is how long a newcomer would wait. All products wait in the same lines,
     /// so the one tightest on time says when; the cheaper give way first.
-    fn pressed(&mut self, value: f64, now: Tenths, told: &Start) -> bool {
-        let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
+    fn crowd(&mut self, value: f64, now: Tenths, told: &Start) {
+        let mean = self.mean_time();
         // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
         let value = value * mean;
         self.mean_value += 0.02 * (value - self.mean_value);
@@ -438,8 +483,16 @@
         let crowding = QUEUED + (crowding - QUEUED) * (out / 8.0).min(1.0);
         let times = told.products.iter().zip(&self.norms);
         let times = times.map(|(product, norm)| norm.mean / product.sla_time.seconds());
-        let patience = PATIENCE + 0.5 * value / (value + self.mean_value);
-        seen >= 8.0 && crowding * times.fold(0.0, f64::max) > patience
+        self.crowding = if seen >= 8.0 { crowding * times.fold(0.0, f64::max) } else { 0.0 };
+    }
+
+    fn pressed(&self, value: f64) -> bool {
+        let value = value * self.mean_time();
+        self.crowding > PATIENCE + 0.5 * value / (value + self.mean_value)
+    }
+
+    fn mean_time(&self) -> f64 {
+        self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64
     }
 }
 
@@ -554,81 +607,89 @@
 impl Till {
     fn hear(&mut self, note: ToTill, now: Tenths, told: &Start) -> Option<ToDesk> {
         match note {
-            ToTill::Ask { txn, customer, plan, width, cost, again, chance } => {
-                let figures = &told.plans[plan.0];
-                let width = f64::from(if width == 0 { told.doors.max(1) } else { width });
+            ToTill::Ask(ask) => {
+                let Ask { txn, want, .. } = ask;
+                let (figures, width, cost) = (&told.plans[want.plan.0], f64::from(want.width), want.cost);
                 self.sweep(now, told);
-                let account =
-                    self.accounts.entry(customer).or_insert_with(|| Account::new(plan, width, now, told));
+                let account = self.account(&want, now, told);
                 // A width that grows must not leave this door with more than its part of a ceiling.
                 account.width = width;
-                account.refill(now, figures, told);
-                // Over many doors a slice's burst is less than a txn: its customer's window decides; where
-                // no meter tells of the others the counter is asked for it, once and not for repeats.
-                let slim =
-                    told.counter.is_some() && figures.burst / width < cost && figures.open_at_once <= 0.0;
-                let windowed = slim && !account.passes_ceiling(cost, figures);
-                let Some(span) = count_span(figures).filter(|_| windowed) else {
-                    return Some(answer(txn, account.ask(cost, again, figures)));
-                };
-                let (window, asked) = (now.0.div_euclid(span.0), now);
-                let held = Held { txn: Some(txn), customer, plan, width, cost, window, asked };
-                let full =
-                    account.window == window && account.window_total + cost > figures.rate * span.seconds();
-                let open = !(again || full || account.current(now));
-                let fits = open && self.fits[plan.0] > fair_odds(figures);
-                let gap = (now - std::mem::replace(&mut self.paced, now)).seconds();
-                self.calling = 1.0 - (1.0 - self.calling) * (-gap / COUNT_BACK).exp();
-                if open && chance < self.calling {
-                    self.call(held, cost, span);
-                    return None;
+                let binds = figures.rate > 0.0 && figures.beyond_cost > figures.beyond_worth;
+                let passes = account.passes_ceiling(cost, figures);
+                // Over many doors a slice's burst is less than a txn: what all doors let in together decides.
+                let (slice, asks) = (figures.burst / width, binds && !passes);
+                if asks && told.peers && slice < told.most_cost {
+                    return self.seek(ask, now, told);
+                }
+                let counts = asks && told.counter.is_some() && slice < SLIM * told.most_cost;
+                if let Some(span) = count_span(figures).filter(|_| counts) {
+                    return self.count(ask, span, now, told);
                 }
-                self.answered -= COUNT_WEIGHT * f64::from(u8::from(open)) * self.answered;
-                let verdict = account.let_in(cost, fits, figures).map_err(|()| Some(held.turns(span) - now));
-                return Some(answer(txn, verdict));
+                // Where use beyond the quota costs no more than it earns, only the ceiling bars it.
+                let inside = account.ask(cost, want.again, figures);
+                if inside.is_err() && !(binds || passes) {
+                    account.take(cost, account.tokens);
+                    return Some(ToDesk::Granted(txn, false));
+                }
+                return Some(answer(txn, inside));
             }
             ToTill::Counted { name, counted } => {
                 let held = self.held.get_mut(&name).and_then(VecDeque::pop_front)?;
                 if self.held.get(&name).is_some_and(VecDeque::is_empty) {
                     self.held.remove(&name);
                 }
-                let (figures, txn) = (&told.plans[held.plan.0], held.txn?);
-                let span = count_span(figures)?;
-                let new = || Account::new(held.plan, held.width, now, told);
-                let account = self.accounts.entry(held.customer).or_insert_with(new);
-                account.refill(now, figures, told);
+                let Held { ask, window, asked, .. } = held;
+                let figures = &told.plans[ask.want.plan.0];
+                let span = count_span(figures).filter(|_| !held.back)?;
                 let line = told.counter.unwrap_or_default().times(COUNT_LINE);
-                if counted == Counted::NotAdded || now - held.asked > line {
+                if counted == Counted::NotAdded || now - asked > line {
                     self.calling *= 0.5;
                 }
                 let allowed = figures.rate * span.seconds();
-                let fits = &mut self.fits[held.plan.0];
                 self.answered -= COUNT_WEIGHT * self.answered;
-                let room = if let Counted::Total(total) = counted {
+                let (mut room, mut had_room) = (self.doubtful(&ask, now, told), false);
+                if let Counted::Total(total) = counted {
                     self.answered += COUNT_WEIGHT;
-                    (account.window, account.window_total) = (held.window, total);
-                    let room = total <= allowed + 1e-9;
+                    let account = self.account(&ask.want, now, told);
+                    (account.window, account.window_total) = (window, total);
                     // Where many go uncounted, a total is that much less than what was asked for.
-                    let fair = total <= allowed * self.answered + 1e-9;
-                    *fits += COUNT_WEIGHT * (f64::from(u8::from(fair)) - *fits);
-                    room
-                } else {
-                    *fits > fair_odds(figures)
-                };
-                let verdict =
-                    account.let_in(held.cost, room, figures).map_err(|()| Some(held.turns(span) - now));
+                    self.fitted(ask.want.plan, total <= allowed * self.answered + 1e-9);
+                    (room, had_room) = (total <= allowed + 1e-9, total - ask.want.cost < allowed);
+                }
+                let verdict = self.sought(&ask, room, Some(held.turns(span) - now), now, told);
                 // What did not fit, though there was room before it, leaves that room to smaller ones.
-                let had_room = matches!(counted, Counted::Total(total) if total - held.cost < allowed);
-                if had_room && verdict.is_err() {
-                    self.call(Held { txn: None, ..held }, -held.cost, span);
+                if had_room && matches!(verdict, ToDesk::Refused(..)) {
+                    self.call(Held { back: true, ..held }, -ask.want.cost, span);
                 }
-                return Some(answer(txn, verdict));
+                return Some(verdict);
+            }
+            ToTill::Heard(_, Word::Ask { want, .. } | Word::Told { want, .. } | Word::Back { want })
+                if want.plan.0 >= told.plans.len()
+                    || !(1..=told.doors).contains(&want.width)
+                    || !(0.0..=told.most_cost).contains(&want.cost) => {}
+            ToTill::Heard(from, Word::Ask { no, want }) => {
+                let word = Word::Told { no, want, verdict: self.keep(&want, now, told) };
+                self.calls.push(Action::Tell { to: from, word });
+            }
+            ToTill::Heard(from, Word::Told { no, want, verdict }) => {
+                let known = self.asked.get(&no).is_some_and(|(keeper, _)| *keeper == from);
+                let Some((_, ask)) = known.then(|| self.asked.remove(&no)).flatten() else {
+                    // Too late to be used.
+                    let back = Action::Tell { to: from, word: Word::Back { want } };
+                    self.calls.extend(verdict.is_ok().then_some(back));
+                    return None;
+                };
+                self.fitted(ask.want.plan, verdict.is_ok());
+                return Some(self.sought(&ask, verdict.is_ok(), verdict.err().flatten(), now, told));
+            }
+            ToTill::Heard(_, Word::Back { want }) => self.kept.get_mut(&want.customer)?.spend(-want.cost),
+            ToTill::Overdue(no) => {
+                let (_, ask) = self.asked.remove(&no)?;
+                return self.seek(ask, now, told);
             }
             ToTill::Returned { customer, cost } => self.known(customer, now, told)?.take(-cost, f64::MIN),
-            ToTill::Opened(customer) => self.known(customer, now, told)?.open += 1.0,
             ToTill::Closed { customer, metered, owed } => {
                 let account = self.known(customer, now, told)?;
-                account.open -= 1.0;
                 account.spend(owed);
                 if let Some(reading) = metered {
                     (account.reading, account.read_at) = (reading, Some(now));
@@ -638,13 +699,92 @@
         None
     }
 
+    /// By the counter, which is asked once, and not for repeats.
+    fn count(&mut self, ask: Ask, span: Tenths, now: Tenths, told: &Start) -> Option<ToDesk> {
+        let held = Held { ask, window: now.0.div_euclid(span.0), asked: now, back: false };
+        let allowed = told.plans[ask.want.plan.0].rate * span.seconds();
+        let account = self.account(&ask.want, now, told);
+        let full = account.window == held.window && account.window_total + ask.want.cost > allowed;
+        let open = !(ask.want.again || full);
+        let gap = (now - std::mem::replace(&mut self.paced, now)).seconds();
+        self.calling = 1.0 - (1.0 - self.calling) * (-gap / COUNT_BACK).exp();
+        if open && ask.chance < self.calling {
+            self.call(held, ask.want.cost, span);
+            return None;
+        }
+        self.answered -= COUNT_WEIGHT * f64::from(u8::from(open)) * self.answered;
+        let room = open && self.doubtful(&ask, now, told);
+        Some(self.sought(&ask, room, Some(held.turns(span) - now), now, told))
+    }
+
+    /// Asks the next of the customer's keepers, from one drawn by chance on, so that their parts drain alike.
+    fn seek(&mut self, mut ask: Ask, now: Tenths, told: &Start) -> Option<ToDesk> {
+        let Want { customer, width, .. } = ask.want;
+        let keepers = KEEPERS.min(width);
+        if ask.turn >= keepers {
+            let room = self.doubtful(&ask, now, told);
+            return Some(self.sought(&ask, room, Some(ask.patience), now, told));
+        }
+        let part = ((ask.chance * f64::from(keepers)) as u32 + ask.turn) % keepers;
+        let place = customer.0.wrapping_add(u64::from(part * width / keepers)) % u64::from(width);
+        let keeper = DoorId(((u64::from(ask.first) + place) % u64::from(told.doors)) as u32);
+        ask.turn += 1;
+        if keeper == told.me {
+            let verdict = self.keep(&ask.want, now, told);
+            return Some(self.sought(&ask, verdict.is_ok(), verdict.err().flatten(), now, told));
+        }
+        let tightest = told.products.iter().map(|product| product.sla_time).min().unwrap_or_default();
+        if ask.stays < tightest.times(STAYS.1).max(self.stall.times(STAYS.0)) {
+            return self.seek(ask, now, told);
+        }
+        let no = AskNo(self.asks);
+        self.asks = self.asks.wrapping_add(1).max(FIRST_ASK);
+        self.asked.insert(no, (keeper, ask));
+        let wake = Action::Wake { after: ask.patience, timer: TimerId(u64::from(no.0)) };
+        self.calls.extend([Action::Tell { to: keeper, word: Word::Ask { no, want: ask.want } }, wake]);
+        None
+    }
+
+    /// By this door's part of a store that a few doors keep; its ceiling is held by the doors that send.
+    fn keep(&mut self, want: &Want, now: Tenths, told: &Start) -> Result<(), Option<Tenths>> {
+        let quota = Plan { ceiling_rate: 0.0, ..told.plans[want.plan.0].clone() };
+        let new = || Account::new(want.plan, f64::from(KEEPERS.min(want.width)), now, told);
+        let account = self.kept.entry(want.customer).or_insert_with(new);
+        account.refill(now, &quota, told);
+        account.ask(want.cost, want.again, &quota)
+    }
+
+    /// With nobody's word, nor a current reading: whether the plan's txns fit often enough lately.
+    fn doubtful(&mut self, ask: &Ask, now: Tenths, told: &Start) -> bool {
+        let current = self.account(&ask.want, now, told).current(now);
+        !current && self.fits[ask.want.plan.0] > fair_odds(&told.plans[ask.want.plan.0])
+    }
+
+    fn fitted(&mut self, plan: PlanId, fit: bool) {
+        self.fits[plan.0] += COUNT_WEIGHT * (f64::from(u8::from(fit)) - self.fits[plan.0]);
+    }
+
+    /// What was decided elsewhere is held to the customer's ceiling here.
+    fn sought(&mut self, ask: &Ask, room: bool, wait: Option<Tenths>, now: Tenths, told: &Start) -> ToDesk {
+        let account = self.account(&ask.want, now, told);
+        let verdict = account.let_in(ask.want.cost, room, &told.plans[ask.want.plan.0]);
+        answer(ask.txn, verdict.map_err(|()| wait))
+    }
+
     fn call(&mut self, held: Held, step: f64, span: Tenths) {
-        let name = CountName((held.customer.0 << 12) | (held.window as u64 & 0xfff));
+        let name = CountName((held.ask.want.customer.0 << 12) | (held.window as u64 & 0xfff));
         let forget_after = span.times(2.0) + Tenths::SECOND;
         self.calls.push(Action::Count { name, step, forget_after });
         self.held.entry(name).or_default().push_back(held);
     }
 
+    fn account(&mut self, want: &Want, now: Tenths, told: &Start) -> &mut Account {
+        let new = || Account::new(want.plan, f64::from(want.width), now, told);
+        let account = self.accounts.entry(want.customer).or_insert_with(new);
+        account.refill(now, &told.plans[want.plan.0], told);
+        account
+    }
+
     fn known(&mut self, customer: CustomerId, now: Tenths, told: &Start) -> Option<&mut Account> {
         let account = self.accounts.get_mut(&customer)?;
         account.refill(now, &told.plans[account.plan.0], told);
@@ -657,15 +797,16 @@
             return;
         }
         self.swept = now;
-        self.accounts.retain(|_, account| {
-            let plan = &told.plans[account.plan.0];
-            account.refill(now, plan, told);
-            // Nearly, as a slice on its way back to even grows past its tokens at each review.
-            let full = account.tokens >= 0.95 * plan.burst * account.slice;
-            let even = (account.slice * account.width - 1.0).abs() < 0.05;
-            let idle = account.open <= 0.0 && account.open_mean < 0.05;
-            !(full && even && idle && account.ceiling >= account.ceiling_most(plan))
-        });
+        for accounts in [&mut self.accounts, &mut self.kept] {
+            accounts.retain(|_, account| {
+                let plan = &told.plans[account.plan.0];
+                account.refill(now, plan, told);
+                // Nearly, as a slice on its way back to even grows past its tokens at each review.
+                let full = account.tokens >= 0.95 * plan.burst * account.slice;
+                let even = (account.slice * account.width - 1.0).abs() < 0.05;
+                !(full && even && account.ceiling >= account.ceiling_most(plan))
+            });
+        }
     }
 }
 
@@ -700,7 +841,6 @@
         self.unclaimed = (self.unclaimed + (plan.rate - others) * gap).min(plan.burst);
         let ceiling = self.ceiling + plan.ceiling_rate / self.width * gap;
         self.ceiling = ceiling.min(self.ceiling_most(plan));
-        self.open_mean += (1.0 - (-gap / OPEN_SPAN).exp()) * (self.open - self.open_mean);
         let period = told.meter_period.max(Tenths::SECOND.times(0.5));
         if now - self.reviewed >= period {
             self.review(now, plan);
@@ -757,14 +897,6 @@
         if plan.rate > 0.0 && !lent && self.tokens < needed - 1e-9 {
             return Err(wait(needed - self.tokens, plan.rate * self.slice));
         }
-        if plan.open_at_once > 0.0 {
-            let elsewhere = self.open_mean * (self.width - 1.0) * self.metered.max(1.0);
-            let inside = chance_below(elsewhere, plan.open_at_once - self.open);
-            let slice = (plan.open_at_once / self.width).ceil();
-            if self.open >= slice || CROWDED * inside <= (1.0 - inside) * beyond {
-                return Err(None);
-            }
-        }
         let weight = if self.mean_cost > 0.0 { 0.1 } else { 1.0 };
         self.mean_cost += weight * (cost - self.mean_cost);
         let least = if self.tokens < needed - 1e-9 { self.tokens.min(0.0) } else { f64::MIN };
@@ -800,7 +932,7 @@
 }
 
 fn answer(txn: TxnId, verdict: Result<(), Option<Tenths>>) -> ToDesk {
-    verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn))
+    verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn, true))
 }
 
 /// The part of a plan's first tries that must fit for one in doubt to be worth more than it costs.
@@ -814,14 +946,3 @@
     let span = (plan.burst / plan.rate).clamp(COUNT_SPAN.0, COUNT_SPAN.1);
     (plan.rate > 0.0 && plan.burst > 0.0).then(|| Tenths::SECOND.times(span))
 }
-
-/// The chance that fewer than `limit` are out elsewhere, where `mean` are on the average.
-fn chance_below(mean: f64, limit: f64) -> f64 {
-    let (mut term, mut sum, mut count) = ((-mean).exp(), 0.0, 0.0);
-    while count < limit {
-        sum += term;
-        count += 1.0;
-        term *= mean / count;
-    }
-    sum
-}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,10 +1,11 @@
 //! What passes between the decisions and whatever carries them: ids, times, events, actions and
 //! what a door is told at start.
 
+use serde::{Deserialize, Serialize};
 use std::ops::{Add, Sub};
 
 /// An instant or a span, in tenths of a millisecond.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Tenths(pub i64);
 
 impl Tenths {
@@ -35,7 +36,7 @@
 
 macro_rules! ids {
     ($($name:ident($inner:ty)),* $(,)?) => {$(
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         pub struct $name(pub $inner);
     )*};
 }
@@ -51,6 +52,8 @@
     SubmissionNo(u32),
     TimerId(u64),
     CountName(u64),
+    DoorId(u32),
+    AskNo(u32),
 );
 
 /// How far a product may be repeated.
@@ -82,7 +85,6 @@
 pub struct Plan {
     pub rate: f64,
     pub burst: f64,
-    pub open_at_once: f64,
     pub value_factor: f64,
     pub beyond_worth: f64,
     pub beyond_cost: f64,
@@ -111,6 +113,8 @@
 pub struct Start {
     pub seed: u64,
     pub at: Tenths,
+    /// This door's number and how many there are.
+    pub me: DoorId,
     pub doors: u32,
     pub products: Vec<Product>,
     pub plans: Vec<Plan>,
@@ -124,6 +128,39 @@
     pub ask_within: Option<Tenths>,
     /// Where the shared quota counter may be called: how long a call may go unanswered.
     pub counter: Option<Tenths>,
+    /// Whether doors may send each other words.
+    pub peers: bool,
+    /// What one txn costs at most.
+    pub most_cost: f64,
+}
+
+/// What a txn takes of its customer's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Want {
+    pub customer: CustomerId,
+    pub plan: PlanId,
+    pub width: u32,
+    pub cost: f64,
+    pub again: bool,
+}
+
+/// What one door tells another of a customer's store, of which the other keeps a part.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    Ask {
+        no: AskNo,
+        want: Want,
+    },
+    /// A refusal may tell when to come back.
+    Told {
+        no: AskNo,
+        want: Want,
+        verdict: Result<(), Option<Tenths>>,
+    },
+    /// What was let in too late to be used.
+    Back {
+        want: Want,
+    },
 }
 
 /// What became of one call to the shared quota counter (the wire's `COUNTER_REPLY`).
@@ -160,6 +197,8 @@
     pub product: ProductId,
     pub customer: CustomerId,
     pub plan: PlanId,
+    /// The customer comes through `width` doors from this number on, counted round.
+    pub first: u32,
     pub width: u32,
     pub cost: f64,
     pub expiry: Tenths,
@@ -214,6 +253,10 @@
         name: CountName,
         counted: Counted,
     },
+    Heard {
+        from: DoorId,
+        word: Word,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -246,4 +289,9 @@
         step: f64,
         forget_after: Tenths,
     },
+    /// It may be lost.
+    Tell {
+        to: DoorId,
+        word: Word,
+    },
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,7 +17,8 @@
 #[derive(Clone, Debug)]
 pub enum ToDesk {
     Arrived(Arrival),
-    Granted(TxnId),
+    /// Inside its quota, or beyond it where that costs nothing.
+    Granted(TxnId, bool),
     Refused(TxnId, Option<Tenths>),
     Ended(Ending),
     Begun(TxnId),
@@ -27,24 +28,35 @@
 
 #[derive(Clone, Debug)]
 pub enum ToTill {
-    Ask { txn: TxnId, customer: CustomerId, plan: PlanId, width: u32, cost: f64, again: bool, chance: f64 },
+    Ask(Ask),
+    Heard(DoorId, Word),
+    Overdue(AskNo),
     Returned { customer: CustomerId, cost: f64 },
-    Opened(CustomerId),
     Closed { customer: CustomerId, metered: Option<f64>, owed: f64 },
     Counted { name: CountName, counted: Counted },
 }
 
+/// What the till is asked for one txn.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    pub txn: TxnId,
+    pub want: Want,
+    pub first: u32,
+    pub chance: f64,
+    /// How long its client stays, how long one keeper's answer may take, how many keepers were asked.
+    pub stays: Tenths,
+    pub patience: Tenths,
+    pub turn: u32,
+}
+
 /// A first try held for the shared counter's total, in the order of the calls for its name.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Held {
-    /// None for a call that gives back what was not let in: its answer is of no use.
-    pub txn: Option<TxnId>,
-    pub customer: CustomerId,
-    pub plan: PlanId,
-    pub width: f64,
-    pub cost: f64,
+    pub ask: Ask,
     pub window: i64,
     pub asked: Tenths,
+    /// A call that gives back what was not let in: its answer is of no use.
+    pub back: bool,
 }
 
 impl Held {
@@ -134,8 +146,6 @@
     pub asked: f64,
     pub ceiling: f64,
     pub filled: Tenths,
-    pub open: f64,
-    pub open_mean: f64,
     pub mean_cost: f64,
     pub let_since: f64,
     pub let_through: f64,
@@ -168,6 +178,8 @@
     pub out_mean: f64,
     pub counted_at: Tenths,
     pub mean_value: f64,
+    /// The time a newcomer would take, as a part of the SLA time of the product tightest on time.
+    pub crowding: f64,
     pub spare: f64,
 }
 
@@ -179,6 +191,13 @@
     /// Calls out to the shared counter, and the calls to make.
     pub held: BTreeMap<CountName, VecDeque<Held>>,
     pub calls: Vec<Action>,
+    /// Customers of whose stores this door keeps a part.
+    pub kept: BTreeMap<CustomerId, Account>,
+    /// Asks out to keepers, each with the keeper, and how many there have been.
+    pub asked: BTreeMap<AskNo, (DoorId, Ask)>,
+    pub asks: u32,
+    /// The longest that this door lately stood still.
+    pub stall: Tenths,
     /// The part of the asks that call the counter: halved by each call that fails or waits in a line, back to
     /// all of them with time, as it stood then.
     pub calling: f64,
--- /dev/null
+++ b/tests/keeping.rs
@@ -0,0 +1,315 @@
+//! Many doors in one process that keep customers' stores between them and may tell each other words: what they
+//! let in together is held against the plan's bucket, with all words delivered, some lost and some late. Beside
+//! it, what one door does with words that it cannot use.
+
+use std::collections::{BTreeMap, VecDeque};
+use vanewharf::decide::Door;
+use vanewharf::interface::*;
+use vanewharf::letter;
+
+const DOORS: u32 = 40;
+const RATE: f64 = 2.0;
+const BURST: f64 = 12.0;
+
+fn start(door: u32) -> Start {
+    let product = |sla| Product { sla_time: Tenths(sla), value: 1.0, repeat: Repeat::InquiryLike };
+    Start {
+        seed: 0x5eed + u64::from(door),
+        at: Tenths(0),
+        me: DoorId(door),
+        doors: DOORS,
+        products: vec![product(10_000)],
+        plans: vec![Plan {
+            rate: RATE,
+            burst: BURST,
+            value_factor: 1.0,
+            beyond_worth: 0.0,
+            beyond_cost: 1.2,
+            ceiling_rate: 0.0,
+            ceiling_depth: 0.0,
+        }],
+        allowances: Allowances {
+            cancel: true,
+            second_copies: false,
+            retry_after: true,
+            max_retry_after: Tenths(10_000),
+            most_submissions: 2,
+        },
+        cold: ColdFigures { from: 1.0, ramp_time: Tenths(0) },
+        kept: Tenths(0),
+        meter_period: Tenths(10_000),
+        ask_within: None,
+        counter: None,
+        peers: true,
+        most_cost: 6.0,
+    }
+}
+
+fn listing() -> Event {
+    let backend = |id| Listed {
+        backend: BackendId(id),
+        standing: Standing::Ready,
+        size: 1.0,
+        place: PlaceId(0),
+        group: GroupId(0),
+        booted: None,
+    };
+    Event::Listing((0..4).map(backend).collect())
+}
+
+fn arrival(txn: u64, customer: u64, at: Tenths, stays: Tenths) -> Event {
+    Event::Arrived(Arrival {
+        txn: TxnId(txn),
+        product: ProductId(0),
+        customer: CustomerId(customer),
+        plan: PlanId(0),
+        first: 7,
+        width: DOORS,
+        cost: 1.0,
+        expiry: at + stays,
+        again: false,
+    })
+}
+
+fn told(actions: &[Action]) -> Vec<(DoorId, Word)> {
+    let words = actions.iter().filter_map(|action| match action {
+        Action::Tell { to, word } => Some((*to, *word)),
+        _ => None,
+    });
+    words.collect()
+}
+
+fn answers(actions: &[Action]) -> usize {
+    let answer = |action: &&Action| matches!(action, Action::Submit { .. } | Action::Decline { .. });
+    actions.iter().filter(answer).count()
+}
+
+/// The doors, and what each has still to hear, in the order of its time.
+struct Fleet {
+    doors: Vec<Door>,
+    due: BTreeMap<Tenths, VecDeque<(u32, Event)>>,
+    words: u64,
+    /// Each `n`th word is lost.
+    loses: u64,
+    in_ms: i64,
+    let_in: u64,
+    declined: u64,
+    slowest: Tenths,
+    asked: BTreeMap<TxnId, Tenths>,
+}
+
+impl Fleet {
+    fn new(loses: u64, in_ms: i64) -> Fleet {
+        let mut doors: Vec<Door> = (0..DOORS).map(|door| Door::start(start(door))).collect();
+        let (due, asked, slowest) = (BTreeMap::new(), BTreeMap::new(), Tenths(0));
+        let begun: Vec<_> = doors.iter_mut().map(|door| door.decide(Tenths(0), vec![listing()])).collect();
+        let mut fleet = Fleet { doors, due, words: 0, loses, in_ms, let_in: 0, declined: 0, slowest, asked };
+        for (door, actions) in (0..).zip(begun) {
+            fleet.carry_out(door, Tenths(0), actions);
+        }
+        fleet
+    }
+
+    fn post(&mut self, at: Tenths, door: u32, event: Event) {
+        self.due.entry(at).or_default().push_back((door, event));
+    }
+
+    fn carry_out(&mut self, door: u32, now: Tenths, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Submit { txn, .. } => {
+                    self.let_in += 1;
+                    self.answered(txn, now);
+                    let ending = Ending {
+                        txn,
+                        no: SubmissionNo(0),
+                        outcome: Outcome::Settled,
+                        took: Tenths(500),
+                        complete: true,
+                        metered: None,
+                        true_cost: None,
+                    };
+                    self.post(now + Tenths(500), door, Event::Ended(ending));
+                }
+                Action::Decline { txn, retry_after } => {
+                    assert!(retry_after.is_some_and(|span| span <= Tenths(10_000)));
+                    self.declined += 1;
+                    self.answered(txn, now);
+                }
+                Action::Wake { after, timer } if now < Tenths(620_000) => {
+                    self.post(now + after, door, Event::Due(timer))
+                }
+                Action::Tell { to, word } => {
+                    let letter = letter::write(&word);
+                    assert!(letter.len() <= letter::MOST_BYTES / 4, "{} bytes", letter.len());
+                    self.words += 1;
+                    if self.loses == 0 || !self.words.is_multiple_of(self.loses) {
+                        let word = letter::read(&letter).expect("what was written is read");
+                        let heard = Event::Heard { from: DoorId(door), word };
+                        self.post(now + Tenths(10 * self.in_ms), to.0, heard);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn answered(&mut self, txn: TxnId, now: Tenths) {
+        let at = self.asked.remove(&txn).expect("answered once");
+        self.slowest = self.slowest.max(now - at);
+    }
+
+    /// One customer asks `rate` units a second for a minute, through all its doors in turn.
+    fn play(&mut self, rate: i64) {
+        for no in 0..60 * rate {
+            let now = Tenths(1_000 + no * 10_000 / rate);
+            let door = (no as u32 * 7) % DOORS;
+            self.post(now, door, arrival(no as u64, 5, now, Tenths(40_000)));
+        }
+        while let Some((now, events)) = self.due.pop_first() {
+            for (door, event) in events {
+                if let Event::Arrived(arrival) = &event {
+                    self.asked.insert(arrival.txn, now);
+                }
+                let actions = self.doors[door as usize].decide(now, vec![event]);
+                self.carry_out(door, now, actions);
+            }
+        }
+        assert!(self.asked.is_empty(), "each has its answer");
+    }
+}
+
+const QUOTA: f64 = BURST + RATE * 60.0;
+
+#[test]
+fn together_the_doors_let_in_the_quota_where_words_arrive() {
+    let mut fleet = Fleet::new(0, 20);
+    fleet.play(8);
+    let let_in = fleet.let_in as f64 / QUOTA;
+    assert!((0.9..=1.02).contains(&let_in), "{let_in} of the quota");
+    assert!(fleet.slowest <= Tenths(400), "an answer's way there and back: {:?}", fleet.slowest);
+    let words = fleet.words as f64 / (fleet.let_in + fleet.declined) as f64;
+    assert!(words <= 2.0, "{words} words a txn");
+}
+
+#[test]
+fn a_customer_inside_its_quota_is_declined_nothing() {
+    let mut fleet = Fleet::new(0, 20);
+    fleet.play(1);
+    assert!(fleet.declined <= 1, "{} declined", fleet.declined);
+}
+
+#[test]
+fn with_words_lost_each_txn_still_has_one_answer_and_the_quota_is_passed_by_little() {
+    for loses in [13, 5] {
+        let mut fleet = Fleet::new(loses, 20);
+        fleet.play(8);
+        let let_in = fleet.let_in as f64 / QUOTA;
+        assert!((0.8..=1.25).contains(&let_in), "{let_in} of the quota, each {loses}th word lost");
+        assert!(fleet.slowest <= Tenths(3 * 1_000 + 400), "{:?}", fleet.slowest);
+    }
+}
+
+#[test]
+fn words_that_come_too_late_are_given_back_and_hold_nobody() {
+    let mut fleet = Fleet::new(0, 300);
+    fleet.play(8);
+    assert!(fleet.slowest <= Tenths(3 * 1_000), "{:?}", fleet.slowest);
+    let let_in = fleet.let_in as f64 / QUOTA;
+    assert!(let_in <= 1.25, "what nobody vouches for is weighed: {let_in} of the quota");
+}
+
+#[test]
+fn a_door_that_stood_still_holds_only_clients_that_stay_longer() {
+    let mut door = Door::start(start(0));
+    door.decide(Tenths(0), vec![listing()]);
+    let held = |door: &mut Door, txn, now: Tenths, stays| {
+        let actions = door.decide(now, vec![arrival(txn, 100 + txn, now, stays)]);
+        assert_eq!(answers(&actions) + usize::from(!told(&actions).is_empty()), 1, "{actions:?}");
+        answers(&actions) == 0
+    };
+    // Beats come as they should; most customers have their keepers at other doors.
+    let holds = |door: &mut Door, from: i64, stays| {
+        (0..20).filter(|no| held(door, (from + no) as u64, Tenths(from * 10 + no), stays)).count()
+    };
+    assert!(holds(&mut door, 100, Tenths(30_000)) >= 15);
+    assert_eq!(holds(&mut door, 130, Tenths(20_000)), 0, "a client that stays two SLA times is not held");
+    // Nothing was heard for 3 s, not even this door's own beat.
+    assert_eq!(holds(&mut door, 4_000, Tenths(30_000)), 0, "it may stand still as long again");
+    assert!(holds(&mut door, 4_100, Tenths(60_000)) >= 15);
+}
+
+#[test]
+fn words_out_of_range_or_from_a_door_not_asked_change_nothing() {
+    let mut door = Door::start(start(0));
+    door.decide(Tenths(0), vec![listing()]);
+    let want = Want { customer: CustomerId(5), plan: PlanId(0), width: DOORS, cost: 1.0, again: false };
+    let heard = |word| Event::Heard { from: DoorId(3), word };
+    let no = AskNo(3);
+    let odd = [
+        Want { plan: PlanId(9), ..want },
+        Want { width: 0, ..want },
+        Want { width: DOORS + 1, ..want },
+        Want { cost: -1.0, ..want },
+        Want { cost: 7.0, ..want },
+        Want { cost: f64::NAN, ..want },
+    ];
+    for want in odd {
+        for word in [Word::Ask { no, want }, Word::Told { no, want, verdict: Ok(()) }, Word::Back { want }] {
+            assert_eq!(told(&door.decide(Tenths(10), vec![heard(word)])), vec![], "{word:?}");
+        }
+    }
+    // Another door's verdict for an ask that is out to the keeper leaves it out.
+    let mut asked = Vec::new();
+    let mut customer = 5;
+    while asked.is_empty() {
+        customer += 1;
+        let now = Tenths(20);
+        asked = told(&door.decide(now, vec![arrival(customer, customer, now, Tenths(40_000))]));
+    }
+    let (keeper, Word::Ask { no, want }) = asked[0] else { panic!("{asked:?}") };
+    let stranger = DoorId((keeper.0 + 1) % DOORS);
+    let word = Word::Told { no, want, verdict: Err(None) };
+    let actions = door.decide(Tenths(30), vec![Event::Heard { from: stranger, word }]);
+    assert_eq!(answers(&actions), 0, "{actions:?}");
+    let actions = door.decide(Tenths(40), vec![Event::Heard { from: keeper, word }]);
+    assert_eq!(answers(&actions), 1, "{actions:?}");
+    // A verdict that comes when its ask is over goes back to the keeper.
+    let late = Word::Told { no, want, verdict: Ok(()) };
+    let actions = door.decide(Tenths(50), vec![Event::Heard { from: keeper, word: late }]);
+    assert_eq!(told(&actions), vec![(keeper, Word::Back { want })]);
+}
+
+#[test]
+fn what_is_given_back_is_there_for_the_next() {
+    let mut door = Door::start(start(0));
+    let want = Want { customer: CustomerId(5), plan: PlanId(0), width: DOORS, cost: 2.0, again: false };
+    let heard = |word| vec![Event::Heard { from: DoorId(3), word }];
+    let mut let_in = |now: i64| {
+        let asks = (0..20).map(|_| door.decide(Tenths(now), heard(Word::Ask { no: AskNo(3), want })));
+        let verdicts = asks.flat_map(|actions| told(&actions));
+        let got = verdicts.filter(|(_, word)| matches!(word, Word::Told { verdict: Ok(()), .. })).count();
+        (0..got).for_each(|_| drop(door.decide(Tenths(now), heard(Word::Back { want }))));
+        got
+    };
+    assert_eq!(
+        (let_in(10), let_in(20)),
+        (2, 2),
+        "a keeper's part of the burst is four units, given back in between"
+    );
+}
+
+#[test]
+fn letters_that_are_none_are_not_read() {
+    let want = Want { customer: CustomerId(1 << 32), plan: PlanId(1), width: 300, cost: 2.5, again: true };
+    let word = Word::Told { no: AskNo(70_000), want, verdict: Err(Some(Tenths(1_500))) };
+    let letter = letter::write(&word);
+    assert_eq!(letter::read(&letter), Some(word));
+    assert_eq!(letter::read(&[]), None);
+    for end in 0..letter.len() {
+        assert_eq!(letter::read(&letter[..end]), None, "cut off after {end}");
+    }
+    assert_eq!(letter::read(&[&letter[..], &[0]].concat()), None, "more than a word");
+    assert_eq!(letter::read(&[&[2], &letter[1..]].concat()), None, "another form");
+    assert_eq!(letter::read(&[0xff; 4096]), None);
+}
--- a/told/src/lib.rs
+++ b/told/src/lib.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::str::FromStr;
 use vanewharf::interface::{
-    Allowances, Among, ColdFigures, Plan, PlanId, Product, ProductId, Repeat, Start, Tenths,
+    Allowances, Among, ColdFigures, DoorId, Plan, PlanId, Product, ProductId, Repeat, Start, Tenths,
 };
 
 /// The option that cannot be read, and what stood there.
@@ -140,7 +140,6 @@
         plans.push(Plan {
             rate: options.number(&key("rate"))?,
             burst: options.number(&key("store_size"))?,
-            open_at_once: options.number(&key("at_once"))?,
             value_factor: options.number(&key("value_factor"))?,
             beyond_worth: options.number(&key("excess_worth"))?,
             beyond_cost: options.number(&key("excess_cost"))?,
@@ -152,7 +151,8 @@
     let start = Start {
         seed,
         at,
-        doors: options.read("balancers")?.unwrap_or(1),
+        me: DoorId(options.read("me")?.unwrap_or_default()),
+        doors: options.read("balancers")?.unwrap_or(1).max(1),
         products,
         plans,
         allowances: Allowances {
@@ -172,6 +172,8 @@
         counter: options
             .flag("family_info.shared_counter")?
             .then_some(options.time("family_info.count_wait")?),
+        peers: options.flag("allowed.peer_messages")?,
+        most_cost: options.number("family_info.most_units")?,
     };
     Ok((start, named))
 }
