--- a/src/decide.rs
+++ b/src/decide.rs
@@ -614,7 +614,7 @@
                 let account = self.account(&want, now, told);
                 // A width that grows must not leave this door with more than its part of a ceiling.
                 account.width = width;
-                let binds = figures.rate > 0.0 && figures.beyond_cost > figures.beyond_worth;
+                let binds = figures.rate > 0.0 && figures.beyond_cost >= figures.beyond_worth;
                 let passes = account.passes_ceiling(cost, figures);
                 // Over many doors a slice's burst is less than a txn: what all doors let in together decides.
                 let (slice, asks) = (figures.burst / width, binds && !passes);
@@ -625,7 +625,7 @@
                 if let Some(span) = count_span(figures).filter(|_| counts) {
                     return self.count(ask, span, now, told);
                 }
-                // Where use beyond the quota costs no more than it earns, only the ceiling bars it.
+                // Where use beyond the quota earns more than it costs, only the ceiling bars it.
                 let inside = account.ask(cost, want.again, figures);
                 if inside.is_err() && !(binds || passes) {
                     account.take(cost, account.tokens);
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug)]
 pub enum ToDesk {
     Arrived(Arrival),
-    /// Inside its quota, or beyond it where that costs nothing.
+    /// Inside its quota, or beyond it where that earns more than it costs.
     Granted(TxnId, bool),
     Refused(TxnId, Option<Tenths>),
     Ended(Ending),
