--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,9 +13,7 @@
 //! 5. resubmission: second tries, one after the other, out of a budget that first submissions fill (`Desk`)
 
 use crate::interface::*;
-use crate::state::{
-    Account, Ask, Backend, Board, Desk, Held, Norm, Offer, Submission, Till, ToBackend, ToDesk, ToTill, Txn,
-};
+use crate::state::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -39,9 +37,8 @@
 const SLIM: f64 = 0.15;
 /// Doors that keep a customer's store between them where a slice holds less than a txn.
 const KEEPERS: u32 = 2;
-/// Smaller timers are the door's own.
-const FIRST_ASK: u32 = 1;
-const BEAT_TIMER: TimerId = TimerId(0);
+/// Above all asks' timers.
+const BEAT_TIMER: TimerId = TimerId(1 << 32);
 /// Seconds between a door's beats, and what each leaves of the longest stall that they showed.
 const BEAT: f64 = 0.25;
 const STALL_FADES: f64 = 0.99;
@@ -100,18 +97,9 @@
     pub fn start(told: Start) -> Door {
         let guess = |mean| Norm { mean, spread: mean, seen: 0.0 };
         let norms = told.products.iter().map(|product| guess(product.sla_time.seconds() / 4.0)).collect();
-        let desk =
-            Desk { norms, rated_at: told.at, counted_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
+        let desk = Desk { norms, rated_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
         let fits = vec![0.5; told.plans.len()];
-        let till = Till {
-            asks: FIRST_ASK,
-            swept: told.at,
-            paced: told.at,
-            calling: 1.0,
-            answered: 1.0,
-            fits,
-            ..Till::default()
-        };
+        let till = Till { calling: 1.0, answered: 1.0, fits, ..Till::default() };
         let (now, yard) = (told.at, BTreeMap::new());
         let (posted, stirring, actions) = (VecDeque::new(), BTreeSet::new(), Vec::new());
         let chance = SmallRng::seed_from_u64(told.seed);
@@ -140,9 +128,7 @@
                 Event::Due(BEAT_TIMER) => self.beat(),
                 Event::Due(TimerId(ask)) => self.till.inbox.push_back(ToTill::Overdue(AskNo(ask as u32))),
                 Event::Heard { from, word } => self.till.inbox.push_back(ToTill::Heard(from, word)),
-                Event::Counted { name, counted } => {
-                    self.till.inbox.push_back(ToTill::Counted { name, counted })
-                }
+                Event::Counted { name, counted } => self.till.inbox.push_back(ToTill::Counted(name, counted)),
             }
         }
         self.settle_mail();
@@ -176,13 +162,11 @@
 
     /// Time is told to those alone that have something out, rest or warm up: in a wide fleet few of all.
     fn tick(&mut self) {
-        let any_cold = self.desk.board.values().any(|offer| offer.cold);
-        let warm = self.desk.board.values().filter(|offer| any_cold && !offer.cold && !offer.bad);
+        let warm = self.desk.board.values().filter(|offer| !offer.cold && !offer.bad);
         let (rate, size) = warm.fold((0.0, 1e-6), |(rate, size), offer| {
             (rate + offer.sent_rate * faded(offer.rated_at, self.now), size + offer.size)
         });
-        let warm_rate = rate / size;
-        let patience = self.desk.patience();
+        let (warm_rate, patience) = (rate / size, self.desk.patience());
         // The random part keeps doors that rested a backend together from returning to it together.
         let rest = REST.times(1.0 + 0.5 * self.chance.random::<f64>());
         for id in std::mem::take(&mut self.stirring) {
@@ -197,12 +181,10 @@
                 let Some(actor) = self.yard.get_mut(&id).filter(|actor| !actor.inbox.is_empty()) else {
                     continue;
                 };
-                let mut news = false;
                 while let Some(note) = actor.inbox.pop_front() {
-                    news |= !matches!(note, ToBackend::Tick { .. });
                     actor.hear(note, self.now, &self.told.cold);
                 }
-                if news || actor.stirs(self.now, &self.told.cold) {
+                if actor.stirs(self.now, &self.told.cold) {
                     self.stirring.insert(id);
                 }
                 let offer = actor.listed.then(|| actor.offer(self.now, &self.told.cold));
@@ -228,10 +210,11 @@
     fn hear(&mut self, note: ToDesk) {
         match note {
             ToDesk::Arrived(arrival) => self.arrived(arrival),
-            ToDesk::Granted(id, inside) if (inside || self.spares(id)) && self.submit(id) => {}
-            ToDesk::Granted(id, _) => {
+            ToDesk::Granted(id) if self.submit(id).is_some() => {}
+            ToDesk::Granted(id) => {
                 let want = self.desk.txns.get(&id).map(|txn| txn.asked.want);
-                self.till.inbox.extend(want.map(ToTill::Returned));
+                let back = want.map(|want| ToTill::Closed { want, metered: None, owed: -want.cost });
+                self.till.inbox.extend(back);
                 self.give_up(id, None);
             }
             ToDesk::Refused(id, wait) => self.give_up(id, wait),
@@ -242,13 +225,15 @@
 
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { txn: id, product, want, expiry } = arrival;
-        let txn = Txn { asked: arrival, arrived: self.now, ..Txn::default() };
         let (norm, stays) = (self.desk.norms[product.0], expiry - self.now);
-        let value = self.told.products[product.0].value * self.told.plans[want.plan.0].value_factor;
+        let plan = &self.told.plans[want.plan.0];
+        // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
+        let value = self.told.products[product.0].value * plan.value_factor / norm.mean;
         let leaves = norm.seen >= 8.0 && stays.seconds() < IN_TIME * norm.mean;
-        self.desk.crowd(value / norm.mean, self.now, &self.told);
-        let pressed = self.desk.pressed(value / norm.mean) || leaves;
-        self.desk.txns.insert(id, txn);
+        self.desk.crowd(value, self.now, &self.told);
+        let pressed = self.desk.pressed(value) || leaves;
+        let spared = !self.desk.pressed(value * plan.beyond_worth);
+        self.desk.txns.insert(id, Txn { asked: arrival, arrived: self.now, ..Txn::default() });
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
         } else {
@@ -256,30 +241,18 @@
             let width = if want.width == 0 { self.told.doors } else { want.width };
             let want = Want { width, ..want };
             let patience = self.told.products[product.0].sla_time.min(stays).times(ASK_PART);
-            let ask = Ask { txn: id, want, chance, patience, stays, turn: 0, refused: false };
+            let ask = Ask { txn: id, want, chance, patience, stays, spared, turn: 0, refused: false };
             self.till.inbox.push_back(ToTill::Ask(ask));
         }
     }
 
-    /// Whether there is room for what is beyond its quota, by what it is worth there.
-    fn spares(&self, id: TxnId) -> bool {
-        let Some(Arrival { product, want, .. }) = self.desk.txns.get(&id).map(|txn| &txn.asked) else {
-            return false;
-        };
-        let plan = &self.told.plans[want.plan.0];
-        let value = self.told.products[product.0].value * plan.value_factor * plan.beyond_worth;
-        !self.desk.pressed(value / self.desk.norms[product.0].mean)
-    }
-
     /// A decline says that another try is harmless, so it is kept from what may have run and must not again.
     fn give_up(&mut self, id: TxnId, wait: Option<Tenths>) {
         let Some(txn) = self.desk.txns.get(&id) else {
             return;
         };
-        let harmless = match self.told.products[txn.asked.product.0].repeat {
-            Repeat::OnceOnly => !txn.submissions.iter().any(|submission| submission.may_have_run),
-            _ => true,
-        };
+        let may_have_run = txn.submissions.iter().any(|submission| submission.may_have_run);
+        let harmless = !may_have_run || self.told.products[txn.asked.product.0].repeat != Repeat::OnceOnly;
         let told = &self.told.allowances;
         let retry_after = wait.filter(|_| told.retry_after).map(|span| span.min(told.max_retry_after));
         let decline = Action::Decline { txn: id, retry_after };
@@ -313,11 +286,11 @@
         submission.may_have_run = !ending.outcome.never_ran();
         let settled = ending.outcome == Outcome::Settled;
         let owed = ending.true_cost.filter(|_| settled).map_or(0.0, |cost| cost - txn.asked.want.cost);
-        let (customer, product, backend) = (txn.asked.want.customer, txn.asked.product, submission.backend);
+        let (want, product, backend) = (txn.asked.want, txn.asked.product, submission.backend);
         // What did not get through fed no overload, so sending it again is not charged.
         self.desk.spare += f64::from(u8::from(ending.outcome == Outcome::NoConnection));
         let answered = txn.answered;
-        self.till.inbox.push_back(ToTill::Closed { customer, metered: ending.metered, owed });
+        self.till.inbox.push_back(ToTill::Closed { want, metered: ending.metered, owed });
         let took = ending.took.seconds();
         let (relative, kept) = (took / self.desk.norms[product.0].mean.max(1e-4), self.told.kept);
         if settled {
@@ -326,7 +299,7 @@
         self.post(backend, ToBackend::Ended { txn: id, no, outcome: ending.outcome, relative, kept });
         if answered || ending.complete {
             self.conclude(id);
-        } else if !(self.may_resubmit(id) && self.submit(id)) {
+        } else if !(self.may_resubmit(id) && self.submit(id).is_some()) {
             self.give_up(id, None);
         }
     }
@@ -348,16 +321,12 @@
         allowed
     }
 
-    /// One draw at random, odds in step with room; false where no backend may take the txn.
-    fn submit(&mut self, id: TxnId) -> bool {
+    /// One draw at random, odds in step with room; none where no backend may take the txn.
+    fn submit(&mut self, id: TxnId) -> Option<()> {
         let chance = self.chance.random::<f64>();
-        let Some(txn) = self.desk.txns.get_mut(&id) else {
-            return false;
-        };
+        let txn = self.desk.txns.get_mut(&id)?;
         let product = &self.told.products[txn.asked.product.0];
-        let Some(backend) = draw(&self.desk.board, txn, product.repeat, self.now, chance) else {
-            return false;
-        };
+        let backend = draw(&self.desk.board, txn, product.repeat, self.now, chance)?;
         let no = SubmissionNo(txn.submissions.len() as u32);
         // Until its outcome says otherwise a submission may run at any moment.
         txn.submissions.push(Submission { backend, sent: self.now, out: true, may_have_run: true });
@@ -371,7 +340,7 @@
             self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
         }
         self.post(backend, ToBackend::Sent { txn: id, no, work: norm.mean });
-        true
+        Some(())
     }
 }
 
@@ -392,9 +361,8 @@
         board.iter().filter(|(id, offer)| !(offer.shut || offer.bad && spare_bad || tried(id))).collect();
     let out: f64 = open.iter().map(|(_, offer)| offer.out).sum();
     let strength: f64 = open.iter().map(|(_, offer)| offer.strength).sum();
-    let limit = out + open.len() as f64;
     let kept = |offer: &Offer| !offer.cold && offer.out < 1.0 && offer.kept_until > now;
-    let room = |offer: &Offer| (offer.strength / strength * limit - offer.out).max(0.0);
+    let room = |offer: &Offer| (offer.strength / strength * (out + open.len() as f64) - offer.out).max(0.0);
     let room = |offer: &Offer| room(offer) * if kept(offer) { KEPT_ODDS } else { 1.0 };
     let room = |offer: &Offer| room(offer) * if offer.near { NEAR_ODDS } else { 1.0 };
     let mut left = chance * open.iter().map(|(_, offer)| room(offer)).sum::<f64>();
@@ -427,9 +395,7 @@
     /// What is out over what settles is how long a newcomer would wait. All products wait in the same lines,
     /// so the one tightest on time says when; the cheaper give way first.
     fn crowd(&mut self, value: f64, now: Tenths, told: &Start) {
-        let mean = self.mean_time();
-        // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
-        let value = value * mean;
+        let mean = self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64;
         self.mean_value += 0.02 * (value - self.mean_value);
         // What is stuck at a silent backend stands in nobody's way; a jammed one looks silent too.
         let out: f64 = self.board.values().map(|offer| offer.out - offer.stuck).sum();
@@ -449,13 +415,8 @@
     }
 
     fn pressed(&self, value: f64) -> bool {
-        let value = value * self.mean_time();
         self.crowding > PATIENCE + 0.5 * value / (value + self.mean_value)
     }
-
-    fn mean_time(&self) -> f64 {
-        self.norms.iter().map(|norm| norm.mean).sum::<f64>() / self.norms.len() as f64
-    }
 }
 
 impl Backend {
@@ -465,11 +426,8 @@
     }
 
     fn warmth(&self, now: Tenths, cold: &ColdFigures) -> f64 {
-        let Some(booted) = self.booted else {
-            return 1.0;
-        };
-        let age = (now - booted).seconds() / cold.ramp_time.seconds().max(1e-4);
-        (cold.from + (1.0 - cold.from) * age.max(0.0)).min(1.0)
+        let age = self.booted.map_or(f64::MAX, |booted| (now - booted).seconds().max(0.0));
+        (cold.from + (1.0 - cold.from) * age / cold.ramp_time.seconds().max(1e-4)).min(1.0)
     }
 
     fn hear(&mut self, note: ToBackend, now: Tenths, cold: &ColdFigures) {
@@ -508,8 +466,8 @@
                 }
             }
             ToBackend::Tick { patience, warm_rate, rest } => {
-                let stuck = patience.times(2.0);
-                self.stuck = self.out.values().filter(|&&sent| now - sent > stuck).count() as f64;
+                let stuck = self.out.values().filter(|&&sent| now - sent > patience.times(2.0));
+                self.stuck = stuck.count() as f64;
                 let gap = (now - self.ticked).seconds();
                 self.ticked = now;
                 let budget = warm_rate * self.size * self.warmth(now, cold);
@@ -531,7 +489,8 @@
     }
 
     fn stirs(&self, now: Tenths, cold: &ColdFigures) -> bool {
-        !self.out.is_empty() || self.aside_until.is_some() || self.warmth(now, cold) < 1.0
+        let (idle, struck) = (self.out.is_empty(), self.strikes >= STRIKES);
+        !idle || struck || self.aside_until.is_some() || self.warmth(now, cold) < 1.0
     }
 
     fn ails(&self, now: Tenths, patience: Tenths) -> bool {
@@ -582,15 +541,17 @@
                 if let Some(span) = count_span(figures).filter(|_| counts) {
                     return self.count(ask, span, now, told);
                 }
-                // Where use beyond the quota earns more than it costs, only the ceiling bars it.
+                // Where use beyond the quota earns more than it costs, only the ceiling and a crowd bar it.
                 let inside = account.ask(cost, want.again, figures);
-                if inside.is_err() && !(binds || passes) {
+                if inside.is_err() && !(binds || passes) && ask.spared {
                     account.take(cost, account.tokens);
-                    return Some(ToDesk::Granted(txn, false));
+                    return Some(ToDesk::Granted(txn));
                 }
-                return Some(answer(txn, inside));
+                return Some(
+                    inside.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn)),
+                );
             }
-            ToTill::Counted { name, counted } => {
+            ToTill::Counted(name, counted) => {
                 let held = self.held.get_mut(&name).and_then(VecDeque::pop_front)?;
                 if self.held.get(&name).is_some_and(VecDeque::is_empty) {
                     self.held.remove(&name);
@@ -598,8 +559,9 @@
                 let Held { ask, window, asked } = held;
                 let figures = &told.plans[ask.want.plan.0];
                 let span = count_span(figures)?;
-                let line = told.counter.unwrap_or_default().times(COUNT_LINE);
-                if counted == Counted::NotAdded || now - asked > line {
+                if counted == Counted::NotAdded
+                    || now - asked > told.counter.unwrap_or_default().times(COUNT_LINE)
+                {
                     self.calling *= 0.5;
                 }
                 let allowed = figures.rate * span.seconds();
@@ -627,8 +589,9 @@
                 let known = self.asked.get(&no).is_some_and(|(keeper, _)| *keeper == from);
                 let Some((_, ask)) = known.then(|| self.asked.remove(&no)).flatten() else {
                     // Too late to be used.
-                    let back = Action::Tell { to: from, word: Word::Back { want } };
-                    self.calls.extend(verdict.is_ok().then_some(back));
+                    self.calls.extend(
+                        verdict.is_ok().then_some(Action::Tell { to: from, word: Word::Back { want } }),
+                    );
                     return None;
                 };
                 return self.heard(ask, verdict, now, told);
@@ -639,9 +602,8 @@
                 let (_, ask) = self.asked.remove(&no)?;
                 return self.seek(ask, now, told);
             }
-            ToTill::Returned(want) => self.account(&want, now, told).take(-want.cost, f64::MIN),
-            ToTill::Closed { customer, metered, owed } => {
-                let account = self.known(customer, now, told)?;
+            ToTill::Closed { want, metered, owed } => {
+                let account = self.account(&want, now, told);
                 account.spend(owed);
                 if let Some(reading) = metered {
                     (account.reading, account.read_at) = (reading, Some(now));
@@ -661,7 +623,10 @@
         let gap = (now - std::mem::replace(&mut self.paced, now)).seconds();
         self.calling = 1.0 - (1.0 - self.calling) * (-gap / COUNT_BACK).exp();
         if open && ask.chance < self.calling {
-            self.call(held, span);
+            let name = CountName((ask.want.customer.0 << 12) | (held.window as u64 & 0xfff));
+            let forget_after = span.times(2.0) + Tenths::SECOND;
+            self.calls.push(Action::Count { name, step: ask.want.cost, forget_after });
+            self.held.entry(name).or_default().push_back(held);
             return None;
         }
         self.answered -= COUNT_WEIGHT * f64::from(u8::from(open)) * self.answered;
@@ -690,7 +655,7 @@
             return self.seek(ask, now, told);
         }
         let no = AskNo(self.asks);
-        self.asks = self.asks.wrapping_add(1).max(FIRST_ASK);
+        self.asks = self.asks.wrapping_add(1);
         self.asked.insert(no, (keeper, ask));
         let wake = Action::Wake { after: ask.patience, timer: TimerId(u64::from(no.0)) };
         self.calls.extend([Action::Tell { to: keeper, word: Word::Ask { no, want: ask.want } }, wake]);
@@ -726,11 +691,13 @@
         verdict
     }
 
-    /// With nobody's word, nor a current reading: whether the plan's txns fit often enough lately.
+    /// With nobody's word, nor a current reading: whether the plan's txns fit often enough lately for one in
+    /// doubt to be worth more than it costs.
     fn doubtful(&mut self, ask: &Ask, now: Tenths, told: &Start) -> bool {
-        let current = self.account(&ask.want, now, told).current(now);
-        let full = current || self.knows_full(ask.want.customer, now);
-        !full && self.fits[ask.want.plan.0] > fair_odds(&told.plans[ask.want.plan.0])
+        let plan = &told.plans[ask.want.plan.0];
+        let beyond = (plan.beyond_cost - plan.beyond_worth).max(0.0);
+        let full = self.knows_full(ask.want.customer, now) || self.account(&ask.want, now, told).current(now);
+        !full && self.fits[ask.want.plan.0] > beyond / (1.0 + beyond)
     }
 
     fn knows_full(&self, customer: CustomerId, now: Tenths) -> bool {
@@ -744,15 +711,12 @@
     /// What was decided elsewhere is held to the customer's ceiling here.
     fn sought(&mut self, ask: &Ask, room: bool, wait: Option<Tenths>, now: Tenths, told: &Start) -> ToDesk {
         let account = self.account(&ask.want, now, told);
-        let verdict = account.let_in(ask.want.cost, room, &told.plans[ask.want.plan.0]);
-        answer(ask.txn, verdict.map_err(|()| wait))
-    }
-
-    fn call(&mut self, held: Held, span: Tenths) {
-        let name = CountName((held.ask.want.customer.0 << 12) | (held.window as u64 & 0xfff));
-        let forget_after = span.times(2.0) + Tenths::SECOND;
-        self.calls.push(Action::Count { name, step: held.ask.want.cost, forget_after });
-        self.held.entry(name).or_default().push_back(held);
+        if !room || account.passes_ceiling(ask.want.cost, &told.plans[ask.want.plan.0]) {
+            return ToDesk::Refused(ask.txn, wait);
+        }
+        // The slice is left in no more debt than it had.
+        account.take(ask.want.cost, account.tokens.min(0.0));
+        ToDesk::Granted(ask.txn)
     }
 
     fn account(&mut self, want: &Want, now: Tenths, told: &Start) -> &mut Account {
@@ -762,12 +726,6 @@
         account
     }
 
-    fn known(&mut self, customer: CustomerId, now: Tenths, told: &Start) -> Option<&mut Account> {
-        let account = self.accounts.get_mut(&customer)?;
-        account.refill(now, &told.plans[account.plan.0], told);
-        Some(account)
-    }
-
     /// Idle full buckets are what a customer not yet seen gets anyway.
     fn sweep(&mut self, now: Tenths, told: &Start) {
         if now - self.swept < Tenths::SECOND {
@@ -791,8 +749,7 @@
 impl Account {
     fn new(plan: PlanId, width: f64, now: Tenths, told: &Start) -> Account {
         let figures = &told.plans[plan.0];
-        let (slice, tokens) = (1.0 / width, figures.burst / width);
-        let (filled, reviewed) = (now, now);
+        let (slice, tokens, filled, reviewed) = (1.0 / width, figures.burst / width, now, now);
         let mut account = Account { plan, width, slice, tokens, filled, reviewed, ..Account::default() };
         // What was spent before this instance began is unknown, so only time since then counts as refilled.
         let since = (now - told.at).seconds();
@@ -882,15 +839,6 @@
         Ok(())
     }
 
-    /// By the window: the slice is left in no more debt than it had. Others may have used the ceiling.
-    fn let_in(&mut self, cost: f64, room: bool, plan: &Plan) -> Result<(), ()> {
-        if !room || self.passes_ceiling(cost, plan) {
-            return Err(());
-        }
-        self.take(cost, self.tokens.min(0.0));
-        Ok(())
-    }
-
     /// A first submission's units, from the ceiling too; the slice is left with `least` at least.
     fn take(&mut self, cost: f64, least: f64) {
         self.ceiling -= cost;
@@ -909,16 +857,6 @@
     }
 }
 
-fn answer(txn: TxnId, verdict: Verdict) -> ToDesk {
-    verdict.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn, true))
-}
-
-/// The part of a plan's first tries that must fit for one in doubt to be worth more than it costs.
-fn fair_odds(plan: &Plan) -> f64 {
-    let beyond = (plan.beyond_cost - plan.beyond_worth).max(0.0);
-    beyond / (1.0 + beyond)
-}
-
 /// A customer's bucket drains in burst over rate: over a window as long, the rate alone bounds the total.
 fn count_span(plan: &Plan) -> Option<Tenths> {
     let span = (plan.burst / plan.rate).clamp(COUNT_SPAN.0, COUNT_SPAN.1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,8 +17,7 @@
 #[derive(Clone, Debug)]
 pub enum ToDesk {
     Arrived(Arrival),
-    /// Inside its quota, or beyond it where that earns more than it costs.
-    Granted(TxnId, bool),
+    Granted(TxnId),
     Refused(TxnId, Option<Tenths>),
     Ended(Ending),
     Left(TxnId),
@@ -29,9 +28,8 @@
     Ask(Ask),
     Heard(DoorId, Word),
     Overdue(AskNo),
-    Returned(Want),
-    Closed { customer: CustomerId, metered: Option<f64>, owed: f64 },
-    Counted { name: CountName, counted: Counted },
+    Closed { want: Want, metered: Option<f64>, owed: f64 },
+    Counted(CountName, Counted),
 }
 
 /// What the till is asked for one txn.
@@ -43,6 +41,8 @@
     /// How long its client stays, how long one keeper's answer may take, how many keepers were asked.
     pub stays: Tenths,
     pub patience: Tenths,
+    /// Whether there is room for it beyond its quota, by what it is worth there.
+    pub spared: bool,
     pub turn: u32,
     pub refused: bool,
 }
