Give the door on sockets words between doors, an operator's file and a check of its settings

Cause: the module asks other doors where they may talk, and the program told it that they may not; a negative or mixed setting started a door all the same. Without that file nothing changes.

--- a/frontdoor/src/book.rs
+++ b/frontdoor/src/book.rs
@@ -48,6 +48,10 @@
     CounterTotals "counter_totals",
     CounterNotAdded "counter_not_added",
     CounterUnknown "counter_unknown",
+    PeersTold "peers_told",
+    PeersUntold "peers_untold",
+    PeersHeard "peers_heard",
+    PeersDropped "peers_dropped",
 );
 
 kinds!(Invariant, INVARIANTS:
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -8,6 +8,8 @@
 mod counter;
 mod discovery;
 mod note;
+mod operator;
+mod peers;
 mod pool;
 mod recall;
 mod relay;
@@ -18,13 +20,17 @@
 
 use admit::Told;
 use book::{Book, Count, Room};
+use clap::Parser;
 use clock::Clock;
 use commission::Commission;
 use discovery::Discovery;
+use operator::Operator;
+use peers::Peers;
 use recall::Recall;
 use route::Route;
 use shared::Shared;
 use std::cell::{Cell, RefCell};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,7 +44,20 @@
 const KEEP_ACCEPTING: Duration = Duration::from_millis(500);
 const BACKLOG: u32 = 1024;
 
+/// One front door; the platform's file is named by ROUTER_CONFIG.
+#[derive(Parser)]
+#[command(version)]
+struct Call {
+    /// The operator's own file; without one the door is as the platform's file alone says.
+    #[arg(long, env = "VANEWHARF_OPERATOR")]
+    operator: Option<PathBuf>,
+    /// Only tell whether a door would start by these files.
+    #[arg(long)]
+    check: bool,
+}
+
 fn main() -> ExitCode {
+    let call = Call::parse();
     let level = std::env::var("VANEWHARF_LOG").ok().and_then(|level| level.parse().ok());
     tracing_subscriber::fmt()
         .with_max_level(level.unwrap_or(tracing::Level::INFO))
@@ -46,7 +65,7 @@
         // Against a panic where nobody takes the log: it would be told on the same closed pipe.
         .log_internal_errors(false)
         .init();
-    match run() {
+    match run(call) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
             tracing::error!("cannot serve: {reason}");
@@ -55,13 +74,13 @@
     }
 }
 
-fn run() -> Result<(), String> {
+fn run(call: Call) -> Result<(), String> {
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
     let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
-    runtime.block_on(async { serve().await })
+    runtime.block_on(async { serve(call).await })
 }
 
-async fn serve() -> Result<(), String> {
+async fn serve(call: Call) -> Result<(), String> {
     let because = |what: &str, error: std::io::Error| format!("{what}: {error}");
     let hear = |kind| signal(kind).map_err(|error| because("no signals", error));
     // First, as a signal that nobody has asked for ends the program.
@@ -70,11 +89,18 @@
     let commission = Commission::read()?;
     let clock = Clock::start();
     let Commission { name, listen, discovery, seed, limits, known, counter, options } = commission;
+    let operator = Operator::read(call.operator.as_deref())?;
+    let options = operator.complete(options)?;
     let (mut start, named) =
         vanewharf_told::start(&options, seed, clock.now()).map_err(|error| error.to_string())?;
     let lines = vanewharf_told::lines(&options).map_err(|error| error.to_string())?;
     let ask_within = vanewharf_told::ask_within(&options).map_err(|error| error.to_string())?;
     let bounds = vanewharf_told::bounds(&options).map_err(|error| error.to_string())?;
+    let intake = vanewharf_told::peer_in_per_s(&options).map_err(|error| error.to_string())?;
+    if call.check {
+        tracing::info!(name, peers = start.peers, counter = start.counter.is_some(), "a door would start");
+        return Ok(());
+    }
     let repeats = start.products.iter().map(|product| product.repeat).collect();
     let book = Rc::new(Book::new(Room::within(limits.sockets, limits.memory_mb)));
     let (notes, told) = mpsc::unbounded_channel();
@@ -93,7 +119,6 @@
     let (agent, agents) = watch::channel(discovery);
     let recall = Recall::new(ask_within, seed);
     let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), known, recall);
-    start.peers = false;
     // The decisions call the counter only where the settings allow it and the platform names one.
     start.counter = start.counter.filter(|_| counter.is_some());
     let calls = match (counter, start.counter) {
@@ -104,7 +129,19 @@
         }
         _ => None,
     };
-    let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known, calls);
+    let peers = match operator.peers {
+        Some(at) => {
+            let listening = Peers::listen(at.listen, at.doors, start.me).await;
+            let peers =
+                listening.map_err(|error| because(&format!("cannot hear at {}", at.listen), error))?;
+            Some(Rc::new(peers))
+        }
+        None => None,
+    };
+    if let Some(peers) = &peers {
+        drop(tokio::task::spawn_local(Rc::clone(peers).hear(intake, Rc::clone(&shared))));
+    }
+    let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known, calls, peers);
     let mut routing = tokio::task::spawn_local(route.run(told));
     let mut watching = tokio::task::spawn_local(discovery.run());
     let stop = Rc::new(Notify::new());
--- a/frontdoor/src/note.rs
+++ b/frontdoor/src/note.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
-use vanewharf::interface::{Arrival, CountName, Counted, Listed, Outcome, SubmissionNo, Tenths, TxnId};
+use vanewharf::interface::{
+    Arrival, CountName, Counted, DoorId, Listed, Outcome, SubmissionNo, Tenths, TxnId, Word,
+};
 use vanewharf_frames::{Reply, Request};
 
 pub struct Taken {
@@ -42,6 +44,8 @@
     Shed,
     /// The shared counter's answer to one call.
     Counted(CountName, Counted),
+    /// Another door's word.
+    Heard(DoorId, Word),
 }
 
 /// A list of backends or a change of it, with this door's ids for the names.
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -4,6 +4,7 @@
 use crate::book::{Count, Invariant};
 use crate::counter::Call;
 use crate::note::{CalledOff, Ended, Job, Note, Taken, Told};
+use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::relay::Final;
 use crate::send;
@@ -65,6 +66,8 @@
     over: Vec<TxnId>,
     /// None where no counter was named: then the decisions are told that there is none.
     counter: Option<mpsc::UnboundedSender<Call>>,
+    /// None where doors have no words for each other: then the decisions are told so.
+    peers: Option<Rc<Peers>>,
 }
 
 impl Route {
@@ -74,13 +77,14 @@
         repeats: Vec<Repeat>,
         known: Told,
         counter: Option<mpsc::UnboundedSender<Call>>,
+        peers: Option<Rc<Peers>>,
     ) -> Route {
         let pool = Pool::new(shared.lines.idle);
         let (txns, timers) = (BTreeMap::new(), BinaryHeap::new());
         let (events, over) = (Vec::new(), Vec::new());
         let timers_set = 0;
         let mut route =
-            Route { shared, door, repeats, pool, txns, timers, timers_set, events, over, counter };
+            Route { shared, door, repeats, pool, txns, timers, timers_set, events, over, counter, peers };
         let now = route.shared.clock.now();
         route.listed(known);
         route.set(now + SWEEP, Timer::Sweep);
@@ -175,6 +179,7 @@
             Note::Ended(ended) => self.ended(ended, now),
             Note::Listed(told) => self.listed(told),
             Note::Shed => self.pool.shed(),
+            Note::Heard(from, word) => self.events.push(Event::Heard { from, word }),
             Note::Counted(name, counted) => {
                 self.shared.book.count(match counted {
                     Counted::Total(_) => Count::CounterTotals,
@@ -297,7 +302,10 @@
             }
             Action::Void { txn } => self.conclude(txn, Final::Voided),
             Action::Wake { after, timer } => self.set(now + after, Timer::Wake(timer)),
-            Action::Tell { .. } => {}
+            Action::Tell { to, word } => {
+                let told = self.peers.as_ref().is_some_and(|peers| peers.tell(to, &word));
+                self.shared.book.count(if told { Count::PeersTold } else { Count::PeersUntold });
+            }
             Action::Count { name, step, forget_after } => {
                 self.shared.book.count(Count::CounterCalls);
                 let call = Call { name, step, forget_after };
--- a/frontdoor/tests/stand_ins/mod.rs
+++ b/frontdoor/tests/stand_ins/mod.rs
@@ -219,7 +219,7 @@
     pub agent: Agent,
     said: Receiver<String>,
     path: PathBuf,
-    commission: Value,
+    pub commission: Value,
 }
 
 static DOORS: AtomicU32 = AtomicU32::new(0);
@@ -230,7 +230,12 @@
     let path = std::env::temp_dir().join(format!("vanewharf-door-{}-{number}.json", std::process::id()));
     let mut command = Command::new("sh");
     let limited = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_vanewharf-door"));
-    command.args(["-c", &limited]).env_remove("ROUTER_CONFIG").stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+        .args(["-c", &limited])
+        .env_remove("ROUTER_CONFIG")
+        .env_remove("VANEWHARF_OPERATOR")
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped());
     if let Some(text) = commission {
         std::fs::write(&path, text).expect("a file of our own");
         command.env("ROUTER_CONFIG", &path);
@@ -259,7 +264,7 @@
         Door::shaped(backends, sockets, memory_mb, descriptors, |_| {})
     }
 
-    fn shaped(
+    pub fn shaped(
         backends: &[&Backend],
         sockets: usize,
         memory_mb: usize,
@@ -287,7 +292,14 @@
             }
         });
         change(&mut commission);
+        // Beside the platform's settings, not among them: the operator's file.
+        let operator = commission.as_object_mut().and_then(|fields| fields.remove("operator"));
         let (mut command, path) = program(Some(&commission.to_string()), descriptors);
+        if let Some(Value::String(text)) = operator {
+            let file = path.with_extension("toml");
+            std::fs::write(&file, text).expect("a file of our own");
+            command.env("VANEWHARF_OPERATOR", &file);
+        }
         let mut child = command.spawn().expect("the program starts");
         let (tell, said) = channel();
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
@@ -359,6 +371,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.path);
+        let _ = std::fs::remove_file(self.path.with_extension("toml"));
     }
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -224,7 +224,8 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { txn: id, product, want, expiry } = arrival;
+        let Arrival { txn: id, product, mut want, expiry } = arrival;
+        want.width = if want.width == 0 { self.told.doors } else { want.width };
         let (norm, stays) = (self.desk.norms[product.0], expiry - self.now);
         let plan = &self.told.plans[want.plan.0];
         // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
@@ -233,13 +234,13 @@
         self.desk.crowd(value, self.now, &self.told);
         let pressed = self.desk.pressed(value) || leaves;
         let spared = !self.desk.pressed(value * plan.beyond_worth);
-        self.desk.txns.insert(id, Txn { asked: arrival, arrived: self.now, ..Txn::default() });
+        self.desk
+            .txns
+            .insert(id, Txn { asked: Arrival { want, ..arrival }, arrived: self.now, ..Txn::default() });
         if pressed || self.desk.board.is_empty() {
             self.give_up(id, None);
         } else {
             let chance = self.chance.random::<f64>();
-            let width = if want.width == 0 { self.told.doors } else { want.width };
-            let want = Want { width, ..want };
             let patience = self.told.products[product.0].sla_time.min(stays).times(ASK_PART);
             let ask = Ask { txn: id, want, chance, patience, stays, spared, turn: 0, refused: false };
             self.till.inbox.push_back(ToTill::Ask(ask));
@@ -547,9 +548,8 @@
                     account.take(cost, account.tokens);
                     return Some(ToDesk::Granted(txn));
                 }
-                return Some(
-                    inside.map_or_else(|wait| ToDesk::Refused(txn, wait), |()| ToDesk::Granted(txn)),
-                );
+                let refused = |wait| ToDesk::Refused(txn, wait);
+                return Some(inside.map_or_else(refused, |()| ToDesk::Granted(txn)));
             }
             ToTill::Counted(name, counted) => {
                 let held = self.held.get_mut(&name).and_then(VecDeque::pop_front)?;
@@ -557,14 +557,12 @@
                     self.held.remove(&name);
                 }
                 let Held { ask, window, asked } = held;
-                let figures = &told.plans[ask.want.plan.0];
-                let span = count_span(figures)?;
-                if counted == Counted::NotAdded
-                    || now - asked > told.counter.unwrap_or_default().times(COUNT_LINE)
-                {
+                let span = count_span(&told.plans[ask.want.plan.0])?;
+                let line = told.counter.unwrap_or_default().times(COUNT_LINE);
+                if counted == Counted::NotAdded || now - asked > line {
                     self.calling *= 0.5;
                 }
-                let allowed = figures.rate * span.seconds();
+                let allowed = told.plans[ask.want.plan.0].rate * span.seconds();
                 self.answered -= COUNT_WEIGHT * self.answered;
                 let mut room = self.doubtful(&ask, now, told);
                 if let Counted::Total(total) = counted {
@@ -589,9 +587,8 @@
                 let known = self.asked.get(&no).is_some_and(|(keeper, _)| *keeper == from);
                 let Some((_, ask)) = known.then(|| self.asked.remove(&no)).flatten() else {
                     // Too late to be used.
-                    self.calls.extend(
-                        verdict.is_ok().then_some(Action::Tell { to: from, word: Word::Back { want } }),
-                    );
+                    let back = Action::Tell { to: from, word: Word::Back { want } };
+                    self.calls.extend(verdict.is_ok().then_some(back));
                     return None;
                 };
                 return self.heard(ask, verdict, now, told);
@@ -599,8 +596,7 @@
             ToTill::Heard(_, Word::Full { customer }) => drop(self.full.insert(customer, now)),
             ToTill::Heard(_, Word::Back { want }) => self.kept.get_mut(&want.customer)?.spend(-want.cost),
             ToTill::Overdue(no) => {
-                let (_, ask) = self.asked.remove(&no)?;
-                return self.seek(ask, now, told);
+                return self.asked.remove(&no).and_then(|(_, ask)| self.seek(ask, now, told));
             }
             ToTill::Closed { want, metered, owed } => {
                 let account = self.account(&want, now, told);
--- a/tests/counting.rs
+++ b/tests/counting.rs
@@ -323,7 +323,7 @@
             door.decide(now, vec![Event::Ended(Ending { metered: Some(0.2), ..ending })]);
             let again = Event::Arrived(arrival(1_000_000 + id.0, id.0, 1.0, now));
             let asked = door.decide(now + Tenths(10), vec![again]);
-            // The reading may be old: the counter is asked all the same, and what it leaves in doubt is declined.
+            // The reading may be old: the counter is asked all the same; what it leaves in doubt is declined.
             let event = counted(&asked, Counted::NotAdded).unwrap_or(Event::Due(TimerId(9)));
             let actions = [asked, door.decide(now + Tenths(20), vec![event])].concat();
             assert!(actions.iter().any(|action| matches!(action, Action::Decline { .. })), "{actions:?}");
--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -1,6 +1,6 @@
-//! Many doors in one process that keep customers' stores between them and may tell each other words: what they
-//! let in together is held against the plan's bucket, with all words delivered, some lost and some late. Beside
-//! it, what one door does with words that it cannot use.
+//! Many doors in one process that keep customers' stores between them and may tell each other words: what
+//! they let in together is held against the plan's bucket, with all words delivered, some lost and some
+//! late. Beside it, what one door does with words that it cannot use.
 
 use std::collections::{BTreeMap, VecDeque};
 use vanewharf::decide::Door;
--- a/told/src/lib.rs
+++ b/told/src/lib.rs
@@ -1,6 +1,10 @@
 //! What a door is told at its start, whichever form it came in: the bench's flat options or the
 //! nested JSON of a deployment. This is the only place that knows the names the settings use.
 
+mod check;
+
+pub use check::{Refused, check};
+
 use serde_json::Value;
 use std::collections::HashMap;
 use std::error::Error;
@@ -43,6 +47,32 @@
         options
     }
 
+    /// These, and of the other's those that are not stated here; what both state must be the same.
+    pub fn beside(mut self, other: Options) -> Result<Options, Refused> {
+        for (key, value) in other.values {
+            match self.values.get(&key) {
+                Some(stated) if *stated != value => {
+                    let why = format!("'{value}' in one place, '{stated}' in the other");
+                    return Err(Refused { key, why });
+                }
+                _ => drop(self.values.insert(key, value)),
+            }
+        }
+        Ok(self)
+    }
+
+    fn sorted(&self) -> Vec<(&str, &str)> {
+        let mut all: Vec<_> = self.values.iter().map(|(key, value)| (key.as_str(), value.as_str())).collect();
+        all.sort_unstable();
+        all
+    }
+
+    /// One that must be stated.
+    pub fn whole<T: FromStr>(&self, option: &str) -> Result<T, Unreadable> {
+        let missing = || Unreadable { option: option.to_owned(), value: String::new() };
+        self.read(option)?.ok_or_else(missing)
+    }
+
     fn flatten(&mut self, path: String, value: &Value) {
         let below = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
         match value {
@@ -178,6 +208,11 @@
     Ok(on_request.then_some(options.time("rules.ask_within")?))
 }
 
+/// How many words from other doors a door takes in, a second.
+pub fn peer_in_per_s(options: &Options) -> Result<f64, Unreadable> {
+    options.number("family_info.peer_in_per_s")
+}
+
 /// What a request may say at most. What was never told is the type's own most, so anything goes.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Bounds {
