Count customers of wider slices too while the counter answers all it is asked

Now the width up to which customers are counted goes with what the counter answers: 0.15 of the largest txn, and 0.45 more where no call failed; a failed call halves that, and it is back over ten minutes, so that customers do not change between slices and windows.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,18 +33,16 @@
 const KEPT: f64 = 0.25;
 /// Seconds of asking that show a surge.
 const SURGE_SPAN: f64 = 0.5;
-/// Of the largest txn: a slice that holds less is no use to most, and the customer is counted whole.
-const SLIM: f64 = 0.15;
+/// Of the largest txn: a customer whose slice holds less is counted whole; so much more where all calls fit.
+const SLIM: (f64, f64) = (0.15, 0.45);
 /// Doors that keep a customer's store between them where a slice holds less than a txn.
 const KEEPERS: u32 = 2;
 /// Above all asks' timers.
 const BEAT_TIMER: TimerId = TimerId(1 << 32);
 /// Seconds between a door's beats, and what each leaves of the longest stall that they showed.
-const BEAT: f64 = 0.25;
-const STALL_FADES: f64 = 0.99;
-/// The part refused of what a customer lately asked that its doors are told of, and how long they go by it.
-const FULL: f64 = 0.5;
-const FULL_LASTS: Tenths = Tenths(100_000);
+const BEAT: (f64, f64) = (0.25, 0.99);
+/// The part refused of what a customer lately asked that its doors are told of, and seconds they go by it.
+const FULL: (f64, f64) = (0.5, 10.0);
 /// A client that stays no longer than so many such stalls, or shortest SLA times, is not made to wait.
 const STAYS: (f64, f64) = (1.3, 2.25);
 /// The part of the SLA time that a keeper's answer may take: longer than messages do, shorter than a stall.
@@ -68,14 +66,13 @@
 /// One failure is chance, three with nothing settled between are not.
 const STRIKES: f64 = 3.0;
 /// Further submissions for each first one, and the most saved up: enough for one silent backend's txns.
-const COPY_SHARE: f64 = 0.1;
-const COPY_DEPTH: f64 = 12.0;
+const COPIES: (f64, f64) = (0.1, 12.0);
 /// Seconds of a counter window: longer than a call takes; two and a spare inside a name's 60 s of life.
 const COUNT_SPAN: (f64, f64) = (1.0, 25.0);
 /// Of a call's wait: an answer later than that tells of a line at the counter.
 const COUNT_LINE: f64 = 0.5;
-/// Seconds in which calls held back for the counter's sake come back.
-const COUNT_BACK: f64 = 4.0;
+/// Seconds in which calls held back come back, and customers of wider slices: long, lest these come and go.
+const COUNT_BACK: (f64, f64) = (4.0, 600.0);
 /// What one counted first try weighs in the part of a plan's that fit.
 const COUNT_WEIGHT: f64 = 0.1;
 
@@ -97,9 +94,9 @@
     pub fn start(told: Start) -> Door {
         let guess = |mean| Norm { mean, spread: mean, seen: 0.0 };
         let norms = told.products.iter().map(|product| guess(product.sla_time.seconds() / 4.0)).collect();
-        let desk = Desk { norms, rated_at: told.at, spare: COPY_DEPTH, ..Desk::default() };
+        let desk = Desk { norms, rated_at: told.at, spare: COPIES.1, ..Desk::default() };
         let fits = vec![0.5; told.plans.len()];
-        let till = Till { calling: 1.0, answered: 1.0, fits, ..Till::default() };
+        let till = Till { calling: 1.0, reach: 1.0, answered: 1.0, fits, ..Till::default() };
         let (now, yard) = (told.at, BTreeMap::new());
         let (posted, stirring, actions) = (VecDeque::new(), BTreeSet::new(), Vec::new());
         let chance = SmallRng::seed_from_u64(told.seed);
@@ -141,8 +138,8 @@
     /// Where txns are held for other doors' words, a door must know when it stood still itself.
     fn beat(&mut self) {
         if self.told.peers {
-            self.till.stall = self.till.stall.times(STALL_FADES);
-            self.actions.push(Action::Wake { after: Tenths::SECOND.times(BEAT), timer: BEAT_TIMER });
+            self.till.stall = self.till.stall.times(BEAT.1);
+            self.actions.push(Action::Wake { after: Tenths::SECOND.times(BEAT.0), timer: BEAT_TIMER });
         }
     }
 
@@ -225,7 +222,7 @@
 
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { txn: id, product, mut want, expiry } = arrival;
-        want.width = if want.width == 0 { self.told.doors } else { want.width };
+        want.width = if want.width == 0 { self.told.doors.max(1) } else { want.width };
         let (norm, stays) = (self.desk.norms[product.0], expiry - self.now);
         let plan = &self.told.plans[want.plan.0];
         // By the time it takes: a dear txn that keeps a server long stands in the way of several cheap ones.
@@ -338,7 +335,7 @@
         let time_out = (!waits).then_some(wait.max(Tenths(10)));
         self.actions.push(Action::Submit { txn: id, backend, time_out });
         if no.0 == 0 {
-            self.desk.spare = (self.desk.spare + COPY_SHARE).min(COPY_DEPTH);
+            self.desk.spare = (self.desk.spare + COPIES.0).min(COPIES.1);
         }
         self.post(backend, ToBackend::Sent { txn: id, no, work: norm.mean });
         Some(())
@@ -528,6 +525,7 @@
                 let Ask { txn, want, .. } = ask;
                 let (figures, width, cost) = (&told.plans[want.plan.0], f64::from(want.width), want.cost);
                 self.sweep(now, told);
+                let slim = (SLIM.0 + SLIM.1 * self.reach) * told.most_cost;
                 let account = self.account(&want, now, told);
                 // A width that grows must not leave this door with more than its part of a ceiling.
                 account.width = width;
@@ -538,7 +536,7 @@
                 if asks && told.peers && slice < told.most_cost {
                     return self.seek(ask, now, told);
                 }
-                let counts = asks && told.counter.is_some() && slice < SLIM * told.most_cost;
+                let counts = asks && told.counter.is_some() && slice < slim;
                 if let Some(span) = count_span(figures).filter(|_| counts) {
                     return self.count(ask, span, now, told);
                 }
@@ -560,7 +558,7 @@
                 let span = count_span(&told.plans[ask.want.plan.0])?;
                 let line = told.counter.unwrap_or_default().times(COUNT_LINE);
                 if counted == Counted::NotAdded || now - asked > line {
-                    self.calling *= 0.5;
+                    (self.calling, self.reach) = (0.5 * self.calling, 0.5 * self.reach);
                 }
                 let allowed = told.plans[ask.want.plan.0].rate * span.seconds();
                 self.answered -= COUNT_WEIGHT * self.answered;
@@ -617,7 +615,8 @@
         let full = account.window == held.window && account.window_total + ask.want.cost > allowed;
         let open = !(ask.want.again || full);
         let gap = (now - std::mem::replace(&mut self.paced, now)).seconds();
-        self.calling = 1.0 - (1.0 - self.calling) * (-gap / COUNT_BACK).exp();
+        self.calling = 1.0 - (1.0 - self.calling) * (-gap / COUNT_BACK.0).exp();
+        self.reach = 1.0 - (1.0 - self.reach) * (-gap / COUNT_BACK.1).exp();
         if open && ask.chance < self.calling {
             let name = CountName((ask.want.customer.0 << 12) | (held.window as u64 & 0xfff));
             let forget_after = span.times(2.0) + Tenths::SECOND;
@@ -678,7 +677,7 @@
         account.refill(now, &quota, told);
         let verdict = account.ask(want.cost, want.again, &quota);
         account.refused += COUNT_WEIGHT * (f64::from(u8::from(verdict.is_err())) - account.refused);
-        if account.refused > FULL && now - account.told_full > FULL_LASTS.times(0.5) {
+        if account.refused > FULL.0 && (now - account.told_full).seconds() > 0.5 * FULL.1 {
             account.told_full = now;
             let word = Word::Full { customer: want.customer };
             let set = (0..want.width).map(|at| DoorId((want.first + at) % told.doors));
@@ -697,7 +696,7 @@
     }
 
     fn knows_full(&self, customer: CustomerId, now: Tenths) -> bool {
-        self.full.get(&customer).is_some_and(|&told| now - told < FULL_LASTS)
+        self.full.get(&customer).is_some_and(|&told| (now - told).seconds() < FULL.1)
     }
 
     fn fitted(&mut self, plan: PlanId, fit: bool) {
@@ -728,7 +727,7 @@
             return;
         }
         self.swept = now;
-        self.full.retain(|_, told| now - *told < FULL_LASTS);
+        self.full.retain(|_, told| (now - *told).seconds() < FULL.1);
         for accounts in [&mut self.accounts, &mut self.kept] {
             accounts.retain(|_, account| {
                 let plan = &told.plans[account.plan.0];
--- a/tests/counting.rs
+++ b/tests/counting.rs
@@ -378,3 +378,27 @@
     assert!(without < 0.5, "at random {without}");
     assert!((0.65..0.98).contains(&with), "kept {with}");
 }
+
+#[test]
+fn customers_of_wider_slices_are_counted_only_while_the_counter_answers_all() {
+    let mut door = Door::start(start(0, Counter::Answers));
+    door.decide(Tenths(0), vec![listing(4)]);
+    // Through eight doors a slice holds a quarter of the largest txn; through all forty a twentieth.
+    let arrived = |txn: u64, width, now| {
+        let arrival = arrival(txn, txn, 1.0, now);
+        Event::Arrived(Arrival { want: Want { width, ..arrival.want }, ..arrival })
+    };
+    let mut called = |txn: u64, width, counter| {
+        let now = Tenths(txn as i64 * 1_000);
+        let asked = door.decide(now, vec![arrived(txn, width, now)]);
+        let made = calls(&asked);
+        counted(&asked, counter).map(|event| door.decide(now + Tenths(20), vec![event]));
+        made
+    };
+    assert_eq!(called(1, 8, Counted::Total(1.0)), 1);
+    (2..60).for_each(|txn| drop(called(txn, DOORS, Counted::NotAdded)));
+    let wide: usize = (60..80).map(|txn| called(txn, 8, Counted::Total(1.0))).sum();
+    assert_eq!(wide, 0, "turned away again and again, the counter is left to those whom no slice serves");
+    let slim: usize = (300..320).map(|txn| called(txn, DOORS, Counted::Total(1.0))).sum();
+    assert!(slim >= 10, "{slim} of 20 called");
+}
