--- a/frontdoor/tests/peers.rs
+++ b/frontdoor/tests/peers.rs
@@ -215,6 +215,9 @@
     let good = operator(0, &doors);
     assert!(refused(&good, |_| {}).starts_with("STARTS "), "{}", refused(&good, |_| {}));
     assert!(refused("", |_| {}).starts_with("STARTS "));
+    let shown = include_str!("../../deploy/door.toml");
+    let three = |settings: &mut Value| settings["balancers"] = json!(3);
+    assert!(refused(shown, three).starts_with("STARTS "), "{}", refused(shown, three));
     let none = |_: &mut Value| {};
     let mut cases = vec![
         (
