--- a/tests/keeping.rs
+++ b/tests/keeping.rs
@@ -317,3 +317,105 @@
     assert_eq!(letter::read(&[&[2], &letter[1..]].concat()), None, "another form");
     assert_eq!(letter::read(&[0xff; 4096]), None);
 }
+
+/// A door to which keepers have said yes often, so that what is in doubt goes in.
+struct Trusting {
+    door: Door,
+    txn: u64,
+    now: Tenths,
+}
+
+impl Trusting {
+    fn new() -> Trusting {
+        let mut door = Door::start(start(0));
+        door.decide(Tenths(0), vec![listing()]);
+        let mut trusting = Trusting { door, txn: 1_000, now: Tenths(10) };
+        for customer in 1_000..1_040 {
+            let asked = trusting.asks(customer);
+            trusting.hears(&asked, Ok(()));
+        }
+        trusting
+    }
+
+    /// Time passes as the beat has it, so that no stall is seen.
+    fn passes(&mut self) {
+        self.now = self.now + Tenths(10);
+    }
+
+    fn asks(&mut self, customer: u64) -> Vec<Action> {
+        self.passes();
+        self.txn += 1;
+        self.door.decide(self.now, vec![arrival(self.txn, customer, self.now, Tenths(40_000))])
+    }
+
+    fn hears(&mut self, asked: &[Action], verdict: Verdict) -> Vec<Action> {
+        self.passes();
+        let Some(&(keeper, Word::Ask { no, want })) = told(asked).first() else {
+            return Vec::new();
+        };
+        let word = Word::Told { no, want, verdict };
+        self.door.decide(self.now, vec![Event::Heard { from: keeper, word }])
+    }
+
+    /// The keeper last asked says nothing in time.
+    fn waits(&mut self, asked: &[Action]) -> Vec<Action> {
+        self.passes();
+        let timer = asked.iter().find_map(|action| match action {
+            Action::Wake { timer, .. } => Some(*timer),
+            _ => None,
+        });
+        self.door.decide(self.now, vec![Event::Due(timer.expect("an ask has a timer"))])
+    }
+}
+
+fn submits(actions: &[Action]) -> bool {
+    actions.iter().any(|action| matches!(action, Action::Submit { .. }))
+}
+
+#[test]
+fn a_refusal_holds_where_the_other_keeper_is_silent() {
+    let mut door = Trusting::new();
+    let asked = door.asks(5);
+    let again = door.waits(&asked);
+    assert!(submits(&door.waits(&again)), "nobody said no: in doubt it goes in");
+    let asked = door.asks(6);
+    let again = door.hears(&asked, Err(None));
+    assert_eq!(told(&again).len(), 1, "the other keeper is asked");
+    let last = door.waits(&again);
+    assert!(!submits(&last) && answers(&last) == 1, "{last:?}");
+}
+
+#[test]
+fn a_customer_told_to_be_full_is_declined_in_doubt_and_for_a_while_only() {
+    let mut door = Trusting::new();
+    let customer = CustomerId(7);
+    let full = Event::Heard { from: DoorId(3), word: Word::Full { customer } };
+    door.door.decide(door.now, vec![full]);
+    let asked = door.asks(7);
+    let again = door.waits(&asked);
+    assert!(!submits(&door.waits(&again)), "in doubt");
+    let asked = door.asks(7);
+    assert!(submits(&door.hears(&asked, Ok(()))), "a keeper's word stands above it");
+    // Beats go on meanwhile.
+    for _ in 0..45 {
+        door.now = door.now + Tenths(2_500);
+        door.door.decide(door.now, Vec::new());
+    }
+    let asked = door.asks(7);
+    let again = door.waits(&asked);
+    assert!(submits(&door.waits(&again)), "forgotten after ten seconds");
+}
+
+#[test]
+fn a_keeper_tells_a_customers_doors_when_it_asks_far_beyond_its_quota() {
+    let mut door = Door::start(start(0));
+    let want = Want { customer: CustomerId(5), plan: PlanId(0), first: 7, width: 5, cost: 1.0, again: false };
+    let mut full = Vec::new();
+    for no in 0..40 {
+        let word = Word::Ask { no: AskNo(no), want };
+        let actions = door.decide(Tenths(100_000), vec![Event::Heard { from: DoorId(8), word }]);
+        full.extend(told(&actions).into_iter().filter(|(_, word)| matches!(word, Word::Full { .. })));
+    }
+    let doors: Vec<_> = full.iter().map(|(to, _)| to.0).collect();
+    assert_eq!(doors, [7, 8, 9, 10, 11], "once, each of its doors");
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -102,7 +102,7 @@
                     rate: figure(words, "rate", 0.0),
                     burst: figure(words, "burst", 0.0),
                     value_factor: 1.0,
-                    beyond_worth: 0.0,
+                    beyond_worth: figure(words, "earns", 0.0),
                     beyond_cost: figure(words, "beyond", 1.0),
                     ceiling_rate: figure(words, "ceiling_rate", 0.0),
                     ceiling_depth: figure(words, "ceiling_depth", 0.0),
@@ -112,15 +112,16 @@
         }
     }
 
-    /// `name[!drain|!gone][@booted]`
+    /// `name[!drain|!gone][@booted][~]`
     fn listed(&mut self, word: &str) -> Listed {
+        let (word, near) = word.strip_suffix('~').map_or((word, true), |word| (word, false));
         let (word, booted) = word.split_once('@').map_or((word, None), |(name, at)| (name, Some(ms(at))));
         let (name, standing) = match word.split_once('!') {
             Some((name, "drain")) => (name, Standing::Draining),
             Some((name, _)) => (name, Standing::Gone),
             None => (word, Standing::Ready),
         };
-        Listed { backend: BackendId(self.id(name)), standing, size: 1.0, near: true, booted }
+        Listed { backend: BackendId(self.id(name)), standing, size: 1.0, near, booted }
     }
 
     fn event(&mut self, now: Tenths, words: &[&str]) -> Event {
