--- a/src/decide.rs
+++ b/src/decide.rs
@@ -558,7 +558,7 @@
                 let span = count_span(&told.plans[ask.want.plan.0])?;
                 let line = told.counter.unwrap_or_default().times(COUNT_LINE);
                 if counted == Counted::NotAdded || now - asked > line {
-                    (self.calling, self.reach) = (0.5 * self.calling, 0.5 * self.reach);
+                    (self.calling, self.reach) = (0.5 * self.calling, 0.1 * self.reach);
                 }
                 let allowed = told.plans[ask.want.plan.0].rate * span.seconds();
                 self.answered -= COUNT_WEIGHT * self.answered;
