Ask a crowded counter first for what costs most

Change: Till::count draws by the units where calls fail: 1 - (1 - share)^(cost over the usual cost); a free counter is asked for all.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -617,7 +617,8 @@
         let gap = (now - std::mem::replace(&mut self.paced, now)).seconds();
         self.calling = 1.0 - (1.0 - self.calling) * (-gap / COUNT_BACK.0).exp();
         self.reach = 1.0 - (1.0 - self.reach) * (-gap / COUNT_BACK.1).exp();
-        if open && ask.chance < self.calling {
+        self.usual += COUNT_WEIGHT * (ask.want.cost - self.usual);
+        if open && ask.chance < 1.0 - (1.0 - self.calling).powf(ask.want.cost / self.usual) {
             let name = CountName((ask.want.customer.0 << 12) | (held.window as u64 & 0xfff));
             let forget_after = span.times(2.0) + Tenths::SECOND;
             self.calls.push(Action::Count { name, step: ask.want.cost, forget_after });
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,6 +197,8 @@
     /// all of them with time, as it stood then.
     pub calling: f64,
     pub paced: Tenths,
+    /// What an ask usually costs: calls go first to what costs more.
+    pub usual: f64,
     /// How wide a slice may be whose customer is counted: as the calls, but back over minutes.
     pub reach: f64,
     /// The part of the asks that the counter answered lately, and for each plan the part that then fit.
--- a/tests/counting.rs
+++ b/tests/counting.rs
@@ -403,3 +403,24 @@
     let slim: usize = (300..320).map(|txn| called(txn, DOORS, Counted::Total(1.0))).sum();
     assert!(slim >= 10, "{slim} of 20 called");
 }
+
+#[test]
+fn a_crowded_counter_is_asked_first_for_what_costs_most_and_a_free_one_for_all() {
+    let mut door = Door::start(start(0, Counter::Answers));
+    door.decide(Tenths(0), vec![listing(4)]);
+    let mut called = |txn: u64, cost: f64, counter| -> usize {
+        let now = Tenths(txn as i64 * 500);
+        let asked = door.decide(now, vec![Event::Arrived(arrival(txn, txn, cost, now))]);
+        counted(&asked, counter).map(|event| door.decide(now + Tenths(20), vec![event]));
+        calls(&asked)
+    };
+    let mut alternating = |from: u64, counter| {
+        let both =
+            (from..from + 400).map(|txn| (called(2 * txn, 8.0, counter), called(2 * txn + 1, 1.0, counter)));
+        both.fold((0, 0), |(dear, cheap), one| (dear + one.0, cheap + one.1))
+    };
+    assert_eq!(alternating(100, Counted::Total(1.0)), (400, 400), "a free one is asked for all");
+    let (dear, cheap) = alternating(500, Counted::NotAdded);
+    assert!(dear >= 3 * cheap, "{dear} calls for eight units, {cheap} for one");
+    assert!(cheap >= 5, "the cheap are not forgotten: {cheap}");
+}
