--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,249 @@
+//! The `vanewharf` command line: the lab, cluster traces, and checks of what an operator has written.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use vanewharf_lab::arrivals::traced;
+use vanewharf_lab::experiment::Experiment;
+use vanewharf_lab::run::{Outcome, run, run_with};
+use vanewharf_lab::{plots, report, sweep};
+use vanewharf_told::Options;
+use vanewharf_traces as traces;
+
+#[derive(Parser)]
+#[command(name = "vanewharf", version, about = "Keeps each customer of a shared back end to its plan")]
+struct Call {
+    /// How the log is written to standard error.
+    #[arg(long, global = true, value_enum, default_value = "text")]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// The emulated fleet.
+    #[command(subcommand)]
+    Lab(Lab),
+    /// Cluster traces in CSV.
+    #[command(subcommand)]
+    Trace(Trace),
+    /// What an operator has written.
+    #[command(subcommand)]
+    Config(Config),
+}
+
+#[derive(Subcommand)]
+enum Lab {
+    /// Run an experiment, or the trace that it names.
+    Run {
+        experiment: PathBuf,
+        /// A folder for the summary, the figures and the plots.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// In place of the experiment's own; several are run one after the other.
+        #[arg(long, value_delimiter = ',')]
+        seed: Vec<u64>,
+        /// Fail where the module breaks a rule.
+        #[arg(long)]
+        strict: bool,
+    },
+    /// Run an experiment at each value of its swept keys.
+    Sweep {
+        experiment: PathBuf,
+        #[arg(long)]
+        out: Option<PathBuf>,
+        #[arg(long, value_delimiter = ',')]
+        seed: Vec<u64>,
+    },
+}
+
+#[derive(Subcommand)]
+enum Trace {
+    /// Read a trace by an experiment's mapping and write it in the project's own columns.
+    Import { experiment: PathBuf, trace: PathBuf, out: PathBuf },
+    /// Tell what a trace holds and what would be left out.
+    Inspect { experiment: PathBuf, trace: PathBuf },
+}
+
+#[derive(Subcommand)]
+enum Config {
+    /// Check a door's file (.json) or an experiment (.toml).
+    Check { file: PathBuf },
+}
+
+fn main() -> ExitCode {
+    let call = Call::parse();
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false);
+    match call.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
+    let done = match call.what {
+        What::Lab(Lab::Run { experiment, out, seed, strict }) => {
+            lab_run(&experiment, out.as_deref(), &seed, strict)
+        }
+        What::Lab(Lab::Sweep { experiment, out, seed }) => lab_sweep(&experiment, out.as_deref(), &seed),
+        What::Trace(Trace::Import { experiment, trace, out }) => import(&experiment, &trace, Some(&out)),
+        What::Trace(Trace::Inspect { experiment, trace }) => import(&experiment, &trace, None),
+        What::Config(Config::Check { file }) => check(&file),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            tracing::error!("{reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn text(path: &Path) -> Result<String, String> {
+    fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn experiment(path: &Path) -> Result<(String, Experiment), String> {
+    let text = text(path)?;
+    let experiment = Experiment::parse(&text).map_err(|fault| format!("{}: {fault}", path.display()))?;
+    Ok((text, experiment))
+}
+
+fn write(folder: &Path, name: &str, what: impl AsRef<[u8]>) -> Result<(), String> {
+    let path = folder.join(name);
+    fs::write(&path, what).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn draw(folder: &Path, prefix: &str, plot: &plots::Plot) -> Result<(), String> {
+    let undrawn = |error: plots::Undrawn| error.to_string();
+    write(folder, &format!("{prefix}{}.svg", plot.name), plot.svg().map_err(undrawn)?)?;
+    write(folder, &format!("{prefix}{}.png", plot.name), plot.png().map_err(undrawn)?)
+}
+
+fn lab_run(path: &Path, out: Option<&Path>, seeds: &[u64], strict: bool) -> Result<(), String> {
+    let (_, mut experiment) = experiment(path)?;
+    let rows = match &experiment.trace {
+        Some(trace) => Some(rows(&experiment, &path.with_file_name(&trace.file))?),
+        None => None,
+    };
+    if let Some(rows) = &rows {
+        experiment.length_s = rows.last().map_or(1.0, |row| row.time_s.max(1.0));
+    }
+    let seeds = if seeds.is_empty() { vec![experiment.seed] } else { seeds.to_vec() };
+    let mut outcomes: Vec<Outcome> = Vec::new();
+    for seed in seeds {
+        let outcome = match &rows {
+            Some(rows) => run_with(&experiment, &traced(&experiment, rows, seed), seed),
+            None => run(&experiment, seed),
+        };
+        tracing::info!(
+            seed,
+            score = outcome.score,
+            g = outcome.module.g,
+            floor = outcome.floor,
+            top = outcome.top,
+            "ran"
+        );
+        for broken in outcome.module.broken.iter().take(3) {
+            tracing::warn!(seed, rule = %broken.rule, at_s = broken.at.seconds(), what = broken.what, "rule broken");
+        }
+        outcomes.push(outcome);
+    }
+    if let Some(folder) = out {
+        fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+        write(folder, "summary.md", report::summary(&experiment, &outcomes))?;
+        for outcome in &outcomes {
+            let prefix = format!("seed-{}-", outcome.seed);
+            write(folder, &format!("{prefix}seconds.csv"), report::seconds_csv(outcome))?;
+            write(folder, &format!("{prefix}quantiles.csv"), report::quantiles_csv(outcome))?;
+            plots::of_run(outcome).iter().try_for_each(|plot| draw(folder, &prefix, plot))?;
+        }
+    } else {
+        print!("{}", report::summary(&experiment, &outcomes));
+    }
+    let broken = outcomes.iter().filter(|outcome| !outcome.module.broken.is_empty()).count();
+    if strict && broken > 0 {
+        Err(format!("{broken} of {} runs broke a rule", outcomes.len()))
+    } else {
+        Ok(())
+    }
+}
+
+fn lab_sweep(path: &Path, out: Option<&Path>, seeds: &[u64]) -> Result<(), String> {
+    let (text, experiment) = experiment(path)?;
+    let seeds = if seeds.is_empty() { vec![experiment.seed] } else { seeds.to_vec() };
+    let told = |point: &sweep::Point| {
+        let values: Vec<_> = point.values.iter().map(ToString::to_string).collect();
+        let broken = point.outcomes.iter().any(|one| !one.module.broken.is_empty());
+        tracing::info!(values = values.join(", "), score = point.score(), broken, "point");
+    };
+    let (keys, points) = sweep::sweep(&text, &seeds, told).map_err(|fault| fault.to_string())?;
+    let summary = report::sweep_summary(&experiment, &keys, &points);
+    let Some(folder) = out else {
+        print!("{summary}");
+        return Ok(());
+    };
+    fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    write(folder, "sweep.md", summary)?;
+    write(folder, "sweep.csv", report::sweep_csv(&keys, &points))?;
+    draw(folder, "", &plots::of_sweep(&keys, &points))
+}
+
+/// A trace's rows; what was left out is told by its kind.
+fn rows(experiment: &Experiment, path: &Path) -> Result<Vec<traces::Row>, String> {
+    let mapping = experiment.trace.as_ref().map(|trace| &trace.mapping);
+    let mapping = mapping.ok_or("the experiment has no trace.mapping")?;
+    let plans: Vec<_> = experiment.plan.iter().map(|plan| plan.name.clone()).collect();
+    let file = fs::File::open(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let taken = traces::read(std::io::BufReader::new(file), mapping, &plans);
+    let taken = taken.map_err(|refused| format!("{}: {refused}", path.display()))?;
+    for (wrong, (count, line)) in &taken.wrong {
+        tracing::warn!(count, first_line = line, "left out: {wrong}");
+    }
+    tracing::info!(rows = taken.rows.len(), left_out = taken.left_out(), "trace read");
+    if taken.rows.is_empty() {
+        Err(format!("{}: no row can be used", path.display()))
+    } else {
+        Ok(taken.rows)
+    }
+}
+
+fn import(of: &Path, trace: &Path, out: Option<&Path>) -> Result<(), String> {
+    let (_, experiment) = experiment(of)?;
+    let rows = rows(&experiment, trace)?;
+    let Some(out) = out else {
+        let glance = traces::glance(&rows);
+        println!("{} txns of {} customers in {:.1} s", glance.rows, glance.customers, glance.seconds);
+        println!("{} in the busiest second", glance.busiest);
+        for (product, (count, units)) in &glance.by_product {
+            println!("{product}: {count} txns, {units:.0} units");
+        }
+        return Ok(());
+    };
+    let file = fs::File::create(out).map_err(|error| format!("{}: {error}", out.display()))?;
+    traces::write(std::io::BufWriter::new(file), &rows).map_err(|refused| refused.to_string())
+}
+
+fn check(file: &Path) -> Result<(), String> {
+    let named = |why: String| format!("{}: {why}", file.display());
+    if file.extension().is_some_and(|end| end == "toml") {
+        let (_, experiment) = experiment(file)?;
+        println!(
+            "{}: an experiment of {} doors and {} backends",
+            experiment.name, experiment.fleet.doors, experiment.fleet.backends
+        );
+        return Ok(());
+    }
+    let whole: serde_json::Value = serde_json::from_str(&text(file)?)
+        .map_err(|error| named(format!("line {}: {error}", error.line())))?;
+    let settings = whole.get("settings").unwrap_or(&whole);
+    let options = Options::nested(settings);
+    vanewharf_told::check(&options, None).map_err(|refused| named(refused.to_string()))?;
+    println!("{}: a door would start by these settings", file.display());
+    Ok(())
+}
--- /dev/null
+++ b/cli/tests/command_line.rs
@@ -0,0 +1,249 @@
+//! The program `vanewharf` as a user starts it: what it writes, what it refuses and how it says so.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+const SMALL: &str = r#"
+name = "small"
+seed = 3
+length_s = 6
+[fleet]
+doors = 4
+backends = 6
+[meter]
+period_s = 1
+late_s = 0.5
+[[product]]
+name = "look"
+share = 0.7
+work_ms = 30
+sla_ms = 500
+expiry_ms = 2000
+repeat = "inquiry-like"
+[[product]]
+name = "book"
+share = 0.3
+work_ms = 60
+sla_ms = 900
+expiry_ms = 3000
+repeat = "once-only"
+value = 3
+units = 2
+[[plan]]
+name = "basic"
+share = 1
+rate = 4
+burst = 10
+width = [0.5, 1.0]
+[load]
+of_capacity = 0.5
+"#;
+
+/// A folder of this test's own, gone at its end.
+struct Folder(PathBuf);
+
+static FOLDERS: AtomicU32 = AtomicU32::new(0);
+
+impl Folder {
+    fn new() -> Folder {
+        let number = FOLDERS.fetch_add(1, Ordering::SeqCst);
+        let path = std::env::temp_dir().join(format!("vanewharf-cli-{}-{number}", std::process::id()));
+        fs::create_dir_all(&path).expect("a folder of our own");
+        Folder(path)
+    }
+
+    fn file(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        fs::write(&path, text).expect("a file of our own");
+        path
+    }
+
+    fn all(&self, name: &str) -> BTreeMap<String, Vec<u8>> {
+        let files =
+            fs::read_dir(self.0.join(name)).expect("it was written").map(|file| file.expect("listed").path());
+        let named = |path: PathBuf| (path.file_name().expect("a name").to_string_lossy().into_owned(), path);
+        files.map(named).map(|(name, path)| (name, fs::read(path).expect("readable"))).collect()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn vanewharf(words: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_vanewharf")).args(words).output().expect("the program runs")
+}
+
+fn path(path: &Path) -> &str {
+    path.to_str().expect("plain names")
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn two_runs_of_a_seed_leave_the_same_bytes_and_another_seed_others() {
+    let folder = Folder::new();
+    let file = folder.file("small.toml", SMALL);
+    for (out, seed) in [("one", "3"), ("other", "3"), ("third", "4")] {
+        let run = vanewharf(&["lab", "run", path(&file), "--seed", seed, "--out", path(&folder.0.join(out))]);
+        assert!(run.status.success(), "{}", said(&run));
+    }
+    let (one, other, third) = (folder.all("one"), folder.all("other"), folder.all("third"));
+    assert_eq!(one, other);
+    let names: Vec<_> = one.keys().map(String::as_str).collect();
+    assert_eq!(names.len(), 11, "{names:?}");
+    for (name, start) in
+        [("seed-3-served.png", &b"\x89PNG"[..]), ("seed-3-load.svg", b"<svg"), ("summary.md", b"# small")]
+    {
+        assert!(one[name].starts_with(start), "{name}");
+    }
+    assert_ne!(one["seed-3-seconds.csv"], third["seed-4-seconds.csv"]);
+}
+
+#[test]
+fn a_sweep_goes_on_past_a_point_that_breaks_a_rule() {
+    let folder = Folder::new();
+    // Clients that stay for a hundredth of a millisecond have left before any door can answer.
+    let swept = format!(
+        "{SMALL}[rules]\nanswer_slack_ms = 0\n[[sweep]]\nkey = \"clients.stays\"\nvalues = [0.9, 0.000005, 0.8]\n"
+    );
+    let file = folder.file("swept.toml", &swept);
+    let run = vanewharf(&["lab", "sweep", path(&file), "--out", path(&folder.0.join("out"))]);
+    assert!(run.status.success(), "{}", said(&run));
+    let files = folder.all("out");
+    let text = String::from_utf8(files["sweep.csv"].clone()).expect("text");
+    let lines: Vec<_> = text.lines().skip(1).collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    let scores: Vec<f64> =
+        lines.iter().map(|line| line.split(',').nth(2).unwrap().parse().expect("a score")).collect();
+    assert!(scores[0] > 0.3 && scores[1] == 0.0 && scores[2] > 0.3, "{text}");
+    assert!(lines[1].contains("one answer broken") && lines[0].ends_with(','), "{text}");
+    assert!(
+        files.contains_key("score.svg") && files.contains_key("score.png") && files.contains_key("sweep.md")
+    );
+}
+
+#[test]
+fn strict_runs_fail_where_a_rule_breaks() {
+    let folder = Folder::new();
+    let text = format!("{SMALL}[rules]\nanswer_slack_ms = 0\n[clients]\nstays = 0.000005\n");
+    let file = folder.file("strict.toml", &text);
+    let run = vanewharf(&["lab", "run", path(&file), "--strict"]);
+    assert!(!run.status.success() && said(&run).contains("broke a rule"), "{}", said(&run));
+    assert!(vanewharf(&["lab", "run", path(&file)]).status.success());
+}
+
+const TRACED: &str = r#"
+[trace]
+file = "day.csv"
+[trace.mapping]
+plan = "basic"
+time_unit_s = 0.001
+kinds = {get = "look", put = "book"}
+columns = {time = "ts", customer = "user", kind = "op", units = "size"}
+"#;
+
+fn day() -> String {
+    let mut text = "user,ts,op,size\n".to_owned();
+    for no in 0..1_000u32 {
+        let op = if no % 20 == 7 {
+            "seek"
+        } else if no % 4 == 0 {
+            "put"
+        } else {
+            "get"
+        };
+        let at = if no % 50 == 9 { 0 } else { 1_000 + no * 10 };
+        text += &format!("u{},{at},{op},{}\n", no % 40, 1 + no % 2);
+    }
+    text
+}
+
+#[test]
+fn a_trace_is_imported_with_each_row_left_out_told_by_its_kind() {
+    let folder = Folder::new();
+    let experiment = folder.file("traced.toml", &format!("{SMALL}{TRACED}"));
+    let trace = folder.file("day.csv", &day());
+    let out = folder.0.join("own.csv");
+    let run =
+        vanewharf(&["--log-format", "json", "trace", "import", path(&experiment), path(&trace), path(&out)]);
+    assert!(run.status.success(), "{}", said(&run));
+    let log = said(&run);
+    let told: Vec<serde_json::Value> =
+        log.lines().map(|line| serde_json::from_str(line).expect("JSON")).collect();
+    let count = |words: &str| {
+        let line = told
+            .iter()
+            .find(|line| line["fields"]["message"].as_str().is_some_and(|said| said.contains(words)));
+        line.map(|line| line["fields"]["count"].as_u64().expect("a count"))
+    };
+    assert_eq!((count("not mapped"), count("earlier than")), (Some(50), Some(20)));
+    let own = fs::read_to_string(&out).expect("written");
+    assert_eq!(own.lines().count(), 1 + 930);
+    let inspect = vanewharf(&["trace", "inspect", path(&experiment), path(&trace)]);
+    let glance = String::from_utf8_lossy(&inspect.stdout).into_owned();
+    assert!(glance.contains("930 txns of 38 customers"), "{glance}");
+
+    // Played twice, the same trace leaves the same bytes.
+    for out in ["one", "other"] {
+        let run = vanewharf(&["lab", "run", path(&experiment), "--out", path(&folder.0.join(out))]);
+        assert!(run.status.success(), "{}", said(&run));
+    }
+    assert_eq!(folder.all("one"), folder.all("other"));
+    let summary = String::from_utf8(folder.all("one")["summary.md"].clone()).expect("text");
+    assert!(summary.contains("930 first tries"), "{summary}");
+}
+
+#[test]
+fn a_trace_whose_columns_differ_is_refused_by_the_column() {
+    let folder = Folder::new();
+    let experiment = folder.file("traced.toml", &format!("{SMALL}{TRACED}"));
+    let trace = folder.file("day.csv", &day().replace("user,ts", "user,time"));
+    let run = vanewharf(&["trace", "inspect", path(&experiment), path(&trace)]);
+    assert!(!run.status.success() && said(&run).contains("no column 'ts'"), "{}", said(&run));
+    let none = folder.file("empty.csv", "user,ts,op,size\n");
+    let run = vanewharf(&["trace", "inspect", path(&experiment), path(&none)]);
+    assert!(!run.status.success() && said(&run).contains("no row"), "{}", said(&run));
+}
+
+#[test]
+fn a_check_names_line_or_key() {
+    let folder = Folder::new();
+    let good = folder.file("good.toml", SMALL);
+    assert!(vanewharf(&["config", "check", path(&good)]).status.success());
+    let door = r#"{"settings": {"balancers": 2, "classes": [{"name": "look", "aim": 400.0}],
+        "tiers_of_service": [{"name": "basic", "rate": 2.0}]}}"#;
+    assert!(vanewharf(&["config", "check", path(&folder.file("door.json", door))]).status.success());
+    let cases = [
+        ("a.toml", SMALL.replace("doors = 4", "doors = \"few\""), "line 6"),
+        ("b.toml", SMALL.replace("doors = 4", "doors = 0"), "fleet.doors"),
+        ("c.toml", SMALL.replace("rate = 4", "rate = -4"), "plan.0.rate"),
+        ("d.json", door.replace("400.0", "-400.0"), "classes.0.aim"),
+        ("e.json", door.replace("\"balancers\": 2,", "\"balancers\": 2,,"), "line 1"),
+    ];
+    for (name, text, word) in cases {
+        let run = vanewharf(&["config", "check", path(&folder.file(name, &text))]);
+        assert!(!run.status.success() && said(&run).contains(word), "{name}: {}", said(&run));
+    }
+    let missing = vanewharf(&["config", "check", "/nowhere/at-all.toml"]);
+    assert!(!missing.status.success() && said(&missing).contains("at-all.toml"));
+}
+
+#[test]
+fn the_experiments_in_the_repository_are_good() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../lab/experiments");
+    let files: Vec<_> =
+        fs::read_dir(folder).expect("it is there").map(|file| file.expect("listed").path()).collect();
+    assert!(files.len() >= 3);
+    for file in files.iter().filter(|file| file.extension().is_some_and(|end| end == "toml")) {
+        let run = vanewharf(&["config", "check", path(file)]);
+        assert!(run.status.success(), "{}: {}", file.display(), said(&run));
+    }
+}
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -20,7 +20,7 @@
 
 use admit::Told;
 use book::{Book, Count, Room};
-use clap::Parser;
+use clap::{Parser, ValueEnum};
 use clock::Clock;
 use commission::Commission;
 use discovery::Discovery;
@@ -51,20 +51,32 @@
     /// The operator's own file; without one the door is as the platform's file alone says.
     #[arg(long, env = "VANEWHARF_OPERATOR")]
     operator: Option<PathBuf>,
+    /// How the log is written to standard error.
+    #[arg(long, env = "VANEWHARF_LOG_FORMAT", value_enum, default_value = "text")]
+    log_format: LogFormat,
     /// Only tell whether a door would start by these files.
     #[arg(long)]
     check: bool,
 }
 
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
 fn main() -> ExitCode {
     let call = Call::parse();
     let level = std::env::var("VANEWHARF_LOG").ok().and_then(|level| level.parse().ok());
-    tracing_subscriber::fmt()
+    let log = tracing_subscriber::fmt()
         .with_max_level(level.unwrap_or(tracing::Level::INFO))
         .with_writer(std::io::stderr)
         // Against a panic where nobody takes the log: it would be told on the same closed pipe.
-        .log_internal_errors(false)
-        .init();
+        .log_internal_errors(false);
+    match call.log_format {
+        LogFormat::Text => log.init(),
+        LogFormat::Json => log.json().init(),
+    }
     match run(call) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
--- a/frontdoor/tests/peers.rs
+++ b/frontdoor/tests/peers.rs
@@ -260,3 +260,17 @@
         assert_eq!(said.trim_end().lines().count(), 1, "{key}: {said}");
     }
 }
+
+#[test]
+fn the_log_is_json_where_asked_for() {
+    let (_, path) = program(Some("{"), 1024);
+    let output = Command::new(env!("CARGO_BIN_EXE_vanewharf-door"))
+        .args(["--log-format", "json"])
+        .env("ROUTER_CONFIG", &path)
+        .output()
+        .expect("the program runs");
+    let _ = std::fs::remove_file(&path);
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    let line: Value = serde_json::from_str(said.trim()).expect("one line of JSON");
+    assert!(line["fields"]["message"].as_str().is_some_and(|said| said.contains("cannot serve")), "{line}");
+}
