Share open txns and connections to backends as state machines in a crate of their own

Cause: what a door knows of a submission (may it have run, may it go again) sat inside route and send, tied to sockets; the system's data plane needs the same without a copy. txns/ holds Txns and Line, pure, with their tests; route and send bring about what happens and ask them.

--- a/frontdoor/src/note.rs
+++ b/frontdoor/src/note.rs
@@ -9,6 +9,7 @@
     Arrival, CountName, Counted, DoorId, Listed, Outcome, SubmissionNo, Tenths, TxnId, Word,
 };
 use vanewharf_frames::{Reply, Request};
+use vanewharf_txns::line::CalledOff;
 
 pub struct Taken {
     pub arrival: Arrival,
@@ -54,13 +55,6 @@
     pub entries: Vec<(Listed, Option<SocketAddr>)>,
 }
 
-/// Why a submission is no longer waited for.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum CalledOff {
-    TimedOut,
-    Cancelled,
-}
-
 pub struct Job {
     pub txn: TxnId,
     pub no: SubmissionNo,
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -3,7 +3,7 @@
 
 use crate::book::{Count, Invariant};
 use crate::counter::Call;
-use crate::note::{CalledOff, Ended, Job, Note, Taken, Told};
+use crate::note::{Ended, Job, Note, Taken, Told};
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::relay::Final;
@@ -19,6 +19,8 @@
     Action, BackendId, Counted, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
 };
 use vanewharf_frames::Request;
+use vanewharf_txns::line::CalledOff;
+use vanewharf_txns::{self as txns, Expiry, Submit, Txns};
 
 /// For the answer's way back and one turn of the runtime's timers: the client counts from when it
 /// sent, this door from when it has read.
@@ -33,24 +35,11 @@
     Sweep,
 }
 
-struct Submission {
-    backend: BackendId,
-    sent: Tenths,
-    may_have_run: bool,
-    /// None once called off or ended.
-    call_off: Option<oneshot::Sender<CalledOff>>,
-    ended: bool,
-}
-
-struct Txn {
+/// What is kept of a txn beside its state.
+struct Held {
     request: Rc<Request>,
     /// Held until nothing is out: a backend must not get a second copy under one id.
     _open: Open,
-    repeat: Repeat,
-    until: Tenths,
-    /// None once the final answer is given or the client has left.
-    answer: Option<oneshot::Sender<Final>>,
-    submissions: Vec<Submission>,
 }
 
 pub struct Route {
@@ -58,12 +47,11 @@
     door: Door,
     repeats: Vec<Repeat>,
     pool: Pool,
-    txns: BTreeMap<TxnId, Txn>,
+    txns: Txns<oneshot::Sender<Final>, oneshot::Sender<CalledOff>>,
+    held: BTreeMap<TxnId, Held>,
     timers: BinaryHeap<Reverse<(Tenths, u64, Timer)>>,
     timers_set: u64,
     events: Vec<Event>,
-    /// Kept until the batch is decided: an action of the same batch may still name them.
-    over: Vec<TxnId>,
     /// None where no counter was named: then the decisions are told that there is none.
     counter: Option<mpsc::UnboundedSender<Call>>,
     /// None where doors have no words for each other: then the decisions are told so.
@@ -80,11 +68,11 @@
         peers: Option<Rc<Peers>>,
     ) -> Route {
         let pool = Pool::new(shared.lines.idle);
-        let (txns, timers) = (BTreeMap::new(), BinaryHeap::new());
-        let (events, over) = (Vec::new(), Vec::new());
+        let (txns, held, timers) = (Txns::default(), BTreeMap::new(), BinaryHeap::new());
+        let events = Vec::new();
         let timers_set = 0;
         let mut route =
-            Route { shared, door, repeats, pool, txns, timers, timers_set, events, over, counter, peers };
+            Route { shared, door, repeats, pool, txns, held, timers, timers_set, events, counter, peers };
         let now = route.shared.clock.now();
         route.listed(known);
         route.set(now + SWEEP, Timer::Sweep);
@@ -126,7 +114,7 @@
         while let Some(Reverse((at, _, timer))) = self.timers.peek() {
             let live = match timer {
                 Timer::Wake(_) | Timer::Sweep => true,
-                Timer::Expiry(txn) | Timer::TimeOut(txn, _) => self.txns.contains_key(txn),
+                Timer::Expiry(txn) | Timer::TimeOut(txn, _) => self.txns.knows(*txn),
             };
             if live {
                 return self.shared.clock.instant(*at);
@@ -161,19 +149,15 @@
             Note::Arrived(Taken { arrival, request, open: _open, answer }) => {
                 let repeat = self.repeats[arrival.product.0];
                 let until = arrival.expiry - WAY_BACK;
-                let (answer, submissions) = (Some(answer), Vec::new());
-                self.txns.insert(arrival.txn, Txn { request, _open, repeat, until, answer, submissions });
+                self.txns.arrived(arrival.txn, repeat, until, answer);
+                self.held.insert(arrival.txn, Held { request, _open });
                 self.set(until, Timer::Expiry(arrival.txn));
                 self.events.push(Event::Arrived(arrival));
             }
             Note::Left(id) => {
-                let Some(txn) = self.txns.get_mut(&id) else {
-                    return;
-                };
-                if txn.answer.take().is_some() {
+                if self.txns.left(id) {
                     self.shared.book.count(Count::Left);
                     self.events.push(Event::Left(id));
-                    self.over.push(id);
                 }
             }
             Note::Ended(ended) => self.ended(ended, now),
@@ -216,22 +200,17 @@
             Outcome::Cancelled => Count::SubmissionsCancelled,
             Outcome::Moot => Count::SubmissionsMoot,
         });
-        let Some(txn) = self.txns.get_mut(&id) else {
-            book.must(false, Invariant::EndedOnce);
+        let ended = self.txns.ended(id, no, outcome, now);
+        book.must(ended.is_ok(), Invariant::EndedOnce);
+        let Ok(txns::Ended { backend, took, complete, answer }) = ended else {
             return;
         };
-        let submission = &mut txn.submissions[no.0 as usize];
-        book.must(!submission.ended, Invariant::EndedOnce);
-        submission.ended = true;
-        submission.call_off = None;
-        submission.may_have_run = !outcome.never_ran();
         if let Some(idle) = broke {
             self.pool.broke(idle);
         }
         if let Some(idle) = idle {
-            self.pool.put(submission.backend, idle);
+            self.pool.put(backend, idle);
         }
-        let took = now - submission.sent;
         let figure = |name| {
             let text = reply.as_ref()?.field(name)?;
             text.trim().parse::<f64>().ok().filter(|figure| figure.is_finite())
@@ -239,36 +218,29 @@
         let metered = figure("X-Quota-Used").filter(|&used| used >= 0.0).map(|used| used / 100.0);
         let most = self.shared.told.bounds.cost;
         let true_cost = figure("X-Units-Charged").filter(|&cost| cost > 0.0 && cost <= most);
-        if let Some(reply) = reply.filter(|_| outcome == Outcome::Settled)
-            && let Some(answer) = txn.answer.take()
-        {
+        if let (Some(reply), Some(answer)) = (reply, answer) {
             book.count(Count::Settled);
             // A client that has left meanwhile says so itself.
             let _ = answer.send(Final::Settled(reply));
         }
-        let complete = txn.answer.is_none();
         let ending = Ending { txn: id, no, outcome, took, complete, metered, true_cost };
         self.events.push(Event::Ended(ending));
-        self.over.push(id);
     }
 
     /// What is still out ends as timed out, and the decisions say what becomes of the txn.
     fn expire(&mut self, id: TxnId) {
-        let Some(txn) = self.txns.get(&id) else {
-            return;
-        };
-        let out = txn.submissions.iter().enumerate().filter(|(_, one)| !one.ended);
-        let out: Vec<_> = out.map(|(no, _)| SubmissionNo(no as u32)).collect();
-        if out.is_empty() {
-            self.shared.book.must(false, Invariant::AnsweredByExpiry);
-            self.conclude(id, Final::Voided);
+        match self.txns.expire(id) {
+            Expiry::Nothing => {}
+            Expiry::CallOff(out) => out.into_iter().for_each(|no| self.call_off(id, no, CalledOff::TimedOut)),
+            Expiry::Overdue => {
+                self.shared.book.must(false, Invariant::AnsweredByExpiry);
+                self.conclude(id, Final::Voided);
+            }
         }
-        out.into_iter().for_each(|no| self.call_off(id, no, CalledOff::TimedOut));
     }
 
     fn call_off(&mut self, id: TxnId, no: SubmissionNo, why: CalledOff) {
-        let submission = self.txns.get_mut(&id).and_then(|txn| txn.submissions.get_mut(no.0 as usize));
-        if let Some(call_off) = submission.and_then(|submission| submission.call_off.take()) {
+        if let Some(call_off) = self.txns.call_off(id, no) {
             // Its outcome may be on the way already.
             let _ = call_off.send(why);
         }
@@ -281,11 +253,8 @@
                 self.carry_out(action, now);
             }
         }
-        for id in std::mem::take(&mut self.over) {
-            let over = |txn: &Txn| txn.answer.is_none() && txn.submissions.iter().all(|one| one.ended);
-            if self.txns.get(&id).is_some_and(over) {
-                self.txns.remove(&id);
-            }
+        for id in self.txns.forget() {
+            self.held.remove(&id);
         }
     }
 
@@ -294,10 +263,7 @@
             Action::Submit { txn, backend, time_out } => self.submit(txn, backend, time_out, now),
             Action::Cancel { txn, no } => self.call_off(txn, no, CalledOff::Cancelled),
             Action::Decline { txn, retry_after } => {
-                let harmless = self.txns.get(&txn).is_none_or(|txn| {
-                    txn.repeat != Repeat::OnceOnly || !txn.submissions.iter().any(|one| one.may_have_run)
-                });
-                self.shared.book.must(harmless, Invariant::NoEffectTwice);
+                self.shared.book.must(self.txns.harmless(txn), Invariant::NoEffectTwice);
                 self.conclude(txn, Final::Declined(retry_after));
             }
             Action::Void { txn } => self.conclude(txn, Final::Voided),
@@ -318,45 +284,38 @@
     }
 
     fn conclude(&mut self, id: TxnId, answer: Final) {
-        let book = &self.shared.book;
-        let Some(txn) = self.txns.get_mut(&id) else {
-            return;
-        };
-        // Settled, or its client left, in this very batch.
-        let Some(give) = txn.answer.take() else {
+        // None where it was settled, or its client left, in this very batch.
+        let Some(give) = self.txns.conclude(id) else {
             return;
         };
+        let book = &self.shared.book;
         book.count(if matches!(answer, Final::Voided) { Count::Voided } else { Count::Declined });
         let _ = give.send(answer);
-        self.over.push(id);
     }
 
     fn submit(&mut self, id: TxnId, backend: BackendId, time_out: Option<Tenths>, now: Tenths) {
         let book = &self.shared.book;
-        let Some(txn) = self.txns.get_mut(&id) else {
-            return;
+        let (no, until) = match self.txns.submit(id, backend, time_out, now) {
+            Submit::Unknown => return,
+            Submit::Moot { no, complete } => {
+                book.count(Count::SubmissionsMoot);
+                let (outcome, took) = (Outcome::Moot, Tenths(0));
+                let ending = Ending { txn: id, no, outcome, took, complete, metered: None, true_cost: None };
+                return self.events.push(Event::Ended(ending));
+            }
+            Submit::Goes { no, until, allowed } => {
+                book.must(allowed, Invariant::NoEffectTwice);
+                (no, until)
+            }
         };
-        let no = SubmissionNo(txn.submissions.len() as u32);
-        if txn.answer.is_none() || txn.until <= now {
-            // Concluded in this very batch, or out of time: nothing is sent, and the decisions hear so.
-            book.count(Count::SubmissionsMoot);
-            let (sent, may_have_run, call_off, ended) = (now, false, None, true);
-            txn.submissions.push(Submission { backend, sent, may_have_run, call_off, ended });
-            let (outcome, took, complete) = (Outcome::Moot, Tenths(0), txn.answer.is_none());
-            let ending = Ending { txn: id, no, outcome, took, complete, metered: None, true_cost: None };
-            return self.events.push(Event::Ended(ending));
-        }
         book.count(Count::Submissions);
         book.must(self.pool.ready(backend), Invariant::OnlyToListed);
-        let once_only = txn.repeat == Repeat::OnceOnly;
-        let ran = txn.submissions.iter().any(|one| one.may_have_run);
-        book.must(!(once_only && ran), Invariant::NoEffectTwice);
+        let Some(held) = self.held.get(&id) else {
+            return;
+        };
         let (call_off, called_off) = oneshot::channel();
-        let until = time_out.map_or(txn.until, |span| txn.until.min(now + span));
-        let (sent, may_have_run, ended) = (now, true, false);
-        let submission = Submission { backend, sent, may_have_run, call_off: Some(call_off), ended };
-        txn.submissions.push(submission);
-        let mut job = Job { txn: id, no, request: Rc::clone(&txn.request), until, called_off };
+        self.txns.goes(id, no, call_off);
+        let mut job = Job { txn: id, no, request: Rc::clone(&held.request), until, called_off };
         if time_out.is_some() {
             self.set(until, Timer::TimeOut(id, no));
         }
--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -4,7 +4,7 @@
 use crate::admit::TIME_LEFT;
 use crate::book::{Count, Entry, SMALL};
 use crate::clock::span;
-use crate::note::{CalledOff, Ended, Idle, Job, Note};
+use crate::note::{Ended, Idle, Job, Note};
 use crate::shared::Shared;
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
@@ -18,31 +18,24 @@
 use tokio_util::codec::Framed;
 use vanewharf::interface::Outcome;
 use vanewharf_frames::{Fault, Outward, PassedOn, Reply};
-
-impl CalledOff {
-    /// What is known of a submission that nothing came back for.
-    fn outcome(self, written: bool) -> Outcome {
-        match self {
-            CalledOff::TimedOut if written => Outcome::TimedOut,
-            CalledOff::TimedOut => Outcome::NoConnection,
-            CalledOff::Cancelled => Outcome::Cancelled,
-        }
-    }
-}
+use vanewharf_txns::line::{CalledOff, Happened, Line, Then};
 
 struct Connection {
     framed: Framed<TcpStream, Outward>,
     entry: Entry,
 }
 
-/// What became of one submission on one connection.
-enum Carried {
-    Answered(Reply),
-    /// It broke before the last byte was written.
-    Unwritten,
-    /// It ended after that, with nothing said.
-    Silently,
-    Ended(Outcome),
+/// What happened to a submission on one connection, and the answer if there was one.
+struct Carried {
+    written: bool,
+    what: Happened,
+    reply: Option<Reply>,
+}
+
+impl Carried {
+    fn nothing(written: bool, what: Happened) -> Carried {
+        Carried { written, what, reply: None }
+    }
 }
 
 impl Connection {
@@ -55,12 +48,12 @@
             sent = self.framed.send(passed) => sent.is_ok(),
             why = &mut job.called_off => {
                 let written = self.framed.write_buffer().is_empty();
-                return Carried::Ended(why.unwrap_or(CalledOff::Cancelled).outcome(written));
+                return Carried::nothing(written, Happened::CalledOff(why.unwrap_or(CalledOff::Cancelled)));
             }
         };
         if !sent {
             let written = self.framed.write_buffer().is_empty();
-            return if written { Carried::Silently } else { Carried::Unwritten };
+            return Carried::nothing(written, Happened::Broke);
         }
         let Connection { framed, entry } = self;
         let replied = poll_fn(|cx| {
@@ -71,12 +64,17 @@
         tokio::select! {
             biased;
             reply = replied => match reply {
-                Some(Ok(reply)) => Carried::Answered(reply),
-                None | Some(Err(Fault::Io(_))) => Carried::Silently,
-                Some(Err(_)) => Carried::Ended(Outcome::Broken),
+                Some(Ok(reply)) => {
+                    let unprocessed = reply.field("X-Unprocessed") == Some("1");
+                    let last = reply.last() || !self.framed.read_buffer().is_empty();
+                    let what = Happened::Answered { status: reply.status(), unprocessed, last };
+                    Carried { written: true, what, reply: Some(reply) }
+                }
+                None | Some(Err(Fault::Io(_))) => Carried::nothing(true, Happened::Broke),
+                Some(Err(_)) => Carried::nothing(true, Happened::Garbled),
             },
             why = &mut job.called_off =>
-                Carried::Ended(why.unwrap_or(CalledOff::Cancelled).outcome(true)),
+                Carried::nothing(true, Happened::CalledOff(why.unwrap_or(CalledOff::Cancelled))),
         }
     }
 
@@ -106,92 +104,94 @@
     }
 }
 
-fn outcome(reply: &Reply) -> Outcome {
-    match reply.status() {
-        200 => Outcome::Settled,
-        503 | 504 if reply.field("X-Unprocessed") == Some("1") => Outcome::TurnedAway,
-        _ => Outcome::Error,
-    }
-}
-
 /// Where it fails, whether for want of a socket here: that tells nothing of the backend.
-async fn dial(address: SocketAddr, shared: &Shared) -> Result<Connection, Outcome> {
+async fn dial(address: SocketAddr, shared: &Shared) -> Result<Connection, Happened> {
     let book = &shared.book;
     if !book.may_dial() {
         book.count(Count::BackendsUndialled);
-        return Err(Outcome::Moot);
+        return Err(Happened::Undialled);
     }
     let entry = Entry::of(book, false);
     book.count(Count::BackendsDialled);
     // A refusal comes of the socket's own making only when the system has none to give.
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-    let connecting = socket.map_err(|_| Outcome::Moot)?.connect(address);
+    let connecting = socket.map_err(|_| Happened::Undialled)?.connect(address);
     let connected = if shared.lines.dial.0 > 0 {
         let in_time = tokio::time::timeout(span(shared.lines.dial), connecting).await;
-        in_time.map_err(|_| Outcome::NoConnection)?
+        in_time.map_err(|_| Happened::NotUp)?
     } else {
         connecting.await
     };
-    let stream = connected.map_err(|_| Outcome::NoConnection)?;
+    let stream = connected.map_err(|_| Happened::NotUp)?;
     let _ = stream.set_nodelay(true);
     Ok(Connection { framed: Framed::new(stream, Outward::default()), entry })
 }
 
-/// Opens a connection for a submission and carries on with others that route gives it.
+/// Opens a connection for a submission and carries on with others that route gives it. What each thing that
+/// happens proves is said by `line`; here it is only brought about.
 pub async fn run(mut job: Job, address: SocketAddr, shared: Rc<Shared>) {
     let mut kept: Option<Connection> = None;
     let mut answered = None;
+    let mut line = Line::begins(false);
     loop {
         let (txn, no) = (job.txn, job.no);
         let of = |outcome| Ended::of(txn, no, outcome);
-        let fresh = kept.is_none();
-        let idle = answered.take().map(|at| shared.clock.now() - at).filter(|_| !fresh);
+        let idle = answered.take().map(|at| shared.clock.now() - at).filter(|_| kept.is_some());
         let mut connection = match kept.take() {
             Some(connection) => connection,
             None => {
                 let dialled = tokio::select! {
                     biased;
-                    why = &mut job.called_off => Err(why.unwrap_or(CalledOff::Cancelled)),
-                    dialled = dial(address, &shared) => Ok(dialled),
+                    why = &mut job.called_off => Err(Happened::CalledOff(why.unwrap_or(CalledOff::Cancelled))),
+                    dialled = dial(address, &shared) => dialled,
                 };
-                match dialled {
-                    Ok(Ok(connection)) => connection,
-                    Ok(Err(outcome)) => return end(of(outcome), &shared),
-                    Err(why) => return end(of(why.outcome(false)), &shared),
+                let what = dialled.as_ref().map_or_else(|what| *what, |_| Happened::Up);
+                let (next, then) = line.hears(what);
+                line = next;
+                match (dialled, then) {
+                    (Ok(connection), _) => connection,
+                    (Err(_), Then::Ends(outcome)) => return end(of(outcome), &shared),
+                    (Err(_), _) => return end(of(Outcome::NoConnection), &shared),
                 }
             }
         };
-        let reply = match connection.carry(&mut job, &shared).await {
-            Carried::Answered(reply) => reply,
-            Carried::Unwritten if !fresh => {
-                // A connection that went stale unseen; nothing has run, so a new one takes the same.
+        let Carried { written, what, reply } = connection.carry(&mut job, &shared).await;
+        if written {
+            line = line.hears(Happened::Written).0;
+        }
+        let (next, then) = line.hears(what);
+        line = next;
+        let outcome = match then {
+            Then::Ends(outcome) => outcome,
+            Then::EndsSilently(outcome) => return end(Ended { broke: idle, ..of(outcome) }, &shared),
+            Then::DialsAnew => {
                 shared.book.count(Count::BackendsStale);
                 continue;
             }
-            Carried::Unwritten => return end(of(Outcome::NoConnection), &shared),
-            Carried::Silently => return end(Ended { broke: idle, ..of(Outcome::Broken) }, &shared),
-            Carried::Ended(outcome) => return end(of(outcome), &shared),
+            // No such thing is said of a connection that carries.
+            Then::On | Then::Odd => Outcome::Broken,
         };
-        let outcome = outcome(&reply);
         if job.request.bytes() > SMALL {
             *connection.framed.write_buffer_mut() = BytesMut::new();
         }
-        if reply.last() || !connection.framed.read_buffer().is_empty() {
-            return end(Ended { reply: Some(reply), ..of(outcome) }, &shared);
+        if line != Line::Idle {
+            return end(Ended { reply, ..of(outcome) }, &shared);
         }
         let (next, mut jobs) = oneshot::channel();
         let since = shared.clock.now();
         answered = Some(since);
         let idle = Some(Idle { next, since });
-        end(Ended { reply: Some(reply), idle, ..of(outcome) }, &shared);
+        end(Ended { reply, idle, ..of(outcome) }, &shared);
         match connection.idle(&mut jobs).await {
             Ok(next) => {
                 job = next;
+                line = line.hears(Happened::Given).0;
                 kept = Some(connection);
             }
             Err(Some(next)) => {
                 shared.book.count(Count::BackendsStale);
                 job = next;
+                line = Line::begins(false);
             }
             Err(None) => return,
         }
