--- /dev/null
+++ b/carrier/src/link.rs
@@ -0,0 +1,76 @@
+//! The link to the sorter on this machine: pulls what is new, and reports what was let through.
+
+use crate::gate::Posted;
+use crate::rounds::News;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use vanewharf_mailroom::call::Caller;
+use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::words::{DoorRow, Pull, Report};
+
+const WAIT: Duration = Duration::from_millis(400);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What the decisions last said of themselves.
+#[derive(Default)]
+pub struct Told {
+    pub let_through: RefCell<BTreeMap<String, u64>>,
+    pub slices: RefCell<BTreeMap<String, f64>>,
+    /// Told to end: clients are to go elsewhere.
+    pub ending: Cell<bool>,
+}
+
+pub struct Link {
+    pub feed: Feed,
+    pub sorter: Caller,
+    pub row: DoorRow,
+    pub life: u64,
+    pub posted: Rc<Posted>,
+    pub told: Rc<Told>,
+    pub news: mpsc::UnboundedSender<News>,
+}
+
+impl Link {
+    /// Whether this door may be named to clients.
+    pub fn ready(posted: &Posted, told: &Told, feed: &Feed) -> bool {
+        let known = posted.tables.borrow().is_some() && feed.store().list.is_some();
+        known && !told.ending.get() && !posted.lapsed()
+    }
+
+    pub async fn run(mut self) {
+        loop {
+            let ready = Link::ready(&self.posted, &self.told, &self.feed);
+            let report = Report {
+                door: DoorRow { ready, ..self.row.clone() },
+                life: self.life,
+                age_ms: 0,
+                let_through: self.told.let_through.borrow().clone(),
+                slices: self.told.slices.borrow().clone(),
+            };
+            let wait_ms = WAIT.as_millis() as u64;
+            let pull = Pull { have: self.feed.store().have(), wait_ms, office: None, reports: vec![report] };
+            match self.feed.pull(&mut self.sorter, &pull).await {
+                Ok(fresh) => {
+                    let store = self.feed.store();
+                    self.posted.sure.set(store.sure);
+                    let word = store.word.clone().filter(|_| fresh.word).map(News::Word);
+                    let list = store.list.clone().filter(|_| fresh.list);
+                    let list = list.map(|list| News::List(list, store.listed));
+                    let ledger = store.ledger.clone().filter(|_| fresh.ledger).map(News::Ledger);
+                    // Route ends with the program only.
+                    for news in [word, list, ledger].into_iter().flatten() {
+                        let _ = self.news.send(news);
+                    }
+                }
+                Err(failed) => {
+                    spdlog::debug!("nothing from the sorter: {}", failed);
+                    sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/carrier/src/rounds.rs
@@ -0,0 +1,595 @@
+//! All decisions of one carrier, pure: each service in each region is a round of its own, with a decision module that
+//! picks among its backends. Here stands what is decided before and round it: the tenant's bucket, which rounds a request
+//! may go, how often it may be sent on, what a cold backend may be given.
+
+use crate::gate::{Entry, Posted};
+use crate::link::Told as Reported;
+use crate::tables::{Rule, Tables, Tenant};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use vanewharf::decide::Door;
+use vanewharf::interface::*;
+use vanewharf_door::note::Told;
+use vanewharf_door::relay::Final;
+use vanewharf_door::route::Decides;
+use vanewharf_frames::Reply;
+use vanewharf_franking::allowance::{Cold, RepeatRule, Repeats, cold_part, weighted};
+use vanewharf_franking::quota::Buckets;
+use vanewharf_mailroom::clock::{At, Steady};
+use vanewharf_mailroom::config::RouteKind;
+use vanewharf_mailroom::settings::Bounds;
+use vanewharf_mailroom::words::{Ledger, List, Server, Word};
+
+/// What came from the control plane.
+pub enum News {
+    Word(Rc<Word>),
+    /// With the time at which it was taken.
+    List(Rc<List>, At),
+    Ledger(Rc<Ledger>),
+}
+
+/// One service in one region.
+type RoundKey = (Rc<str>, Rc<str>);
+
+struct Round {
+    door: Door,
+    /// What the module tells requests apart by.
+    classes: Vec<(Duration, RouteKind, u64)>,
+}
+
+struct Backend {
+    server: Server,
+    key: RoundKey,
+    /// Cold until then.
+    cold_until: At,
+    cold: Option<Cold>,
+    shown: Option<Listed>,
+}
+
+/// One submission: its round, the number it has there, and whether its end is known.
+struct Sent {
+    key: RoundKey,
+    local: SubmissionNo,
+    ended: bool,
+}
+
+/// One request under way.
+struct Way {
+    rule: Rc<Rule>,
+    tenant: Option<Rc<Tenant>>,
+    service: Rc<str>,
+    /// The regions still to be tried, the next one last.
+    regions: Vec<Rc<str>>,
+    round: Option<RoundKey>,
+    expiry: Tenths,
+    sent: Vec<Sent>,
+    /// How many each round has asked for, sent or not.
+    asked: Vec<(RoundKey, u32)>,
+    /// One of them reached a backend.
+    arrived: bool,
+    may_have_run: bool,
+    concluded: bool,
+}
+
+pub struct Place {
+    pub zone: String,
+    pub region: String,
+    /// The region of each zone.
+    pub zones: BTreeMap<String, String>,
+}
+
+pub struct Rounds {
+    place: Place,
+    bounds: Bounds,
+    posted: Rc<Posted>,
+    steady: Steady,
+    first: bool,
+    chance: SmallRng,
+    tables: Option<Rc<Tables>>,
+    list: Option<(Rc<List>, At)>,
+    rounds: BTreeMap<RoundKey, Round>,
+    backends: BTreeMap<BackendId, Backend>,
+    ids: HashMap<String, BackendId>,
+    named: u32,
+    ways: BTreeMap<TxnId, Way>,
+    over: Vec<TxnId>,
+    buckets: Buckets,
+    reported: Rc<Reported>,
+    repeats: BTreeMap<Rc<str>, Repeats>,
+    doors: f64,
+    /// Cold from when their evacuation ended.
+    thawing: BTreeMap<String, At>,
+}
+
+/// The wait before a refusal by the bucket is worth another try, at least.
+const LEAST_WAIT: Duration = Duration::from_millis(50);
+
+impl Rounds {
+    pub fn start(
+        place: Place,
+        bounds: Bounds,
+        posted: Rc<Posted>,
+        first: bool,
+        seed: u64,
+        told: Rc<Reported>,
+    ) -> Rounds {
+        let steady = posted.steady;
+        let buckets = Buckets::start(bounds.rate_allowance, first, steady.now());
+        Rounds {
+            place,
+            bounds,
+            posted,
+            steady,
+            first,
+            chance: SmallRng::seed_from_u64(seed),
+            tables: None,
+            list: None,
+            rounds: BTreeMap::new(),
+            backends: BTreeMap::new(),
+            ids: HashMap::new(),
+            named: 0,
+            ways: BTreeMap::new(),
+            over: Vec::new(),
+            buckets,
+            reported: told,
+            repeats: BTreeMap::new(),
+            doors: 1.0,
+            thawing: BTreeMap::new(),
+        }
+    }
+
+    fn region(&self, zone: &str) -> Rc<str> {
+        Rc::from(self.place.zones.get(zone).map_or("", String::as_str))
+    }
+
+    fn repeat_rule(&self) -> RepeatRule {
+        let Bounds { retry_ratio: ratio, retry_allowance: allowance, .. } = self.bounds;
+        RepeatRule { ratio, allowance, doors: self.doors }
+    }
+
+    /// Backends anew by list and word: who is there, in which round, and who may get something.
+    fn arrange(&mut self, now: Tenths) -> Told {
+        let at = self.steady.now();
+        let (Some((list, listed)), Some(tables)) = (self.list.clone(), self.tables.clone()) else {
+            return Told { whole: false, entries: Vec::new() };
+        };
+        let mut named = BTreeSet::new();
+        for server in &list.servers {
+            let id = *self.ids.entry(server.id.clone()).or_insert_with(|| {
+                self.named += 1;
+                BackendId(self.named)
+            });
+            named.insert(id);
+            let key = (Rc::from(server.service.as_str()), self.region(&server.zone));
+            let cold_until = listed.after(Duration::from_millis(server.cold_ms));
+            let known = self.backends.entry(id).or_insert_with(|| Backend {
+                server: server.clone(),
+                key,
+                cold_until,
+                cold: None,
+                shown: None,
+            });
+            known.cold_until = known.cold_until.max(cold_until);
+            known.server = server.clone();
+        }
+        self.backends.retain(|id, backend| {
+            let stays = named.contains(id);
+            if !stays {
+                self.ids.remove(&backend.server.id);
+                if let Some(round) = self.rounds.get_mut(&backend.key) {
+                    let gone = Listed {
+                        backend: *id,
+                        standing: Standing::Gone,
+                        size: 1.0,
+                        near: false,
+                        booted: None,
+                    };
+                    round.door.decide(now, vec![Event::Changes(vec![gone])]);
+                }
+            }
+            stays
+        });
+        let mut entries = Vec::new();
+        let ids: Vec<_> = self.backends.keys().copied().collect();
+        for id in ids {
+            let Some(backend) = self.backends.get_mut(&id) else {
+                continue;
+            };
+            if let Some(thawed) = self.thawing.get(&backend.server.zone) {
+                let warmup = tables.services.get(&backend.server.service).map(|service| service.warmup);
+                backend.cold_until = backend.cold_until.max(thawed.after(warmup.unwrap_or_default()));
+            }
+            let shut = backend.server.draining || tables.evacuated.contains(&backend.server.zone);
+            let cold = backend.cold_until.since(at);
+            let service = tables.services.get(&backend.server.service);
+            let warmup = service.map(|service| service.warmup).unwrap_or_default();
+            let booted = (!cold.is_zero()).then(|| now - tenths(warmup.saturating_sub(cold)));
+            let entry = Listed {
+                backend: id,
+                standing: if shut { Standing::Draining } else { Standing::Ready },
+                size: f64::from(backend.server.capacity),
+                near: backend.server.zone == self.place.zone,
+                booted,
+            };
+            let address: Option<SocketAddr> = Some(backend.server.address);
+            let shown = backend.shown.as_ref();
+            // When it began to be cold is only known roughly, and told once.
+            let same = shown.is_some_and(|shown| {
+                let booted = shown.booted.filter(|_| entry.booted.is_some()).or(entry.booted);
+                Listed { booted, ..entry.clone() } == *shown
+            });
+            let key = backend.key.clone();
+            let entry = if same { shown.cloned().unwrap_or(entry) } else { entry };
+            let changed = !same;
+            backend.shown = Some(entry.clone());
+            if changed {
+                let event = vec![Event::Changes(vec![entry.clone()])];
+                self.round(&key, now).door.decide(now, event);
+            }
+            entries.push((entry, address));
+        }
+        Told { whole: true, entries }
+    }
+
+    fn round(&mut self, key: &RoundKey, now: Tenths) -> &mut Round {
+        if !self.rounds.contains_key(key) {
+            let tables = self.tables.as_deref();
+            let mut classes: Vec<_> =
+                tables.map(|tables| tables.classes()).unwrap_or_default().into_iter().collect();
+            for kind in [RouteKind::ReadOnly, RouteKind::Mutating] {
+                if !classes.iter().any(|(_, known, _)| *known == kind) {
+                    classes.push((Duration::from_millis(500), kind, 1));
+                }
+            }
+            let warmup = tables.and_then(|tables| tables.services.get(&*key.0)).map(|service| service.warmup);
+            let start = start(&classes, warmup.unwrap_or_default(), self.chance.random(), now);
+            self.rounds.insert(key.clone(), Round { door: Door::start(start), classes });
+        }
+        self.rounds.get_mut(key).expect("just put there")
+    }
+
+    fn arrived(&mut self, arrival: Arrival, now: Tenths, actions: &mut Vec<Action>) {
+        let id = arrival.txn;
+        let entry = {
+            let mut entries = self.posted.entries.borrow_mut();
+            // Those before it were turned back after all.
+            let later = entries.split_off(&TxnId(id.0 + 1));
+            let entry = entries.remove(&id);
+            *entries = later;
+            entry
+        };
+        let Some(Entry { rule, tenant }) = entry else {
+            return actions.push(Action::Decline { txn: id, retry_after: None });
+        };
+        let at = self.steady.now();
+        if let Some(tenant) = &tenant
+            && let Err(wait) = self.buckets.ask(&tenant.name, tenant.quota, at)
+        {
+            let retry_after = Some(tenths(wait.max(LEAST_WAIT)));
+            return actions.push(Action::Decline { txn: id, retry_after });
+        }
+        let draw = self.chance.random::<f64>();
+        let service = weighted(rule.services.iter().map(|(_, weight)| *weight), draw);
+        let service = Rc::clone(&rule.services[service].0);
+        let homes = |region: &str| {
+            let within = |homes: &[String]| homes.is_empty() || homes.iter().any(|home| home == region);
+            within(&rule.homes) && tenant.as_ref().is_none_or(|tenant| within(&tenant.homes))
+        };
+        let mut regions: Vec<Rc<str>> = Vec::new();
+        for region in self.place.zones.values().filter(|region| homes(region)) {
+            if !regions.iter().any(|known| **known == **region) {
+                regions.push(Rc::from(region.as_str()));
+            }
+        }
+        // This door's own comes first: the next one is taken from the end.
+        regions.sort_by_key(|region| **region == *self.place.region);
+        let rule_now = self.repeat_rule();
+        let first = self.first;
+        let start = || Repeats::start(&rule_now, first);
+        self.repeats.entry(Rc::clone(&service)).or_insert_with(start).request(&rule_now);
+        let way = Way {
+            rule,
+            tenant,
+            service,
+            regions,
+            round: None,
+            expiry: arrival.expiry,
+            sent: Vec::new(),
+            asked: Vec::new(),
+            arrived: false,
+            may_have_run: false,
+            concluded: false,
+        };
+        self.ways.insert(id, way);
+        self.go_on(id, now, actions);
+    }
+
+    /// To the next region's round; refused where none is left.
+    fn go_on(&mut self, id: TxnId, now: Tenths, actions: &mut Vec<Action>) {
+        let Some(way) = self.ways.get_mut(&id) else {
+            return;
+        };
+        let spent =
+            way.sent.len() >= way.rule.tries || way.may_have_run && way.rule.kind == RouteKind::Mutating;
+        let next = if spent { None } else { way.regions.pop() };
+        let Some(region) = next else {
+            self.conclude(id);
+            return actions.push(Action::Decline { txn: id, retry_after: None });
+        };
+        let key = (Rc::clone(&way.service), region);
+        way.round = Some(key.clone());
+        let (target, kind, expiry) = (way.rule.target, way.rule.kind, way.expiry);
+        let precedence = way.rule.precedence;
+        let round = self.round(&key, now);
+        let product = nearest(&round.classes, target, kind, precedence);
+        let arrival =
+            Arrival { txn: id, product, want: Want { cost: 1.0, width: 1, ..Want::default() }, expiry };
+        let decided = round.door.decide(now, vec![Event::Arrived(arrival)]);
+        self.carry_out(&key, decided, now, actions);
+    }
+
+    fn conclude(&mut self, id: TxnId) {
+        if let Some(way) = self.ways.get_mut(&id) {
+            way.concluded = true;
+            self.over.push(id);
+        }
+    }
+
+    fn carry_out(&mut self, key: &RoundKey, decided: Vec<Action>, now: Tenths, actions: &mut Vec<Action>) {
+        for action in decided {
+            match action {
+                Action::Submit { txn, backend, .. } => self.submit(key, txn, backend, now, actions),
+                Action::Cancel { txn, no } => {
+                    let way = self.ways.get(&txn);
+                    let sent = way.and_then(|way| {
+                        way.sent.iter().position(|sent| sent.key == *key && sent.local == no)
+                    });
+                    let no = sent.map(|no| SubmissionNo(no as u32));
+                    actions.extend(no.map(|no| Action::Cancel { txn, no }));
+                }
+                Action::Decline { txn, .. } => self.go_on(txn, now, actions),
+                Action::Void { txn } => {
+                    self.conclude(txn);
+                    actions.push(Action::Void { txn });
+                }
+                // Words between doors, the counter and their timers are of other deployments.
+                Action::Wake { .. } | Action::Count { .. } | Action::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        key: &RoundKey,
+        txn: TxnId,
+        backend: BackendId,
+        now: Tenths,
+        actions: &mut Vec<Action>,
+    ) {
+        let may = self.may_submit(txn, backend);
+        let Some(way) = self.ways.get_mut(&txn) else {
+            return;
+        };
+        let asked = match way.asked.iter_mut().find(|(known, _)| known == key) {
+            Some((_, asked)) => asked,
+            None => {
+                way.asked.push((key.clone(), 0));
+                &mut way.asked.last_mut().expect("just put there").1
+            }
+        };
+        let no = SubmissionNo(*asked);
+        *asked += 1;
+        if may {
+            way.sent.push(Sent { key: key.clone(), local: no, ended: false });
+            return actions.push(Action::Submit { txn, backend, time_out: None });
+        }
+        // The module hears that nothing was sent, and looks further or gives up.
+        let (outcome, took) = (Outcome::Moot, Tenths(0));
+        let ending = Ending { txn, no, outcome, took, complete: false, metered: None, true_cost: None };
+        let decided = self.round(key, now).door.decide(now, vec![Event::Ended(ending)]);
+        self.carry_out(key, decided, now, actions);
+    }
+
+    fn may_submit(&mut self, txn: TxnId, backend: BackendId) -> bool {
+        let rule = self.repeat_rule();
+        let at = self.steady.now();
+        let Some(way) = self.ways.get(&txn) else {
+            return false;
+        };
+        if way.sent.len() >= way.rule.tries {
+            return false;
+        }
+        let Some(known) = self.backends.get_mut(&backend) else {
+            return false;
+        };
+        if known.cold_until > at {
+            let service = self.tables.as_ref().and_then(|tables| tables.services.get(&known.server.service));
+            let per_s = service.map_or(0.0, |service| service.warmup_per_s);
+            let Bounds { warmup_overshoot, warmup_allowance, .. } = self.bounds;
+            let part = cold_part(per_s, warmup_overshoot, warmup_allowance, self.doors);
+            if !known.cold.get_or_insert_with(|| Cold::new(part, at)).spend(part, at) {
+                return false;
+            }
+        }
+        if !way.arrived {
+            return true;
+        }
+        let start = || Repeats::start(&rule, false);
+        self.repeats.entry(Rc::clone(&way.service)).or_insert_with(start).spend()
+    }
+
+    fn ended(&mut self, ending: Ending, now: Tenths, actions: &mut Vec<Action>) {
+        let Some(way) = self.ways.get_mut(&ending.txn) else {
+            return;
+        };
+        let Some(sent) = way.sent.get_mut(ending.no.0 as usize) else {
+            return;
+        };
+        sent.ended = true;
+        way.arrived |= !matches!(ending.outcome, Outcome::Moot | Outcome::NoConnection);
+        way.may_have_run |= !ending.outcome.never_ran();
+        let (key, no) = (sent.key.clone(), sent.local);
+        let id = ending.txn;
+        if way.concluded || ending.complete || ending.outcome == Outcome::Settled {
+            self.conclude(id);
+        }
+        let Some(round) = self.rounds.get_mut(&key) else {
+            return;
+        };
+        let decided = round.door.decide(now, vec![Event::Ended(Ending { no, ..ending })]);
+        self.carry_out(&key, decided, now, actions);
+    }
+}
+
+impl Decides for Rounds {
+    type News = News;
+
+    fn decide(&mut self, now: Tenths, events: Vec<Event>) -> Vec<Action> {
+        // Kept until all that is out has ended: the rounds must hear of it.
+        for id in std::mem::take(&mut self.over) {
+            let over = |way: &Way| way.concluded && way.sent.iter().all(|sent| sent.ended);
+            if self.ways.get(&id).is_some_and(over) {
+                self.ways.remove(&id);
+            }
+        }
+        self.buckets.tick(self.steady.now());
+        let mut actions = Vec::new();
+        for event in events {
+            match event {
+                Event::Arrived(arrival) => self.arrived(arrival, now, &mut actions),
+                Event::Ended(ending) => self.ended(ending, now, &mut actions),
+                Event::Left(id) => {
+                    let key = self.ways.get(&id).and_then(|way| way.round.clone());
+                    self.conclude(id);
+                    if let Some((key, round)) =
+                        key.and_then(|key| self.rounds.get_mut(&key).map(|round| (key, round)))
+                    {
+                        let decided = round.door.decide(now, vec![Event::Left(id)]);
+                        self.carry_out(&key, decided, now, &mut actions);
+                    }
+                }
+                _ => {}
+            }
+        }
+        actions
+    }
+
+    fn repeat(&self, arrival: &Arrival) -> Repeat {
+        let entries = self.posted.entries.borrow();
+        match entries.get(&arrival.txn).map(|entry| entry.rule.kind) {
+            Some(RouteKind::ReadOnly) => Repeat::InquiryLike,
+            _ => Repeat::OnceOnly,
+        }
+    }
+
+    fn news(&mut self, now: Tenths, news: News) -> Option<Told> {
+        match news {
+            News::Word(word) => {
+                let tables = Rc::new(Tables::of(&word)?);
+                if let Some(before) = &self.tables {
+                    let at = self.steady.now();
+                    for zone in before.evacuated.difference(&tables.evacuated) {
+                        self.thawing.insert(zone.clone(), at);
+                    }
+                }
+                self.tables = Some(Rc::clone(&tables));
+                *self.posted.tables.borrow_mut() = Some(tables);
+            }
+            News::List(list, at) => self.list = Some((list, at)),
+            News::Ledger(ledger) => {
+                self.doors = f64::from(ledger.counted.max(1));
+                let tables = self.tables.clone();
+                let quota = |tenant: &str| {
+                    let none = vanewharf_franking::quota::Quota { rate: 0.0, burst: 0.0 };
+                    tables.as_ref().map_or(none, |tables| tables.quota(tenant))
+                };
+                self.buckets.read(ledger.counted, &ledger.tenants, quota, self.steady.now());
+                *self.reported.let_through.borrow_mut() = self.buckets.let_through();
+                *self.reported.slices.borrow_mut() = self.buckets.slices();
+                return None;
+            }
+        }
+        Some(self.arrange(now))
+    }
+
+    fn anew(&self, txn: TxnId, backend: BackendId) -> Vec<(&'static str, String)> {
+        let instance = self.backends.get(&backend).map(|known| known.server.id.clone());
+        let tenant = self.ways.get(&txn).and_then(|way| way.tenant.as_ref());
+        let instance = instance.map(|instance| ("Expected-Instance", instance));
+        let tenant = tenant.map(|tenant| ("Customer-Name", tenant.name.to_string()));
+        instance.into_iter().chain(tenant).collect()
+    }
+
+    /// The backend's own answer where there is one that promises nothing that may be untrue.
+    fn concluded(&self, _: TxnId, answer: Final, failure: Option<Reply>) -> Final {
+        match (answer, failure) {
+            (Final::Voided | Final::Declined(None), Some(reply))
+                if !matches!(reply.status(), 408 | 421 | 429 | 503) =>
+            {
+                Final::Settled(reply)
+            }
+            (answer, _) => answer,
+        }
+    }
+}
+
+fn tenths(span: Duration) -> Tenths {
+    Tenths((span.as_micros() / 100).min(i64::MAX as u128) as i64)
+}
+
+/// The class of requests that is most like it; what is repeated differently is never taken for it.
+fn nearest(
+    classes: &[(Duration, RouteKind, u64)],
+    target: Duration,
+    kind: RouteKind,
+    precedence: u64,
+) -> ProductId {
+    let alike = classes.iter().enumerate().filter(|(_, (_, known, _))| *known == kind);
+    let far = |(_, (known, _, rank)): &(usize, &(Duration, RouteKind, u64))| {
+        (known.abs_diff(target), rank.abs_diff(precedence))
+    };
+    ProductId(alike.min_by_key(far).map_or(0, |(no, _)| no))
+}
+
+/// What a round's module is told: aims, values by precedence, no quota of its own.
+fn start(classes: &[(Duration, RouteKind, u64)], warmup: Duration, seed: u64, now: Tenths) -> Start {
+    let product = |(target, kind, precedence): &(Duration, RouteKind, u64)| Product {
+        sla_time: tenths(*target),
+        value: 1.0 / (1.0 + *precedence as f64),
+        repeat: if *kind == RouteKind::ReadOnly { Repeat::InquiryLike } else { Repeat::OnceOnly },
+    };
+    let plan = Plan {
+        rate: 0.0,
+        burst: 0.0,
+        value_factor: 1.0,
+        beyond_worth: 0.0,
+        beyond_cost: 0.0,
+        ceiling_rate: 0.0,
+        ceiling_depth: 0.0,
+    };
+    Start {
+        seed,
+        at: now,
+        me: DoorId(0),
+        doors: 1,
+        products: classes.iter().map(product).collect(),
+        plans: vec![plan],
+        allowances: Allowances {
+            cancel: true,
+            second_copies: true,
+            retry_after: true,
+            max_retry_after: Tenths::SECOND,
+            most_submissions: 4,
+        },
+        cold: ColdFigures { from: 0.2, ramp_time: tenths(warmup) },
+        kept: Tenths(20_000),
+        meter_period: Tenths(0),
+        counter: None,
+        peers: false,
+        most_cost: 1.0,
+    }
+}
--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -74,15 +74,15 @@
 
 pub(crate) trait FirstLine: Sized {
     /// Nothing where the head is not whole yet.
-    fn parse(src: &BytesMut) -> Result<Option<Head<Self>>, Fault>;
+    fn parse(src: &BytesMut, most_body: usize) -> Result<Option<Head<Self>>, Fault>;
 
     /// Another head follows in its place.
     fn interim(&self) -> bool;
 }
 
 /// One message under way.
-#[derive(Default)]
 pub(crate) struct Reader<L> {
+    most_body: usize,
     /// How much of a head has been looked through, so that each byte of a slow one costs little.
     seen: usize,
     /// Heads that another followed in their place.
@@ -90,6 +90,12 @@
     begun: Option<(Message<L>, Left)>,
 }
 
+impl<L> Default for Reader<L> {
+    fn default() -> Self {
+        Reader { most_body: MOST_BODY, seen: 0, interim: 0, begun: None }
+    }
+}
+
 /// What a head says of the body and the connection.
 #[derive(Default)]
 struct Framing {
@@ -167,7 +173,7 @@
         let Some((message, left)) = &mut self.begun else {
             return Ok(None);
         };
-        while fill(message, left, src)? {}
+        while fill(message, left, src, self.most_body)? {}
         if matches!(left, Left::Counted(0)) {
             return Ok(self.begun.take().map(|(message, _)| message));
         }
@@ -181,7 +187,7 @@
             if !self.may_end(src) {
                 return if src.len() > MOST_HEAD { Err(Fault::HeadTooLarge) } else { Ok(None) };
             }
-            let Some(head) = L::parse(src)? else {
+            let Some(head) = L::parse(src, self.most_body)? else {
                 return Ok(None);
             };
             self.seen = 0;
@@ -208,7 +214,12 @@
 }
 
 /// One step of a body; false when it is whole or needs more bytes.
-fn fill<L>(message: &mut Message<L>, left: &mut Left, src: &mut BytesMut) -> Result<bool, Fault> {
+fn fill<L>(
+    message: &mut Message<L>,
+    left: &mut Left,
+    src: &mut BytesMut,
+    most_body: usize,
+) -> Result<bool, Fault> {
     match left {
         Left::Counted(length) | Left::Chunk(length) => {
             let come = src.len().min(*length);
@@ -223,7 +234,7 @@
         }
         Left::Size => match httparse::parse_chunk_size(src) {
             Ok(Status::Complete((taken, size))) => {
-                let room = (MOST_BODY - (message.text.len() - message.body_at)) as u64;
+                let room = (most_body - (message.text.len() - message.body_at)) as u64;
                 if size > room {
                     return Err(Fault::BodyTooLarge);
                 }
@@ -279,12 +290,12 @@
     }
 }
 
-fn bounded(length: usize) -> Result<Left, Fault> {
-    if length > MOST_BODY { Err(Fault::BodyTooLarge) } else { Ok(Left::Counted(length)) }
+fn bounded(length: usize, most_body: usize) -> Result<Left, Fault> {
+    if length > most_body { Err(Fault::BodyTooLarge) } else { Ok(Left::Counted(length)) }
 }
 
 impl FirstLine for RequestLine {
-    fn parse(src: &BytesMut) -> Result<Option<Head<RequestLine>>, Fault> {
+    fn parse(src: &BytesMut, most_body: usize) -> Result<Option<Head<RequestLine>>, Fault> {
         let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
         let mut parsed = httparse::Request::new(&mut []);
         let Some(length) = whole(parsed.parse_with_uninit_headers(src, &mut headers), src)? else {
@@ -294,7 +305,8 @@
         let line = RequestLine { method: span(parsed.method), target: span(parsed.path) };
         let framing = Framing::of(parsed.headers)?;
         let last = framing.last(parsed.version.unwrap_or_default());
-        let left = if framing.chunked { Left::Size } else { bounded(framing.length.unwrap_or(0))? };
+        let left =
+            if framing.chunked { Left::Size } else { bounded(framing.length.unwrap_or(0), most_body)? };
         Ok(Some(Head { line, length, fields: spans(parsed.headers, src), left, last }))
     }
 
@@ -304,7 +316,7 @@
 }
 
 impl FirstLine for StatusLine {
-    fn parse(src: &BytesMut) -> Result<Option<Head<StatusLine>>, Fault> {
+    fn parse(src: &BytesMut, most_body: usize) -> Result<Option<Head<StatusLine>>, Fault> {
         let mut headers = [const { MaybeUninit::uninit() }; MOST_FIELDS];
         let mut parsed = httparse::Response::new(&mut []);
         let parser = httparse::ParserConfig::default();
@@ -318,7 +330,7 @@
         let left = match framing.length {
             _ if line.interim() || matches!(line.status, 204 | 304) => Left::Counted(0),
             _ if framing.chunked => Left::Size,
-            Some(length) => bounded(length)?,
+            Some(length) => bounded(length, most_body)?,
             // A body that ends with its connection cannot be told from one that was cut short.
             None => return Err(Fault::Malformed("the body's end is not told")),
         };
@@ -341,6 +353,11 @@
 macro_rules! decodes {
     ($codec:ident, $message:ident) => {
         impl $codec {
+            /// For bodies of up to so many bytes.
+            pub fn up_to(most_body: usize) -> $codec {
+                $codec(Reader { most_body, ..Reader::default() })
+            }
+
             /// Bytes of a message that is not whole yet, beside those in the connection's buffer.
             pub fn held(&self) -> usize {
                 self.0.begun.as_ref().map_or(0, |(message, _)| message.bytes())
--- a/frames/src/write.rs
+++ b/frames/src/write.rs
@@ -10,6 +10,7 @@
 pub struct PassedOn<'a> {
     pub request: &'a Request,
     pub anew: &'a [(&'a str, &'a str)],
+    pub without: &'a [&'a str],
 }
 
 /// A reply's status and body as they came, but for what belongs to one connection and the fields
@@ -43,7 +44,10 @@
 fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        307 => "Temporary Redirect",
         400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         409 => "Conflict",
@@ -125,7 +129,8 @@
         dst.extend_from_slice(b" ");
         dst.extend_from_slice(&message.text[message.line.target.range()]);
         dst.extend_from_slice(b" HTTP/1.1\r\n");
-        put_lasting(dst, message, item.anew.iter().map(|(name, _)| *name));
+        let without = item.without.iter().copied();
+        put_lasting(dst, message, item.anew.iter().map(|(name, _)| *name).chain(without));
         for (name, value) in item.anew {
             put_field(dst, name.as_bytes(), value.as_bytes());
         }
--- /dev/null
+++ b/franking/src/lib.rs
@@ -0,0 +1,7 @@
+//! The system's own decisions: pure, told the time, with no input or output of their own. docs/system.md has why each
+//! is as it is.
+
+pub mod allowance;
+pub mod quota;
+pub mod summing;
+pub mod voter;
--- /dev/null
+++ b/franking/src/quota.rs
@@ -0,0 +1,284 @@
+//! The design's bucket for each tenant, in each proxy door: tokens = min(B, tokens + r × elapsed), spend or refuse and
+//! say when. r and B are this door's slice of the tenant's quota; about once a meter period the slice is set anew from
+//! this door's own let-through over the metered use, the sum of what doors reported to the control plane.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use vanewharf_mailroom::clock::At;
+use vanewharf_mailroom::words::Use;
+
+/// Seconds over which own let-through and metered use are averaged.
+const SPAN: f64 = 3.0;
+/// A share out of fewer requests than this is mostly chance.
+const PRIOR: f64 = 10.0;
+/// Of the even slice: a door must be able to learn that traffic has come back to it.
+const FLOOR: f64 = 0.25;
+/// The part of a slice's burst that lets in a request where the slice is below one.
+const ENOUGH: f64 = 0.5;
+/// Of what the rules allow beyond the quota once: the doors' buckets may be so much deeper, all together. The rest is
+/// kept for slices that sum past the quota while readings are late.
+const DEEPER: f64 = 0.6;
+/// A door that hears nothing for so long counts itself as cut off: the others are told of its slice no more.
+pub const SILENT: Duration = Duration::from_secs(8);
+
+/// A tenant's quota over all doors. A rate of 0 is no limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    pub rate: f64,
+    pub burst: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Bucket {
+    slice: f64,
+    tokens: f64,
+    last: At,
+    let_through: u64,
+    /// As it was at the last reading, and averaged, a second.
+    let_before: u64,
+    let_rate: f64,
+    metered: f64,
+}
+
+/// All tenants' buckets at one door.
+#[derive(Clone, Debug)]
+pub struct Buckets {
+    /// By how many doors what all may do together is divided; the system supplies it.
+    doors: f64,
+    /// The whole allowance beyond a quota that the rules make, once.
+    allowance: f64,
+    started: At,
+    /// Whether a tenant not yet seen starts full: only at the first start of all, else restarts would give twice.
+    full: bool,
+    buckets: BTreeMap<String, Bucket>,
+    read_at: At,
+}
+
+impl Buckets {
+    pub fn start(allowance: f64, full: bool, now: At) -> Buckets {
+        let buckets = BTreeMap::new();
+        Buckets { doors: 1.0, allowance, started: now, full, buckets, read_at: now }
+    }
+
+    pub fn doors(&self) -> f64 {
+        self.doors
+    }
+
+    fn depth(&self, quota: Quota, slice: f64) -> f64 {
+        quota.burst * slice + DEEPER * self.allowance / self.doors
+    }
+
+    fn refilled(&mut self, tenant: &str, quota: Quota, now: At) -> &mut Bucket {
+        let even = 1.0 / self.doors;
+        if !self.buckets.contains_key(tenant) {
+            let most = self.depth(quota, even);
+            let since = now.since(self.started).as_secs_f64() * quota.rate * even;
+            let tokens = if self.full { most } else { since.min(most) };
+            let new = Bucket {
+                slice: even,
+                tokens,
+                last: now,
+                let_through: 0,
+                let_before: 0,
+                let_rate: 0.0,
+                metered: 0.0,
+            };
+            self.buckets.insert(tenant.to_owned(), new);
+        }
+        let (allowance, doors) = (self.allowance, self.doors);
+        let bucket = self.buckets.get_mut(tenant).expect("just put there");
+        let most = quota.burst * bucket.slice + DEEPER * allowance / doors;
+        let gap = now.since(bucket.last).as_secs_f64();
+        bucket.tokens = (bucket.tokens + quota.rate * bucket.slice * gap).min(most);
+        bucket.last = now;
+        bucket
+    }
+
+    /// One request: spent, or when the next try is worth its while.
+    pub fn ask(&mut self, tenant: &str, quota: Quota, now: At) -> Result<(), Duration> {
+        if quota.rate <= 0.0 {
+            return Ok(());
+        }
+        let depth = quota.burst / self.doors + DEEPER * self.allowance / self.doors;
+        let bucket = self.refilled(tenant, quota, now);
+        // A slice whose burst is below one request would never admit it: a fair part of a full one is enough, the rest
+        // is debt.
+        let needed = depth.mul_add(ENOUGH, 0.0).min(1.0);
+        if bucket.tokens < needed {
+            let rate = (quota.rate * bucket.slice).max(1e-3);
+            return Err(Duration::from_secs_f64(((needed - bucket.tokens) / rate).min(60.0)));
+        }
+        bucket.tokens -= 1.0;
+        bucket.let_through += 1;
+        Ok(())
+    }
+
+    /// A new ledger: how many doors there are, and each tenant's use and the slices that the doors hold together.
+    pub fn read(&mut self, doors: u32, uses: &BTreeMap<String, Use>, quota: impl Fn(&str) -> Quota, now: At) {
+        let doors = f64::from(doors.max(1));
+        let grown = self.doors != doors;
+        let even = 1.0 / doors;
+        let gap = now.since(self.read_at).as_secs_f64().max(1e-3);
+        let weight = 1.0 - (-gap / SPAN).exp();
+        self.read_at = now;
+        let names: Vec<_> = self.buckets.keys().cloned().collect();
+        for name in names {
+            let quota = quota(&name);
+            let bucket = self.refilled(&name, quota, now);
+            let let_now = (bucket.let_through - bucket.let_before) as f64 / gap;
+            bucket.let_before = bucket.let_through;
+            bucket.let_rate += weight * (let_now - bucket.let_rate);
+            let reading = uses.get(&name).copied().unwrap_or_default();
+            bucket.metered += weight * (reading.per_s - bucket.metered);
+            let target = if reading.per_s > 0.0 && bucket.metered > 0.0 {
+                let prior = PRIOR / SPAN;
+                (bucket.let_rate + prior * even) / (bucket.metered + prior)
+            } else {
+                bucket.slice + weight * (even - bucket.slice)
+            };
+            let most = (2.0 * bucket.slice).min(1.0);
+            let slice = target.clamp((FLOOR * even).min(most), most);
+            // Late and misaligned readings make slices sum past the whole: each gives its part back.
+            bucket.slice = slice / reading.slices.max(1.0);
+            if grown {
+                bucket.slice = bucket.slice.min(2.0 * even);
+            }
+            // Idle full buckets are what a tenant not yet seen gets anyway.
+        }
+        self.doors = doors;
+        let (allowance, full) = (self.allowance, self.full);
+        self.buckets.retain(|name, bucket| {
+            let quota = quota(name);
+            let most = quota.burst * bucket.slice + DEEPER * allowance / doors;
+            let idle = bucket.let_rate < 0.01 && bucket.tokens >= 0.99 * most;
+            !(full && idle && (bucket.slice / even - 1.0).abs() < 0.05 && bucket.let_through == 0)
+        });
+    }
+
+    /// A door that nobody hears of keeps the floor alone: by now the others' slices take up the rest.
+    pub fn tick(&mut self, now: At) {
+        if now.since(self.read_at) < SILENT {
+            return;
+        }
+        let floor = FLOOR / self.doors;
+        for bucket in self.buckets.values_mut() {
+            bucket.slice = bucket.slice.min(floor);
+        }
+    }
+
+    pub fn let_through(&self) -> BTreeMap<String, u64> {
+        self.buckets.iter().map(|(name, bucket)| (name.clone(), bucket.let_through)).collect()
+    }
+
+    pub fn slices(&self) -> BTreeMap<String, f64> {
+        // Rounded: it is sent once a second.
+        let slice = |bucket: &Bucket| (bucket.slice * 1e4).round() / 1e4;
+        self.buckets.iter().map(|(name, bucket)| (name.clone(), slice(bucket))).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const START: At = At(1_000_000_000);
+    const QUOTA: Quota = Quota { rate: 40.0, burst: 40.0 };
+
+    fn at(seconds: f64) -> At {
+        START.after(Duration::from_secs_f64(seconds))
+    }
+
+    /// Doors that are asked at the given rates; ledgers come each second, late by one; those of `cut` hear nothing and
+    /// nobody hears of them.
+    fn played(rates: &[f64], cut: &[usize], seconds: u64) -> Vec<(f64, usize)> {
+        let mut doors: Vec<_> = rates.iter().map(|_| Buckets::start(20.0, true, START)).collect();
+        let (mut let_in, mut credit) = (Vec::new(), vec![0.0; rates.len()]);
+        let (mut before, mut reported) = (vec![0; rates.len()], Use::default());
+        for (no, door) in doors.iter_mut().enumerate() {
+            let _ = no;
+            door.read(rates.len() as u32, &BTreeMap::new(), |_| QUOTA, START);
+        }
+        for step in 0..seconds * 100 {
+            let now = at(step as f64 / 100.0);
+            for (no, door) in doors.iter_mut().enumerate() {
+                credit[no] += rates[no] / 100.0;
+                while credit[no] >= 1.0 {
+                    credit[no] -= 1.0;
+                    if door.ask("t", QUOTA, now).is_ok() {
+                        let_in.push((step as f64 / 100.0, no));
+                    }
+                }
+                door.tick(now);
+            }
+            if step % 100 == 99 {
+                let uses = BTreeMap::from([("t".to_owned(), reported)]);
+                let mut sum = Use::default();
+                for (no, door) in doors.iter_mut().enumerate() {
+                    if cut.contains(&no) && step > 300 {
+                        continue;
+                    }
+                    let through = door.let_through().get("t").copied().unwrap_or(0);
+                    sum.per_s += (through - before[no]) as f64;
+                    before[no] = through;
+                    door.read(rates.len() as u32, &uses, |_| QUOTA, now);
+                    sum.slices += door.slices().get("t").copied().unwrap_or(0.0);
+                }
+                reported = sum;
+            }
+        }
+        let_in
+    }
+
+    /// The most in any five seconds.
+    fn most(let_in: &[(f64, usize)]) -> usize {
+        let within = |from: f64| let_in.iter().filter(|(at, _)| (from..from + 5.0).contains(at)).count();
+        let_in.iter().map(|(at, _)| within(*at)).max().unwrap_or(0)
+    }
+
+    #[test]
+    fn all_doors_together_keep_the_quota_however_the_requests_come() {
+        let bound = ((40.0 * 5.0 + 40.0) * 1.1 + 20.0) as usize;
+        for rates in [
+            [40.0; 8],
+            [300.0, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5],
+            [80.0, 1.0, 40.0, 1.0, 9.0, 9.0, 0.0, 0.0],
+        ] {
+            let let_in = played(&rates, &[], 40);
+            assert!(most(&let_in) <= bound, "{} of {bound} for {rates:?}", most(&let_in));
+        }
+    }
+
+    #[test]
+    fn a_door_that_is_cut_off_does_not_break_the_quota() {
+        let bound = ((40.0 * 5.0 + 40.0) * 1.1 + 20.0) as usize;
+        let let_in = played(&[40.0; 8], &[2], 30);
+        assert!(most(&let_in) <= bound, "{} of {bound}", most(&let_in));
+    }
+
+    #[test]
+    fn slices_follow_where_requests_come_in() {
+        let let_in = played(&[32.0, 0.2, 0.2, 0.2, 0.2, 0.2, 0.2, 0.2], &[], 40);
+        let late = let_in.iter().filter(|(at, no)| *at >= 30.0 && *no == 0).count();
+        assert!(late >= 290, "{late} of 320 once the slice has come");
+    }
+
+    #[test]
+    fn a_restarted_door_has_only_what_has_refilled_since() {
+        let mut door = Buckets::start(20.0, false, START);
+        door.read(8, &BTreeMap::new(), |_| QUOTA, START);
+        let wait = door.ask("t", QUOTA, START).expect_err("nothing has refilled");
+        assert!(wait > Duration::ZERO && wait <= Duration::from_millis(200));
+        assert!(door.ask("t", QUOTA, START.after(wait + Duration::from_millis(1))).is_ok());
+        assert!(door.ask("free", Quota { rate: 0.0, burst: 0.0 }, START).is_ok(), "no limit");
+    }
+
+    #[test]
+    fn a_slice_below_one_request_lets_it_in_by_debt() {
+        let mut door = Buckets::start(0.0, true, START);
+        let small = Quota { rate: 2.0, burst: 2.0 };
+        door.read(8, &BTreeMap::new(), |_| small, START);
+        assert!(door.ask("s", small, START).is_ok());
+        let wait = door.ask("s", small, START).expect_err("in debt");
+        assert!((wait.as_secs_f64() - 3.5).abs() < 0.1, "{wait:?}");
+    }
+}
--- a/frontdoor/src/admit.rs
+++ b/frontdoor/src/admit.rs
@@ -1,7 +1,9 @@
 //! Admit: from a request's head to the arrival that the decisions hear.
 
-use vanewharf::interface::{Arrival, CustomerId, PlanId, ProductId, Tenths, TxnId, Want};
-use vanewharf_frames::Request;
+use crate::gate::{Admitted, Gate, Judged, Speech};
+use std::time::Duration;
+use vanewharf::interface::{Arrival, CustomerId, Outcome, PlanId, ProductId, Tenths, TxnId, Want};
+use vanewharf_frames::{Reply, Request};
 use vanewharf_told::{Bounds, Named};
 
 const CORRELATION: &str = "X-Correlation-Id";
@@ -10,7 +12,7 @@
 const LONGEST_ID: usize = 64;
 /// Customers are numbered below this.
 const CUSTOMERS: u64 = 1 << 33;
-pub const TIME_LEFT: &str = "X-Time-Left-Ms";
+const TIME_LEFT: &str = "X-Time-Left-Ms";
 
 /// What the door was told that a request is held to.
 pub struct Told {
@@ -18,15 +20,6 @@
     pub bounds: Bounds,
 }
 
-#[derive(Debug, PartialEq)]
-pub enum Admitted {
-    /// Asked whether this door serves.
-    Health,
-    Txn(Arrival),
-    /// A status and the reason.
-    Bad(u16, &'static str),
-}
-
 fn customer(query: &str) -> Option<CustomerId> {
     let mut keys = query.split('&').filter_map(|pair| pair.strip_prefix("key="));
     let key = keys.next().filter(|_| keys.next().is_none())?;
@@ -80,17 +73,58 @@
 }
 
 /// By which clients and backends know the txn.
-pub fn id(request: &Request) -> Option<&str> {
+fn id(request: &Request) -> Option<&str> {
     request.sole(CORRELATION).filter(|id| (1..=LONGEST_ID).contains(&id.len()))
 }
 
-pub fn admit(request: &Request, told: &Told, now: Tenths, txn: TxnId) -> Admitted {
-    match (request.method(), request.target()) {
-        ("GET", "/healthz") => Admitted::Health,
-        ("GET" | "POST", _) => match arrival(request, told, now, txn) {
-            Ok(arrival) => Admitted::Txn(arrival),
-            Err(reason) => Admitted::Bad(400, reason),
-        },
-        _ => Admitted::Bad(405, "only GET and POST are taken"),
+/// Against clients that say nothing or never come to an end. Usual ones write a request at once.
+const WHOLE: Duration = Duration::from_millis(2500);
+/// Against clients that asked once and stay for good: left to crowd the door, they would have usual ones shed
+/// sooner than this. Closing on a usual one costs it a new connection.
+const IDLE: Duration = Duration::from_secs(4);
+
+impl Gate for Told {
+    fn speech(&self) -> Speech {
+        Speech {
+            time_left: TIME_LEFT,
+            not_passed_on: &[],
+            not_passed_back: &["X-Quota-Used", "X-Units-Charged", "X-Backend-Load", "X-Unprocessed"],
+            busy_after: None,
+            whole: WHOLE,
+            idle: IDLE,
+        }
+    }
+
+    fn admit(&self, request: &Request, now: Tenths, txn: TxnId) -> Admitted {
+        match (request.method(), request.target()) {
+            ("GET", "/healthz") => Admitted::Health,
+            ("GET" | "POST", _) => match arrival(request, self, now, txn) {
+                Ok(arrival) => Admitted::Txn(arrival),
+                Err(reason) => Admitted::Bad(400, reason),
+            },
+            _ => Admitted::Bad(405, "only GET and POST are taken"),
+        }
+    }
+
+    fn id<'a>(&self, request: &'a Request) -> Option<&'a str> {
+        id(request)
+    }
+
+    fn judge(&self, _: &Request, reply: &Reply) -> Judged {
+        Judged::Ours(match reply.status() {
+            200 => Outcome::Settled,
+            503 | 504 if reply.field("X-Unprocessed") == Some("1") => Outcome::TurnedAway,
+            _ => Outcome::Error,
+        })
+    }
+
+    fn figures(&self, reply: &Reply) -> (Option<f64>, Option<f64>) {
+        let figure = |name| {
+            let text = reply.field(name)?;
+            text.trim().parse::<f64>().ok().filter(|figure| figure.is_finite())
+        };
+        let metered = figure("X-Quota-Used").filter(|&used| used >= 0.0).map(|used| used / 100.0);
+        let true_cost = figure("X-Units-Charged").filter(|&cost| cost > 0.0 && cost <= self.bounds.cost);
+        (metered, true_cost)
     }
 }
--- a/frontdoor/src/discovery.rs
+++ b/frontdoor/src/discovery.rs
@@ -62,6 +62,8 @@
     /// Where the agent listens; it may move while the door runs.
     agents: watch::Receiver<SocketAddr>,
     shared: Rc<Shared>,
+    /// Where this door stands.
+    place: String,
     index: u64,
     backends: BTreeMap<String, Known>,
     /// An id is given once, so that what is told late of one that is gone never falls to another.
@@ -76,11 +78,12 @@
     pub fn start(
         agents: watch::Receiver<SocketAddr>,
         shared: Rc<Shared>,
+        place: String,
         known: Published,
         recall: Recall,
     ) -> (Discovery, Told) {
         let backends = BTreeMap::new();
-        let mut discovery = Discovery { agents, shared, index: 0, backends, named: 0, recall };
+        let mut discovery = Discovery { agents, shared, place, index: 0, backends, named: 0, recall };
         let told = discovery.told(known);
         (discovery, told)
     }
@@ -108,7 +111,7 @@
             // What is not understood gets nothing new.
             _ => Standing::Draining,
         };
-        let near = zone == self.shared.told.named.place;
+        let near = zone == self.place;
         if standing == Standing::Ready {
             // An address is one process's: whoever started there later, the other is gone, listed or not.
             let elsewhere = |known: &Known| known.address != address;
@@ -228,7 +231,7 @@
         };
         let request = Request::get(&address.to_string(), &target);
         let asked = async {
-            connection.send(PassedOn { request: &request, anew: &[] }).await.ok()?;
+            connection.send(PassedOn { request: &request, anew: &[], without: &[] }).await.ok()?;
             connection.next().await?.ok()
         };
         let reply = timeout(patience, asked).await.map_err(|_| lost("silent"))?;
--- a/frontdoor/src/main.rs
+++ b/frontdoor/src/main.rs
@@ -1,35 +1,7 @@
-//! The front door on sockets. A txn passes the stages take in, admit, route, send, relay and book,
-//! each in a file of its own; `route` alone asks the decisions.
+//! The front door on sockets: reads what it is told, starts the stages and ends them in order.
 
-mod admit;
-mod book;
-mod clock;
-mod commission;
-mod counter;
-mod discovery;
-mod note;
-mod operator;
-mod peers;
-mod pool;
-mod recall;
-mod relay;
-mod route;
-mod send;
-mod shared;
-mod take_in;
-
-use admit::Told;
-use book::{Book, Count, Room};
 use clap::{Parser, ValueEnum};
-use clock::Clock;
-use commission::Commission;
-use discovery::Discovery;
-use operator::Operator;
-use peers::Peers;
-use recall::Recall;
-use route::Route;
-use shared::Shared;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -39,6 +11,18 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use vanewharf::decide::Door;
+use vanewharf_door::admit::Told;
+use vanewharf_door::book::{Book, Count, Room};
+use vanewharf_door::clock::Clock;
+use vanewharf_door::commission::Commission;
+use vanewharf_door::discovery::Discovery;
+use vanewharf_door::open::OpenIds;
+use vanewharf_door::operator::Operator;
+use vanewharf_door::peers::Peers;
+use vanewharf_door::recall::Recall;
+use vanewharf_door::route::{Decisions, Route};
+use vanewharf_door::shared::Shared;
+use vanewharf_door::{counter, take_in};
 
 /// New clients keep coming for a while after the front was told that this door stops.
 const KEEP_ACCEPTING: Duration = Duration::from_millis(500);
@@ -116,9 +100,9 @@
     let repeats = start.products.iter().map(|product| product.repeat).collect();
     let book = Rc::new(Book::new(Room::within(limits.sockets, limits.memory_mb)));
     let (notes, told) = mpsc::unbounded_channel();
-    let (told_admit, txns, open) = (Told { named, bounds }, Cell::new(0), RefCell::default());
-    let shared =
-        Rc::new(Shared { clock, book: Rc::clone(&book), told: told_admit, lines, notes, txns, open });
+    let place = named.place.clone();
+    let (gate, txns, open) = (Box::new(Told { named, bounds }), Cell::new(0), OpenIds::default());
+    let shared = Rc::new(Shared { clock, book: Rc::clone(&book), gate, lines, notes, txns, open });
 
     let listening = || {
         let socket = if listen.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
@@ -130,7 +114,7 @@
 
     let (agent, agents) = watch::channel(discovery);
     let recall = Recall::new(ask_within, seed);
-    let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), known, recall);
+    let (discovery, known) = Discovery::start(agents, Rc::clone(&shared), place, known, recall);
     // The decisions call the counter only where the settings allow it and the platform names one.
     start.counter = start.counter.filter(|_| counter.is_some());
     let calls = match (counter, start.counter) {
@@ -153,8 +137,9 @@
     if let Some(peers) = &peers {
         drop(tokio::task::spawn_local(Rc::clone(peers).hear(intake, Rc::clone(&shared))));
     }
-    let route = Route::new(Rc::clone(&shared), Door::start(start), repeats, known, calls, peers);
-    let mut routing = tokio::task::spawn_local(route.run(told));
+    let decisions = Decisions { door: Door::start(start), repeats };
+    let route = Route::new(Rc::clone(&shared), decisions, known, calls, peers);
+    let mut routing = tokio::task::spawn_local(route.run(told, mpsc::unbounded_channel().1));
     let mut watching = tokio::task::spawn_local(discovery.run());
     let stop = Rc::new(Notify::new());
     let accepting = tokio::task::spawn_local(take_in::accept(listener, Rc::clone(&shared), Rc::clone(&stop)));
--- a/frontdoor/src/note.rs
+++ b/frontdoor/src/note.rs
@@ -1,7 +1,7 @@
 //! What the stages tell each other.
 
+use crate::open::Open;
 use crate::relay::Final;
-use crate::shared::Open;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -62,6 +62,8 @@
     /// When the door stops waiting.
     pub until: Tenths,
     pub called_off: oneshot::Receiver<CalledOff>,
+    /// What this backend is told beside what the client said.
+    pub anew: Vec<(&'static str, String)>,
 }
 
 /// A connection that waits for its next submission; it closes when this is dropped.
--- a/frontdoor/src/relay.rs
+++ b/frontdoor/src/relay.rs
@@ -1,5 +1,6 @@
 //! Relay: the one final answer of a txn, written to its client.
 
+use crate::gate::Speech;
 use futures_util::SinkExt;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -10,13 +11,16 @@
 /// A client that takes nothing for so long has given up, whatever it asked.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-/// What a backend tells the door and not the client.
-const FOR_THE_DOOR: [&str; 4] = ["X-Quota-Used", "X-Units-Charged", "X-Backend-Load", "X-Unprocessed"];
-
 #[derive(Debug)]
 pub enum Final {
     Settled(Reply),
+    /// Beyond a quota, and when the client may come back; without that, there was no room.
     Declined(Option<Tenths>),
+    /// No room now: nothing has run.
+    Busy(Option<Tenths>),
+    /// Refused by what it asks, before any decision.
+    Bad(u16, &'static str),
+    /// It may have run.
     Voided,
 }
 
@@ -35,21 +39,27 @@
     }
 }
 
-pub async fn relay(client: &mut Framed<TcpStream, Inward>, answer: &Final, last: bool) -> bool {
-    match answer {
+pub async fn relay(
+    client: &mut Framed<TcpStream, Inward>,
+    answer: &Final,
+    last: bool,
+    speech: &Speech,
+) -> bool {
+    let (status, wait, body) = match answer {
         Final::Settled(reply) => {
-            written(client.send(PassedBack { reply, held_back: &FOR_THE_DOOR, last })).await
-        }
-        Final::Declined(Some(wait)) => {
-            let (second, wait) = (Tenths::SECOND.0, wait.0.max(0));
-            let seconds = format!("{}.{:04}", wait / second, wait % second);
-            let fields = [("Retry-After", seconds.as_str())];
-            let answer = Answer { status: 429, fields: &fields, body: "beyond the quota\n", last };
-            written(client.send(answer)).await
+            let held_back = speech.not_passed_back;
+            return written(client.send(PassedBack { reply, held_back, last })).await;
         }
-        Final::Declined(None) => say(client, 503, "not taken on now; trying again is harmless\n", last).await,
-        Final::Voided => say(client, 502, "the outcome is not known\n", last).await,
-    }
+        Final::Declined(Some(wait)) => (429, Some(*wait), "beyond the quota\n"),
+        Final::Declined(None) => (503, speech.busy_after, "not taken on now; trying again is harmless\n"),
+        Final::Busy(wait) => (503, *wait, "not taken on now; trying again is harmless\n"),
+        Final::Voided => (502, None, "the outcome is not known\n"),
+        Final::Bad(status, reason) => return say(client, *status, &format!("{reason}\n"), last).await,
+    };
+    let seconds = wait.map(|wait| (Tenths::SECOND.0, wait.0.max(0)));
+    let seconds = seconds.map(|(second, wait)| format!("{}.{:04}", wait / second, wait % second));
+    let fields: Vec<_> = seconds.iter().map(|seconds| ("Retry-After", seconds.as_str())).collect();
+    written(client.send(Answer { status, fields: &fields, body, last })).await
 }
 
 /// An answer that no backend and no decision had a part in.
--- a/frontdoor/src/route.rs
+++ b/frontdoor/src/route.rs
@@ -4,21 +4,23 @@
 use crate::book::{Count, Invariant};
 use crate::counter::Call;
 use crate::note::{Ended, Job, Note, Taken, Told};
+use crate::open::Open;
 use crate::peers::Peers;
 use crate::pool::Pool;
 use crate::relay::Final;
 use crate::send;
-use crate::shared::{Open, Shared};
+use crate::shared::Shared;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use vanewharf::decide::Door;
 use vanewharf::interface::{
-    Action, BackendId, Counted, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
+    Action, Arrival, BackendId, Counted, Ending, Event, Outcome, Repeat, SubmissionNo, Tenths, TimerId, TxnId,
 };
-use vanewharf_frames::Request;
+use vanewharf_frames::{Reply, Request};
 use vanewharf_txns::line::CalledOff;
 use vanewharf_txns::{self as txns, Expiry, Submit, Txns};
 
@@ -35,17 +37,62 @@
     Sweep,
 }
 
+/// Whatever decides. What it hears beside events (`News`) comes through a queue of its own.
+pub trait Decides {
+    type News;
+
+    fn decide(&mut self, now: Tenths, events: Vec<Event>) -> Vec<Action>;
+
+    fn repeat(&self, arrival: &Arrival) -> Repeat;
+
+    /// What it makes of the news, and the backends that the pool is to know by it.
+    fn news(&mut self, now: Tenths, news: Self::News) -> Option<Told>;
+
+    /// The fields that this backend is told for this txn beside what the client said.
+    fn anew(&self, _txn: TxnId, _backend: BackendId) -> Vec<(&'static str, String)> {
+        Vec::new()
+    }
+
+    /// The answer that a txn ends with, where a backend gave one that was no success.
+    fn concluded(&self, _txn: TxnId, answer: Final, _failure: Option<Reply>) -> Final {
+        answer
+    }
+}
+
+/// The module alone, as it was told at its start.
+pub struct Decisions {
+    pub door: Door,
+    pub repeats: Vec<Repeat>,
+}
+
+impl Decides for Decisions {
+    type News = Infallible;
+
+    fn decide(&mut self, now: Tenths, events: Vec<Event>) -> Vec<Action> {
+        self.door.decide(now, events)
+    }
+
+    fn repeat(&self, arrival: &Arrival) -> Repeat {
+        self.repeats[arrival.product.0]
+    }
+
+    fn news(&mut self, _: Tenths, news: Infallible) -> Option<Told> {
+        match news {}
+    }
+}
+
 /// What is kept of a txn beside its state.
 struct Held {
     request: Rc<Request>,
+    /// The last answer that was no success.
+    failure: Option<Reply>,
     /// Held until nothing is out: a backend must not get a second copy under one id.
     _open: Open,
 }
 
-pub struct Route {
+pub struct Route<D> {
     shared: Rc<Shared>,
-    door: Door,
-    repeats: Vec<Repeat>,
+    decisions: D,
     pool: Pool,
     txns: Txns<oneshot::Sender<Final>, oneshot::Sender<CalledOff>>,
     held: BTreeMap<TxnId, Held>,
@@ -58,21 +105,20 @@
     peers: Option<Rc<Peers>>,
 }
 
-impl Route {
+impl<D: Decides> Route<D> {
     pub fn new(
         shared: Rc<Shared>,
-        door: Door,
-        repeats: Vec<Repeat>,
+        decisions: D,
         known: Told,
         counter: Option<mpsc::UnboundedSender<Call>>,
         peers: Option<Rc<Peers>>,
-    ) -> Route {
+    ) -> Route<D> {
         let pool = Pool::new(shared.lines.idle);
         let (txns, held, timers) = (Txns::default(), BTreeMap::new(), BinaryHeap::new());
         let events = Vec::new();
         let timers_set = 0;
         let mut route =
-            Route { shared, door, repeats, pool, txns, held, timers, timers_set, events, counter, peers };
+            Route { shared, decisions, pool, txns, held, timers, timers_set, events, counter, peers };
         let now = route.shared.clock.now();
         route.listed(known);
         route.set(now + SWEEP, Timer::Sweep);
@@ -80,14 +126,22 @@
         route
     }
 
-    pub async fn run(mut self, mut notes: mpsc::UnboundedReceiver<Note>) {
-        let mut batch = Vec::new();
+    pub async fn run(
+        mut self,
+        mut notes: mpsc::UnboundedReceiver<Note>,
+        mut news: mpsc::UnboundedReceiver<D::News>,
+    ) {
+        let (mut batch, mut told) = (Vec::new(), true);
         let sleep = tokio::time::sleep_until(Instant::now());
         tokio::pin!(sleep);
         loop {
             sleep.as_mut().reset(self.next_due());
             tokio::select! {
                 biased;
+                heard = news.recv(), if told => match heard {
+                    Some(heard) => self.hear(heard),
+                    None => told = false,
+                },
                 got = notes.recv_many(&mut batch, 1024) => if got == 0 {
                     return;
                 },
@@ -104,6 +158,16 @@
         }
     }
 
+    fn hear(&mut self, news: D::News) {
+        let now = self.shared.clock.now();
+        if let Some(told) = self.decisions.news(now, news) {
+            self.pooled(&told);
+        }
+        // An empty batch: what was held for the news may go on.
+        let actions = self.decisions.decide(now, Vec::new());
+        actions.into_iter().for_each(|action| self.carry_out(action, now));
+    }
+
     fn set(&mut self, at: Tenths, timer: Timer) {
         self.timers_set += 1;
         self.timers.push(Reverse((at, self.timers_set, timer)));
@@ -147,10 +211,10 @@
     fn take(&mut self, note: Note, now: Tenths) {
         match note {
             Note::Arrived(Taken { arrival, request, open: _open, answer }) => {
-                let repeat = self.repeats[arrival.product.0];
+                let repeat = self.decisions.repeat(&arrival);
                 let until = arrival.expiry - WAY_BACK;
                 self.txns.arrived(arrival.txn, repeat, until, answer);
-                self.held.insert(arrival.txn, Held { request, _open });
+                self.held.insert(arrival.txn, Held { request, failure: None, _open });
                 self.set(until, Timer::Expiry(arrival.txn));
                 self.events.push(Event::Arrived(arrival));
             }
@@ -175,7 +239,7 @@
         }
     }
 
-    fn listed(&mut self, told: Told) {
+    fn pooled(&mut self, told: &Told) {
         for (entry, address) in &told.entries {
             self.pool.list(entry, *address);
         }
@@ -183,6 +247,10 @@
             let named = |id| told.entries.iter().any(|(entry, _)| entry.backend == id);
             self.pool.keep_only(named);
         }
+    }
+
+    fn listed(&mut self, told: Told) {
+        self.pooled(&told);
         let entries = told.entries.into_iter().map(|(entry, _)| entry).collect();
         self.events.push(if told.whole { Event::Listing(entries) } else { Event::Changes(entries) });
     }
@@ -211,17 +279,20 @@
         if let Some(idle) = idle {
             self.pool.put(backend, idle);
         }
-        let figure = |name| {
-            let text = reply.as_ref()?.field(name)?;
-            text.trim().parse::<f64>().ok().filter(|figure| figure.is_finite())
-        };
-        let metered = figure("X-Quota-Used").filter(|&used| used >= 0.0).map(|used| used / 100.0);
-        let most = self.shared.told.bounds.cost;
-        let true_cost = figure("X-Units-Charged").filter(|&cost| cost > 0.0 && cost <= most);
-        if let (Some(reply), Some(answer)) = (reply, answer) {
-            book.count(Count::Settled);
-            // A client that has left meanwhile says so itself.
-            let _ = answer.send(Final::Settled(reply));
+        let figures = reply.as_ref().map(|reply| self.shared.gate.figures(reply));
+        let (metered, true_cost) = figures.unwrap_or_default();
+        match (reply, answer) {
+            (Some(reply), Some(answer)) => {
+                book.count(Count::Settled);
+                // A client that has left meanwhile says so itself.
+                let _ = answer.send(Final::Settled(reply));
+            }
+            (Some(reply), None) if outcome == Outcome::Error => {
+                if let Some(held) = self.held.get_mut(&id) {
+                    held.failure = Some(reply);
+                }
+            }
+            _ => {}
         }
         let ending = Ending { txn: id, no, outcome, took, complete, metered, true_cost };
         self.events.push(Event::Ended(ending));
@@ -249,7 +320,7 @@
     fn decide(&mut self, now: Tenths) {
         while !self.events.is_empty() {
             let events = std::mem::take(&mut self.events);
-            for action in self.door.decide(now, events) {
+            for action in self.decisions.decide(now, events) {
                 self.carry_out(action, now);
             }
         }
@@ -288,6 +359,8 @@
         let Some(give) = self.txns.conclude(id) else {
             return;
         };
+        let failure = self.held.get_mut(&id).and_then(|held| held.failure.take());
+        let answer = self.decisions.concluded(id, answer, failure);
         let book = &self.shared.book;
         book.count(if matches!(answer, Final::Voided) { Count::Voided } else { Count::Declined });
         let _ = give.send(answer);
@@ -315,7 +388,8 @@
         };
         let (call_off, called_off) = oneshot::channel();
         self.txns.goes(id, no, call_off);
-        let mut job = Job { txn: id, no, request: Rc::clone(&held.request), until, called_off };
+        let anew = self.decisions.anew(id, backend);
+        let mut job = Job { txn: id, no, request: Rc::clone(&held.request), until, called_off, anew };
         if time_out.is_some() {
             self.set(until, Timer::TimeOut(id, no));
         }
--- a/frontdoor/src/send.rs
+++ b/frontdoor/src/send.rs
@@ -1,9 +1,9 @@
 //! Send: one task for each connection to a backend. It carries one submission at a time and says how
 //! each ended, by what can be proved of it.
 
-use crate::admit::TIME_LEFT;
 use crate::book::{Count, Entry, SMALL};
 use crate::clock::span;
+use crate::gate::Judged;
 use crate::note::{Ended, Idle, Job, Note};
 use crate::shared::Shared;
 use bytes::BytesMut;
@@ -42,7 +42,10 @@
     async fn carry(&mut self, job: &mut Job, shared: &Shared) -> Carried {
         let left = (job.until - shared.clock.now()).0.max(0) / 10;
         let left = left.to_string();
-        let passed = PassedOn { request: &job.request, anew: &[(TIME_LEFT, &left)] };
+        let speech = shared.gate.speech();
+        let told = job.anew.iter().map(|(name, value)| (*name, value.as_str()));
+        let anew: Vec<_> = std::iter::once((speech.time_left, left.as_str())).chain(told).collect();
+        let passed = PassedOn { request: &job.request, anew: &anew, without: speech.not_passed_on };
         let sent = tokio::select! {
             biased;
             sent = self.framed.send(passed) => sent.is_ok(),
@@ -55,26 +58,37 @@
             let written = self.framed.write_buffer().is_empty();
             return Carried::nothing(written, Happened::Broke);
         }
-        let Connection { framed, entry } = self;
-        let replied = poll_fn(|cx| {
-            let reply = framed.poll_next_unpin(cx);
-            entry.weigh(framed.read_buffer().capacity() + framed.codec().held());
-            reply
-        });
-        tokio::select! {
-            biased;
-            reply = replied => match reply {
-                Some(Ok(reply)) => {
-                    let unprocessed = reply.field("X-Unprocessed") == Some("1");
-                    let last = reply.last() || !self.framed.read_buffer().is_empty();
-                    let what = Happened::Answered { status: reply.status(), unprocessed, last };
-                    Carried { written: true, what, reply: Some(reply) }
+        // Answers to other requests are passed over, and after them the connection carries nothing more.
+        let mut strayed = false;
+        loop {
+            let Connection { framed, entry } = self;
+            let replied = poll_fn(|cx| {
+                let reply = framed.poll_next_unpin(cx);
+                entry.weigh(framed.read_buffer().capacity() + framed.codec().held());
+                reply
+            });
+            let read = tokio::select! {
+                biased;
+                read = replied => read,
+                why = &mut job.called_off => {
+                    let why = why.unwrap_or(CalledOff::Cancelled);
+                    return Carried::nothing(true, Happened::CalledOff(why));
                 }
-                None | Some(Err(Fault::Io(_))) => Carried::nothing(true, Happened::Broke),
-                Some(Err(_)) => Carried::nothing(true, Happened::Garbled),
-            },
-            why = &mut job.called_off =>
-                Carried::nothing(true, Happened::CalledOff(why.unwrap_or(CalledOff::Cancelled))),
+            };
+            let reply = match read {
+                Some(Ok(reply)) => reply,
+                None | Some(Err(Fault::Io(_))) => return Carried::nothing(true, Happened::Broke),
+                Some(Err(_)) => return Carried::nothing(true, Happened::Garbled),
+            };
+            match shared.gate.judge(&job.request, &reply) {
+                Judged::Ours(outcome) => {
+                    let last = strayed || reply.last() || !self.framed.read_buffer().is_empty();
+                    let what = Happened::Answered { outcome, last };
+                    return Carried { written: true, what, reply: Some(reply) };
+                }
+                Judged::AnotherOnes => strayed = true,
+                Judged::Nobodys => return Carried::nothing(true, Happened::Garbled),
+            }
         }
     }
 
--- a/frontdoor/src/shared.rs
+++ b/frontdoor/src/shared.rs
@@ -1,11 +1,11 @@
 //! What all stages share.
 
-use crate::admit::Told;
 use crate::book::Book;
 use crate::clock::Clock;
+use crate::gate::Gate;
 use crate::note::Note;
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use crate::open::OpenIds;
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::mpsc;
 use vanewharf::interface::TxnId;
@@ -14,33 +14,11 @@
 pub struct Shared {
     pub clock: Clock,
     pub book: Rc<Book>,
-    pub told: Told,
+    pub gate: Box<dyn Gate>,
     pub lines: Lines,
     pub notes: mpsc::UnboundedSender<Note>,
     pub txns: Cell<u64>,
-    pub open: RefCell<HashSet<Box<str>>>,
-}
-
-/// A txn's id, open for as long as this lives.
-pub struct Open {
-    id: Box<str>,
-    shared: Rc<Shared>,
-}
-
-impl Open {
-    /// Nothing where another txn has it.
-    pub fn of(id: &str, shared: &Rc<Shared>) -> Option<Open> {
-        // A backend that takes ids for numbers takes both cases for one.
-        let id: Box<str> = id.to_ascii_lowercase().into();
-        let fresh = shared.open.borrow_mut().insert(id.clone());
-        fresh.then(|| Open { id, shared: Rc::clone(shared) })
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.shared.open.borrow_mut().remove(&self.id);
-    }
+    pub open: OpenIds,
 }
 
 impl Shared {
--- a/frontdoor/src/take_in.rs
+++ b/frontdoor/src/take_in.rs
@@ -1,10 +1,10 @@
 //! Take in: accepts clients and reads their requests, one at a time on a connection.
 
-use crate::admit::{Admitted, admit, id};
 use crate::book::{Count, Entry, Invariant, SMALL};
+use crate::gate::Admitted;
 use crate::note::{Note, Taken};
 use crate::relay::{Final, relay, say};
-use crate::shared::{Open, Shared};
+use crate::shared::Shared;
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use std::future::poll_fn;
@@ -23,12 +23,6 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// How long a request may take that crosses the end of its connection.
 const CROSSING: Duration = Duration::from_millis(200);
-/// From connecting to a whole first request, and from a later one's first byte to its last: against
-/// clients that say nothing or never come to an end. Usual ones write a request at once.
-const WHOLE: Duration = Duration::from_millis(2500);
-/// Against clients that asked once and stay for good: left to crowd the door, they would have usual ones shed
-/// sooner than this. Closing on a usual one costs it a new connection.
-const IDLE: Duration = Duration::from_secs(4);
 /// How long, and how much of, what a client still sends is read after its connection was given up, so
 /// that a reset does not overtake the answer. What is too large to be taken is too dear to be read.
 const LINGER: Duration = Duration::from_millis(500);
@@ -110,7 +104,7 @@
     fn new(stream: TcpStream, entry: Entry, shared: Rc<Shared>) -> Client {
         // Answers are written whole; waiting to fill a segment only holds them up.
         let _ = stream.set_nodelay(true);
-        let first_by = Some(Instant::now() + WHOLE);
+        let first_by = Some(Instant::now() + shared.gate.speech().whole);
         Client { framed: Framed::new(stream, Inward::default()), entry, carried: 0, first_by, shared }
     }
 
@@ -145,6 +139,7 @@
 
     async fn run(mut self) {
         let mut ahead: Option<Read> = None;
+        let speech = self.shared.gate.speech();
         loop {
             let (read, at) = match ahead.take() {
                 Some(read) => read,
@@ -161,19 +156,22 @@
             self.first_by = None;
             let last = request.last();
             let txn = self.shared.next_txn();
-            let admitted = match admit(&request, &self.shared.told, at, txn) {
+            let gate = &self.shared.gate;
+            let admitted = match gate.admit(&request, at, txn) {
                 Admitted::Health => Ok(None),
-                Admitted::Bad(status, reason) => Err((status, reason)),
-                Admitted::Txn(arrival) => match id(&request).and_then(|id| Open::of(id, &self.shared)) {
+                Admitted::Bad(status, reason) => Err(Final::Bad(status, reason)),
+                Admitted::Later(wait) => Err(Final::Busy(Some(wait))),
+                Admitted::Txn(arrival) => match gate.id(&request).and_then(|id| self.shared.open.open(id)) {
                     Some(open) => Ok(Some((arrival, open))),
-                    None => Err((409, "a request with this id is open")),
+                    None => Err(Final::Bad(409, "a request with this id is open")),
                 },
             };
             let goes_on = match admitted {
                 Ok(None) => self.say(200, "ok", last).await,
-                Err((status, reason)) => {
+                Err(answer) => {
                     self.shared.book.count(Count::TurnedBack);
-                    self.say(status, reason, last).await
+                    let last = last || self.shared.book.draining();
+                    relay(&mut self.framed, &answer, last, &speech).await && !last
                 }
                 Ok(Some((arrival, open))) => {
                     self.shared.book.count(Count::Taken);
@@ -187,7 +185,7 @@
                     self.carried = answer.bytes();
                     // A request read ahead is taken, and is answered before the connection ends.
                     let last = last || self.shared.book.draining() && ahead.is_none();
-                    relay(&mut self.framed, &answer, last).await && !last
+                    relay(&mut self.framed, &answer, last, &speech).await && !last
                 }
             };
             if !goes_on {
@@ -210,13 +208,16 @@
     /// The next request, unless the connection is closed while idle.
     async fn next(&mut self) -> Option<Read> {
         let shared = Rc::clone(&self.shared);
-        let (book, first_by) = (&shared.book, self.first_by);
+        let (book, first_by, speech) = (&shared.book, self.first_by, shared.gate.speech());
         loop {
             let _idle = book.idle();
             // At the end, what the system has accepted counts as taken, read or not.
             let ending = book.draining();
-            let until =
-                if ending { Instant::now() + CROSSING } else { first_by.unwrap_or(Instant::now() + IDLE) };
+            let until = if ending {
+                Instant::now() + CROSSING
+            } else {
+                first_by.unwrap_or(Instant::now() + speech.idle)
+            };
             tokio::select! {
                 biased;
                 read = self.begin() => match read {
@@ -233,7 +234,7 @@
                 }
             }
         }
-        match timeout_at(first_by.unwrap_or(Instant::now() + WHOLE), self.read()).await {
+        match timeout_at(first_by.unwrap_or(Instant::now() + speech.whole), self.read()).await {
             Ok(read) => Some(read),
             Err(_) if book.draining() => None,
             Err(_) => Some((Some(Err(Fault::Slow)), shared.clock.now())),
--- /dev/null
+++ b/mailroom/src/call.rs
@@ -0,0 +1,227 @@
+//! HTTP/1.1 between processes: calls that end in time, and a server whose handler gives each request one reply.
+
+use bytes::BytesMut;
+use futures_util::{SinkExt, StreamExt};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use vanewharf_frames::{Answer, Fault, Inward, Outward, Request};
+
+/// For a connection to come up: across regions it takes two ways.
+const DIAL: Duration = Duration::from_millis(400);
+const BACKLOG: u32 = 512;
+/// From a request's first byte to its last, and how long a caller may say nothing.
+const WHOLE: Duration = Duration::from_secs(3);
+const IDLE: Duration = Duration::from_secs(20);
+/// Callers at once; one more waits in the system's queue.
+const MOST_CALLERS: usize = 1500;
+/// The largest body between the system's own processes, and of a configuration.
+pub const MOST_BODY: usize = 24 << 20;
+
+#[derive(Debug, Error)]
+pub enum Failed {
+    #[error("no connection")]
+    NoConnection,
+    #[error("no answer in time")]
+    Silent,
+    #[error("the connection broke")]
+    Broke,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("the answer cannot be read")]
+    Unread,
+}
+
+/// One kept connection to one address; a call that fails closes it.
+pub struct Caller {
+    pub address: SocketAddr,
+    kept: Option<Framed<TcpStream, Outward>>,
+}
+
+impl Caller {
+    pub fn to(address: SocketAddr) -> Caller {
+        Caller { address, kept: None }
+    }
+
+    /// Status and body. It is tried once more on a new connection where a kept one had ended.
+    pub async fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &str,
+        within: Duration,
+    ) -> Result<(u16, Vec<u8>), Failed> {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            self.address,
+            body.len()
+        );
+        let kept = self.kept.is_some();
+        let message = [head.as_str(), body].concat();
+        match timeout(within, self.once(&message)).await {
+            Ok(Err(Failed::Broke)) if kept => {
+                timeout(within, self.once(&message)).await.unwrap_or(Err(Failed::Silent))
+            }
+            Ok(done) => done,
+            Err(_) => {
+                self.kept = None;
+                Err(Failed::Silent)
+            }
+        }
+    }
+
+    async fn once(&mut self, message: &str) -> Result<(u16, Vec<u8>), Failed> {
+        let mut framed = match self.kept.take() {
+            Some(framed) => framed,
+            None => Framed::new(dial(self.address).await?, Outward::up_to(MOST_BODY)),
+        };
+        framed.get_mut().write_all(message.as_bytes()).await.map_err(|_| Failed::Broke)?;
+        let reply = match framed.next().await {
+            Some(Ok(reply)) => reply,
+            None | Some(Err(Fault::Io(_) | Fault::Cut)) => return Err(Failed::Broke),
+            Some(Err(_)) => return Err(Failed::Unread),
+        };
+        let (status, body) = (reply.status(), reply.body().to_vec());
+        if !reply.last() && framed.read_buffer().is_empty() {
+            if framed.read_buffer().capacity() > SMALL {
+                *framed.read_buffer_mut() = BytesMut::new();
+            }
+            self.kept = Some(framed);
+        }
+        Ok((status, body))
+    }
+
+    /// A call of the system's own: JSON both ways.
+    pub async fn ask<Q: Serialize, A: DeserializeOwned>(
+        &mut self,
+        path: &str,
+        question: &Q,
+        within: Duration,
+    ) -> Result<A, Failed> {
+        let body = serde_json::to_string(question).map_err(|_| Failed::Unread)?;
+        match self.call("POST", path, &body, within).await? {
+            (200, answer) => serde_json::from_slice(&answer).map_err(|_| Failed::Unread),
+            (status, _) => Err(Failed::Status(status)),
+        }
+    }
+}
+
+const SMALL: usize = 16 * 1024;
+
+async fn dial(address: SocketAddr) -> Result<TcpStream, Failed> {
+    let stream = timeout(DIAL, TcpStream::connect(address)).await;
+    let stream = stream.map_err(|_| Failed::NoConnection)?.map_err(|_| Failed::NoConnection)?;
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+/// What a handler says.
+#[derive(Debug)]
+pub struct Said {
+    pub status: u16,
+    pub fields: Vec<(&'static str, String)>,
+    pub body: String,
+}
+
+impl Said {
+    pub fn status(status: u16, why: &str) -> Said {
+        let body = serde_json::json!({ "error": why }).to_string();
+        Said { status, fields: Vec::new(), body: if status < 300 { "{}".to_owned() } else { body } }
+    }
+
+    pub fn json<T: Serialize>(said: &T) -> Said {
+        match serde_json::to_string(said) {
+            Ok(body) => Said { status: 200, fields: Vec::new(), body },
+            Err(_) => Said::status(500, "the answer cannot be written"),
+        }
+    }
+}
+
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves for as long as the program runs; each caller in a task of its own.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Said>,
+{
+    let (handler, callers) = (Rc::new(handler), Rc::new(Cell::new(0)));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if callers.get() < MOST_CALLERS => {
+                let (handler, callers) = (Rc::clone(&handler), Rc::clone(&callers));
+                callers.set(callers.get() + 1);
+                tokio::task::spawn_local(async move {
+                    attend(stream, &*handler).await;
+                    callers.set(callers.get() - 1);
+                });
+            }
+            // Too many at once: the caller tries another door.
+            Ok(_) => {}
+            Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn attend<H, F>(stream: TcpStream, handler: &H)
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Said>,
+{
+    let _ = stream.set_nodelay(true);
+    let mut framed = Framed::new(stream, Inward::up_to(MOST_BODY));
+    loop {
+        let begun = std::future::poll_fn(|cx| match framed.poll_next_unpin(cx) {
+            std::task::Poll::Ready(read) => std::task::Poll::Ready(Some(read)),
+            std::task::Poll::Pending if framed.read_buffer().is_empty() && framed.codec().held() == 0 => {
+                std::task::Poll::Pending
+            }
+            std::task::Poll::Pending => std::task::Poll::Ready(None),
+        });
+        let read = match timeout(IDLE, begun).await {
+            Ok(Some(read)) => read,
+            Ok(None) => match timeout(WHOLE, framed.next()).await {
+                Ok(read) => read,
+                Err(_) => return,
+            },
+            Err(_) => return,
+        };
+        let (said, last) = match read {
+            None | Some(Err(Fault::Io(_) | Fault::Cut)) => return,
+            Some(Err(Fault::HeadTooLarge)) => (Said::status(431, "the head is too large"), true),
+            Some(Err(Fault::BodyTooLarge)) => (Said::status(413, "the body is too large"), true),
+            Some(Err(fault)) => (Said::status(400, &fault.to_string()), true),
+            Some(Ok(request)) => {
+                let last = request.last();
+                (handler(request).await, last)
+            }
+        };
+        let mut fields: Vec<_> = said.fields.iter().map(|(name, value)| (*name, value.as_str())).collect();
+        fields.push(("Content-Type", "application/json"));
+        let answer = Answer { status: said.status, fields: &fields, body: &said.body, last };
+        if !matches!(timeout(WHOLE, framed.send(answer)).await, Ok(Ok(()))) || last {
+            let _ = timeout(WHOLE, framed.get_mut().shutdown()).await;
+            return;
+        }
+        if framed.write_buffer().capacity() > SMALL {
+            *framed.write_buffer_mut() = BytesMut::new();
+        }
+        if framed.read_buffer().is_empty() && framed.read_buffer().capacity() > SMALL {
+            *framed.read_buffer_mut() = BytesMut::new();
+        }
+    }
+}
--- /dev/null
+++ b/mailroom/src/clock.rs
@@ -0,0 +1,48 @@
+//! Time by the steady clock, in tenths of a millisecond since the program began; it never goes back.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// An instant of this process alone: what others are told is always a span.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct At(pub u64);
+
+impl At {
+    pub fn after(self, span: Duration) -> At {
+        At(self.0 + tenths(span))
+    }
+
+    /// How long after the other; nothing where it is not.
+    pub fn since(self, other: At) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(other.0) * 100)
+    }
+
+    pub fn before(self, span: Duration) -> At {
+        At(self.0.saturating_sub(tenths(span)))
+    }
+}
+
+fn tenths(span: Duration) -> u64 {
+    (span.as_micros() / 100) as u64
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Steady(Instant);
+
+/// So that spans before the start can be told apart from it.
+const ORIGIN: u64 = 1_000_000_000;
+
+impl Steady {
+    pub fn start() -> Steady {
+        Steady(Instant::now())
+    }
+
+    pub fn now(&self) -> At {
+        At(ORIGIN + tenths(self.0.elapsed()))
+    }
+
+    pub fn instant(&self, at: At) -> Instant {
+        self.0 + Duration::from_micros(at.0.saturating_sub(ORIGIN) * 100)
+    }
+}
--- /dev/null
+++ b/mailroom/src/feed.rs
@@ -0,0 +1,79 @@
+//! A process' store, those who wait for something new in it, and the loop that pulls from others.
+
+use crate::call::{Caller, Failed};
+use crate::clock::{At, Steady};
+use crate::store::{News, Store};
+use crate::words::{Mail, Pull};
+use std::cell::{Ref, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{sleep_until, timeout};
+
+/// The longest that an answer is held back.
+const LONGEST: Duration = Duration::from_secs(2);
+/// Beyond what an answer may be held back for.
+const ON_THE_WAY: Duration = Duration::from_millis(350);
+
+#[derive(Clone)]
+pub struct Feed {
+    pub steady: Steady,
+    store: Rc<RefCell<Store>>,
+    changed: watch::Sender<()>,
+}
+
+impl Feed {
+    pub fn new(steady: Steady) -> Feed {
+        Feed { steady, store: Rc::default(), changed: watch::Sender::new(()) }
+    }
+
+    pub fn now(&self) -> At {
+        self.steady.now()
+    }
+
+    pub fn store(&self) -> Ref<'_, Store> {
+        self.store.borrow()
+    }
+
+    /// Whoever waits is woken where the change says so.
+    pub fn change(&self, change: impl FnOnce(&mut Store) -> bool) {
+        let changed = change(&mut self.store.borrow_mut());
+        if changed {
+            self.changed.send_replace(());
+        }
+    }
+
+    pub fn watch(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// The answer to a pull, as soon as there is something new or the reader would wait no longer.
+    pub async fn answer(&self, pull: &Pull) -> Mail {
+        let (begun, mut changed) = (self.now(), self.watch());
+        let until = self.steady.instant(begun.after(Duration::from_millis(pull.wait_ms).min(LONGEST)));
+        loop {
+            let now = self.now();
+            if self.store().has_more_than(&pull.have) || self.steady.instant(now) >= until {
+                return self.store().mail(&pull.have, now.since(begun), now);
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = sleep_until(until) => {}
+            }
+        }
+    }
+
+    /// One pull: what was new.
+    pub async fn pull(&self, from: &mut Caller, pull: &Pull) -> Result<News, Failed> {
+        let (asked, wait) = (self.now(), Duration::from_millis(pull.wait_ms));
+        let within = wait + ON_THE_WAY;
+        let mail: Mail =
+            timeout(within, from.ask("/pull", pull, within)).await.map_err(|_| Failed::Silent)??;
+        let mut news = News::default();
+        self.change(|store| {
+            news = store.absorb(mail, asked, self.steady.now());
+            news.any()
+        });
+        Ok(news)
+    }
+}
--- /dev/null
+++ b/mailroom/src/lib.rs
@@ -0,0 +1,13 @@
+//! What the system's programs share, and nothing that decides: their settings, the operator's configurations, the words
+//! they tell each other, HTTP calls between them and the log ring. docs/system.md has the whole.
+
+pub mod call;
+pub mod clock;
+pub mod config;
+pub mod doc;
+pub mod feed;
+pub mod log;
+pub mod program;
+pub mod settings;
+pub mod store;
+pub mod words;
--- /dev/null
+++ b/mailroom/src/words.rs
@@ -0,0 +1,176 @@
+//! What the system's programs tell each other, as JSON. A reader pulls: it says what it has of each source, and gets what
+//! it lacks. Spans are whole milliseconds; an instant never travels, only how long ago it was.
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+
+/// Grows with each holder of a lease that a majority granted; the low byte tells voters' tries apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ballot(pub u64);
+
+/// The operator's orders in the order in which they hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct WordNo(pub u64);
+
+/// The operator's word: the newest configuration, as it was sent, and the zones that are to get nothing.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Word {
+    pub ballot: Ballot,
+    pub no: WordNo,
+    /// Null until the first one has come.
+    pub config: Option<Box<RawValue>>,
+    pub evacuated: BTreeSet<String>,
+}
+
+impl Word {
+    pub fn none() -> Word {
+        Word { ballot: Ballot(0), no: WordNo(0), config: None, evacuated: BTreeSet::new() }
+    }
+
+    /// Of two, the one that later holders go by.
+    pub fn rank(&self) -> (Ballot, WordNo) {
+        (self.ballot, self.no)
+    }
+}
+
+/// A version of what one holder after the other makes known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Version {
+    pub ballot: Ballot,
+    pub no: u64,
+}
+
+/// What a reader has of each source.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vector {
+    pub word: WordNo,
+    pub list: Version,
+    pub ledger: Version,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub capacity: u32,
+    pub draining: bool,
+    /// How much longer it is cold, counted from when the list was taken.
+    pub cold_ms: u64,
+}
+
+/// The platform's list of backends.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct List {
+    pub version: Version,
+    /// How long ago it was taken.
+    pub age_ms: u64,
+    pub servers: Vec<Server>,
+}
+
+/// A frontend door, as the registry names it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DoorRow {
+    pub name: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub region: String,
+    pub ready: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct OfficeRow {
+    pub ip: IpAddr,
+    pub zone: String,
+}
+
+/// A tenant's use over all doors, a second, and the sum of the doors' slices of its quota.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Use {
+    pub per_s: f64,
+    pub slices: f64,
+}
+
+/// What is summed and known of the doors.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    pub version: Version,
+    pub doors: Vec<DoorRow>,
+    /// By how many doors what all may do together is divided.
+    pub counted: u32,
+    pub tenants: BTreeMap<String, Use>,
+    pub offices: BTreeSet<OfficeRow>,
+}
+
+/// What a door says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub door: DoorRow,
+    /// Drawn anew at each start: counts begin at nothing then.
+    pub life: u64,
+    /// How long ago it was made.
+    pub age_ms: u64,
+    /// Requests let through since the start, by tenant, and the slices that they were let through by.
+    pub let_through: BTreeMap<String, u64>,
+    pub slices: BTreeMap<String, f64>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Pull {
+    pub have: Vector,
+    /// How long the answer may be held back for something new.
+    pub wait_ms: u64,
+    /// Who pulls, where it is a postmaster.
+    pub office: Option<OfficeRow>,
+    pub reports: Vec<Report>,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Mail {
+    pub word: Option<Word>,
+    pub list: Option<List>,
+    pub ledger: Option<Ledger>,
+    /// How long ago the word that the reader now has was certainly the newest acknowledged; null: never known.
+    pub sure_ms: Option<u64>,
+    /// How long the answer was held back.
+    pub held_ms: u64,
+    /// The address of the holder's office, where it is known.
+    pub holder: Option<SocketAddr>,
+}
+
+/// What a would-be holder asks of a voter, and what it swears.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Plea {
+    /// For a lease under a ballot of its own.
+    Lease { ballot: Ballot, holder: SocketAddr },
+    /// To hold on for another term.
+    Renew { ballot: Ballot, holder: SocketAddr },
+    /// To keep a word, on disk.
+    Keep { word: Word },
+    /// It wants the lease no more.
+    Release { ballot: Ballot },
+    /// What the voter has, for one that has forgotten what it swore.
+    Recall,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Oath {
+    Granted {
+        word: Word,
+    },
+    Kept,
+    /// What it has, sworn and kept.
+    Told {
+        sworn: Ballot,
+        word: Word,
+    },
+    Refused {
+        sworn: Ballot,
+        holder: Option<SocketAddr>,
+    },
+    /// It has forgotten what it swore, or its disk takes nothing.
+    Unable,
+}
--- /dev/null
+++ b/postmaster/src/cloud.rs
@@ -0,0 +1,107 @@
+//! The platform's list of backends. Only the lease holder asks for it.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use vanewharf_mailroom::call::{Caller, Failed};
+use vanewharf_mailroom::words::Server;
+
+const WITHIN: Duration = Duration::from_millis(900);
+/// More pages than any deployment has: the list never ends by itself where the platform errs.
+const MOST_PAGES: usize = 64;
+
+#[derive(Deserialize)]
+struct Page {
+    instances: BTreeMap<String, Vec<Entry>>,
+    next_token: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    identifier: String,
+    service: String,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    capacity: u32,
+    lifecycle: String,
+    #[serde(default)]
+    warmup_left: String,
+}
+
+fn milliseconds(text: &str) -> u64 {
+    let (digits, scale) = match text.strip_suffix("ms") {
+        Some(digits) => (digits, 1.0),
+        None => (text.trim_end_matches('s'), 1000.0),
+    };
+    digits.parse::<f64>().map_or(0, |number| (number * scale).ceil().max(0.0) as u64)
+}
+
+/// The whole list, in the order of the identifiers.
+pub async fn list(platform: &mut Caller) -> Result<Vec<Server>, Failed> {
+    let (mut servers, mut token) = (Vec::new(), None);
+    for _ in 0..MOST_PAGES {
+        let path = match &token {
+            Some(token) => format!("/instances?page_token={token}"),
+            None => "/instances".to_owned(),
+        };
+        let page = match platform.call("GET", &path, "", WITHIN).await? {
+            (200, body) => body,
+            (status, _) => return Err(Failed::Status(status)),
+        };
+        let page: Page = serde_json::from_slice(&page).map_err(|_| Failed::Unread)?;
+        for (zone, entries) in page.instances {
+            servers.extend(entries.into_iter().map(|entry| Server {
+                id: entry.identifier,
+                service: entry.service,
+                address: entry.address,
+                zone: if entry.zone.is_empty() { zone.clone() } else { entry.zone },
+                capacity: entry.capacity.max(1),
+                draining: entry.lifecycle != "available",
+                cold_ms: milliseconds(&entry.warmup_left),
+            }));
+        }
+        token = page.next_token;
+        if token.is_none() {
+            servers.sort_by(|one, other| one.id.cmp(&other.id));
+            return Ok(servers);
+        }
+    }
+    Err(Failed::Unread)
+}
+
+/// Whether doors have to be told: what merely warms up on its way is known to them already.
+pub fn differs(one: &[Server], other: &[Server]) -> bool {
+    one.len() != other.len()
+        || one.iter().zip(other).any(|(one, other)| {
+            let colder = other.cold_ms > one.cold_ms.saturating_add(200);
+            let same = Server { cold_ms: one.cold_ms, ..other.clone() } == *one;
+            !same || colder
+        })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_warms_up_is_not_told_again_and_what_turns_cold_is() {
+        let server = |cold_ms, draining| Server {
+            id: "i-1".to_owned(),
+            service: "s".to_owned(),
+            address: "10.0.0.1:80".parse().expect("an address"),
+            zone: "z".to_owned(),
+            capacity: 3,
+            draining,
+            cold_ms,
+        };
+        let differ = |one, other| differs(&[one], &[other]);
+        assert!(!differ(server(3000, false), server(2200, false)));
+        assert!(differ(server(0, false), server(2200, false)));
+        assert!(differ(server(0, false), server(0, true)));
+        assert!(differs(&[server(0, false)], &[]));
+        assert_eq!((milliseconds("1500ms"), milliseconds("2.5s"), milliseconds("odd")), (1500, 2500, 0));
+    }
+}
--- /dev/null
+++ b/postmaster/src/duties.rs
@@ -0,0 +1,164 @@
+//! What a postmaster does unasked: follows the holder, or, while it holds the lease, sums the doors' reports, asks the
+//! platform for its list and attests that the word in hand is the newest.
+
+use crate::cloud;
+use crate::office::Office;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+use vanewharf_franking::summing::Summing;
+use vanewharf_mailroom::call::{Caller, Failed};
+use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::settings::Settings;
+use vanewharf_mailroom::words::{List, Mail, OfficeRow, Pull, Version};
+
+/// A follower's pull, while nothing is new.
+const FOLLOW: Duration = Duration::from_millis(400);
+const ALONE: Duration = Duration::from_millis(100);
+/// About a meter period.
+const SUMMED: Duration = Duration::from_millis(700);
+const ATTESTED: Duration = Duration::from_millis(80);
+/// Of the time in which a drain must be followed, this goes by before it is seen.
+const LISTED: Duration = Duration::from_millis(600);
+const LISTED_AGAIN: Duration = Duration::from_millis(1200);
+
+pub struct Desk {
+    pub office: Rc<Office>,
+    pub feed: Feed,
+    pub sums: Rc<RefCell<Summing>>,
+    pub row: OfficeRow,
+    pub settings: Rc<Settings>,
+}
+
+impl Desk {
+    /// A pull by a sorter or by another postmaster: takes its reports and gives it what it lacks.
+    pub async fn pulled(&self, pull: Pull) -> Mail {
+        let now = self.feed.now();
+        {
+            let mut sums = self.sums.borrow_mut();
+            pull.office.iter().for_each(|office| sums.office(office.clone(), now));
+            pull.reports.iter().for_each(|report| sums.report(report.clone(), now));
+        }
+        let mut mail = self.feed.answer(&pull).await;
+        mail.holder = self.office.holder();
+        mail
+    }
+
+    /// Pulls from the holder, or from whichever voter knows it.
+    pub async fn follow(self: Rc<Self>) {
+        let (mut callers, mut turn): (Vec<Caller>, usize) = (Vec::new(), 0);
+        loop {
+            if self.office.holds() {
+                sleep(ALONE).await;
+                continue;
+            }
+            let others: Vec<SocketAddr> =
+                self.office.voters().into_iter().filter(|voter| *voter != self.office.me).collect();
+            let holder = self.office.holder().filter(|holder| *holder != self.office.me);
+            let Some(from) = holder.or_else(|| others.get(turn % others.len().max(1)).copied()) else {
+                sleep(ALONE).await;
+                continue;
+            };
+            if !callers.iter().any(|caller| caller.address == from) {
+                callers.push(Caller::to(from));
+            }
+            let Some(caller) = callers.iter_mut().find(|caller| caller.address == from) else {
+                continue;
+            };
+            let pull = Pull {
+                have: self.feed.store().have(),
+                wait_ms: FOLLOW.as_millis() as u64,
+                office: Some(self.row.clone()),
+                reports: self.sums.borrow().reports(self.feed.now()),
+            };
+            match self.feed.pull(caller, &pull).await {
+                Ok(news) => {
+                    if news.word {
+                        self.office.adopt().await;
+                    }
+                    if self.feed.store().holder != Some(from) {
+                        turn += 1;
+                        sleep(ALONE).await;
+                    }
+                }
+                Err(failed) => {
+                    spdlog::debug!("nothing from {}: {}", from, failed);
+                    self.feed.change(|store| {
+                        store.holder = None;
+                        false
+                    });
+                    turn += 1;
+                    sleep(ALONE).await;
+                }
+            }
+        }
+    }
+
+    fn version(&self, last: Version) -> Version {
+        let ballot = self.office.ballot();
+        Version { ballot, no: if last.ballot == ballot { last.no + 1 } else { 1 } }
+    }
+
+    pub async fn sum(self: Rc<Self>) {
+        loop {
+            if self.office.holds() {
+                let (now, last) = (self.feed.now(), self.feed.store().have().ledger);
+                let mut sums = self.sums.borrow_mut();
+                sums.office(self.row.clone(), now);
+                let ledger = sums.ledger(self.version(last), now);
+                drop(sums);
+                self.feed.change(|store| store.set_ledger(ledger, now));
+            }
+            sleep(SUMMED).await;
+        }
+    }
+
+    /// While the lease lasts nobody else acknowledges anything.
+    pub async fn attest(self: Rc<Self>) {
+        loop {
+            if self.office.holds() {
+                let now = self.feed.now();
+                self.feed.change(|store| {
+                    store.be_sure(now);
+                    false
+                });
+            }
+            sleep(ATTESTED).await;
+        }
+    }
+
+    pub async fn ask_platform(self: Rc<Self>) {
+        let Some(api) = &self.settings.cloud else {
+            return;
+        };
+        let mut platform = Caller::to(api.address);
+        loop {
+            if !self.office.holds() {
+                sleep(ALONE).await;
+                continue;
+            }
+            let asked = self.feed.now();
+            match cloud::list(&mut platform).await {
+                Ok(servers) => {
+                    let (last, known) = {
+                        let store = self.feed.store();
+                        let known = store.list.as_ref().map(|list| list.servers.clone());
+                        (store.have().list, known)
+                    };
+                    if known.is_none_or(|known| cloud::differs(&known, &servers)) && self.office.holds() {
+                        let list = List { version: self.version(last), age_ms: 0, servers };
+                        self.feed.change(|store| store.set_list(list, asked));
+                    }
+                    sleep(LISTED).await;
+                }
+                Err(Failed::Status(429)) => sleep(LISTED_AGAIN).await,
+                Err(failed) => {
+                    spdlog::debug!("no list from the platform: {}", failed);
+                    sleep(ALONE * 3).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/postmaster/src/office.rs
@@ -0,0 +1,387 @@
+//! The voter's owner, and the lease: whoever holds it takes the operator's orders, keeps the ledger and asks the platform
+//! for its list. One task owns the voter and works through a queue; one tries for the lease and holds it.
+
+use crate::disk::{Disk, Paper};
+use rand::Rng;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+use vanewharf_franking::voter::{MARGIN, RENEWED, Save, Sworn, TERM, Voter, above, majority, recalled};
+use vanewharf_mailroom::call::Caller;
+use vanewharf_mailroom::clock::{At, Steady};
+use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::words::{Ballot, Oath, Plea, Word, WordNo};
+
+/// For an oath that needs no disk.
+const QUICK: Duration = Duration::from_millis(600);
+/// For one that does, once.
+const SLOW: Duration = Duration::from_millis(2500);
+/// Between two tries to have a word kept by one voter.
+const AGAIN: Duration = Duration::from_millis(200);
+/// A word that is not kept by a majority by then is given up on.
+const KEPT_BY: Duration = Duration::from_millis(5500);
+const WATCH: Duration = Duration::from_millis(100);
+/// By how much later each voter tries than the one before it.
+const STAGGER: Duration = Duration::from_millis(120);
+
+type Pleas = mpsc::UnboundedSender<(Plea, oneshot::Sender<Oath>)>;
+
+/// A lease in hand.
+#[derive(Clone, Copy, Debug)]
+struct Term {
+    ballot: Ballot,
+    until: At,
+    /// What was kept before is kept under this ballot too, so that orders may be taken.
+    settled: bool,
+}
+
+/// What all tasks of this process know of the office.
+pub struct Office {
+    pub me: SocketAddr,
+    pub feed: Feed,
+    steady: Steady,
+    voter: RefCell<Voter>,
+    voters: RefCell<Vec<SocketAddr>>,
+    pleas: Pleas,
+    term: Cell<Option<Term>>,
+    callers: RefCell<BTreeMap<SocketAddr, Vec<Caller>>>,
+    /// No number is given twice under one ballot.
+    next: Cell<WordNo>,
+    leaving: Cell<bool>,
+}
+
+impl Office {
+    pub fn start(
+        me: SocketAddr,
+        voters: Vec<SocketAddr>,
+        voter: Voter,
+        disk: Option<Disk>,
+        feed: Feed,
+    ) -> Rc<Office> {
+        let (pleas, heard) = mpsc::unbounded_channel();
+        let steady = feed.steady;
+        let office = Rc::new(Office {
+            me,
+            feed,
+            steady,
+            voter: RefCell::new(voter),
+            voters: RefCell::new(voters),
+            pleas,
+            term: Cell::new(None),
+            callers: RefCell::default(),
+            next: Cell::new(WordNo(0)),
+            leaving: Cell::new(false),
+        });
+        tokio::task::spawn_local(Rc::clone(&office).own(heard, disk));
+        tokio::task::spawn_local(Rc::clone(&office).seek());
+        office
+    }
+
+    fn now(&self) -> At {
+        self.steady.now()
+    }
+
+    pub fn voters(&self) -> Vec<SocketAddr> {
+        self.voters.borrow().clone()
+    }
+
+    /// Whether this process holds the lease now and may act by it.
+    pub fn holds(&self) -> bool {
+        let now = self.now();
+        self.term.get().is_some_and(|term| term.settled && term.until > now)
+    }
+
+    pub fn ballot(&self) -> Ballot {
+        self.term.get().map_or(Ballot(0), |term| term.ballot)
+    }
+
+    /// The holder's office, as far as this process knows.
+    pub fn holder(&self) -> Option<SocketAddr> {
+        let now = self.now();
+        if self.holds() {
+            return Some(self.me);
+        }
+        let other = |holder: &SocketAddr| *holder != self.me;
+        self.voter.borrow().holder(now).filter(other).or(self.feed.store().holder.filter(other))
+    }
+
+    /// The voter hears one plea after the other; what an oath swears to is on disk before it is said.
+    async fn own(
+        self: Rc<Self>,
+        mut heard: mpsc::UnboundedReceiver<(Plea, oneshot::Sender<Oath>)>,
+        disk: Option<Disk>,
+    ) {
+        while let Some((plea, reply)) = heard.recv().await {
+            let step = self.voter.borrow_mut().hear(plea, self.now());
+            let mut oath = step.oath;
+            if let Some(save) = step.save {
+                match self.save(&disk, &save).await {
+                    Ok(()) => self.voter.borrow_mut().saved(save),
+                    Err(error) => {
+                        spdlog::warn!("nothing is sworn to, as the disk takes nothing: {}", error);
+                        oath = Oath::Unable;
+                    }
+                }
+            }
+            let _ = reply.send(oath);
+        }
+    }
+
+    async fn save(&self, disk: &Option<Disk>, save: &Save) -> std::io::Result<()> {
+        let Some(disk) = disk else {
+            return Err(std::io::Error::other("there is no disk here"));
+        };
+        match save {
+            Save::Ballot(ballot) => {
+                let sworn = Sworn { ballot: *ballot, voters: self.voters() };
+                disk.save(Paper::Sworn, &sworn).await
+            }
+            Save::Word(word) => disk.save(Paper::Word, word).await,
+        }
+    }
+
+    /// This process' own voter.
+    pub async fn plead(&self, plea: Plea) -> Oath {
+        let (reply, oath) = oneshot::channel();
+        if self.pleas.send((plea, reply)).is_err() {
+            return Oath::Unable;
+        }
+        oath.await.unwrap_or(Oath::Unable)
+    }
+
+    async fn ask(&self, voter: SocketAddr, plea: &Plea, within: Duration) -> Option<Oath> {
+        if voter == self.me {
+            return timeout(within, self.plead(plea.clone())).await.ok();
+        }
+        let kept = self.callers.borrow_mut().get_mut(&voter).and_then(Vec::pop);
+        let mut caller = kept.unwrap_or_else(|| Caller::to(voter));
+        let oath = caller.ask("/plea", plea, within).await.ok();
+        if oath.is_some() {
+            self.callers.borrow_mut().entry(voter).or_default().push(caller);
+        }
+        oath
+    }
+
+    /// Asks all voters at once; ends with a majority's assent, or when all have spoken.
+    async fn poll(self: &Rc<Self>, plea: Plea, within: Duration) -> (usize, Vec<Oath>) {
+        let voters = self.voters();
+        let (said, mut oaths) = mpsc::unbounded_channel();
+        for &voter in &voters {
+            let (office, plea, said) = (Rc::clone(self), plea.clone(), said.clone());
+            tokio::task::spawn_local(async move {
+                let _ = said.send(office.ask(voter, &plea, within).await);
+            });
+        }
+        drop(said);
+        let (mut assents, mut all) = (0, Vec::new());
+        while let Some(oath) = oaths.recv().await {
+            let Some(oath) = oath else {
+                continue;
+            };
+            assents += usize::from(matches!(oath, Oath::Granted { .. } | Oath::Kept));
+            all.push(oath);
+            if assents >= majority(voters.len()) {
+                break;
+            }
+        }
+        (assents, all)
+    }
+
+    /// Tries for the lease whenever nobody holds it.
+    async fn seek(self: Rc<Self>) {
+        let mut seen = Ballot(0);
+        loop {
+            let place = self.voters().iter().position(|voter| *voter == self.me);
+            let (chance, place) = (rand::rng().random_range(0..60), place);
+            let Some(place) = place else {
+                sleep(WATCH * 5).await;
+                continue;
+            };
+            sleep(WATCH / 2).await;
+            if !self.voter.borrow().vacant(self.now()) || self.leaving.get() {
+                continue;
+            }
+            sleep(STAGGER * place as u32 + Duration::from_millis(chance)).await;
+            if !self.voter.borrow().vacant(self.now()) {
+                continue;
+            }
+            let ballot = above(seen.max(self.voter.borrow().sworn()), place);
+            let asked = self.now();
+            let (granted, oaths) = self.poll(Plea::Lease { ballot, holder: self.me }, QUICK).await;
+            let refused = oaths.iter().filter_map(|oath| match oath {
+                Oath::Refused { sworn, .. } => Some(*sworn),
+                _ => None,
+            });
+            seen = refused.max().unwrap_or_default().max(seen);
+            if granted < majority(self.voters().len()) {
+                self.poll(Plea::Release { ballot }, QUICK).await;
+                sleep(Duration::from_millis(rand::rng().random_range(50..250))).await;
+                continue;
+            }
+            let words = oaths.into_iter().filter_map(|oath| match oath {
+                Oath::Granted { word } => Some(word),
+                _ => None,
+            });
+            let found = words.max_by_key(Word::rank).unwrap_or_else(Word::none);
+            self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled: false }));
+            self.hold(ballot, found).await;
+            self.term.set(None);
+            spdlog::info!("the lease under ballot {} has ended", ballot.0);
+            self.poll(Plea::Release { ballot }, QUICK).await;
+        }
+    }
+
+    /// Holds on for as long as a majority renews; stops before the lease ends.
+    async fn hold(self: &Rc<Self>, ballot: Ballot, found: Word) {
+        spdlog::info!("holds the lease under ballot {}, found word {}", ballot.0, found.no.0);
+        self.next.set(WordNo(found.no.0 + 1));
+        let settling = {
+            let office = Rc::clone(self);
+            tokio::task::spawn_local(async move {
+                let word = Word { ballot, ..found };
+                if word.no == WordNo(0) || office.kept(&word).await {
+                    office.settle(word);
+                }
+            })
+        };
+        loop {
+            sleep(RENEWED).await;
+            if self.leaving.get() {
+                break;
+            }
+            let asked = self.now();
+            let (kept, oaths) = self.poll(Plea::Renew { ballot, holder: self.me }, QUICK).await;
+            let higher = |oath: &Oath| matches!(oath, Oath::Refused { sworn, .. } if *sworn > ballot);
+            if kept >= majority(self.voters().len()) {
+                let settled = self.term.get().is_some_and(|term| term.settled);
+                self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled }));
+            } else if oaths.iter().any(higher) {
+                break;
+            }
+            if self.term.get().is_none_or(|term| term.until <= self.now()) {
+                break;
+            }
+        }
+        settling.abort();
+    }
+
+    fn settle(&self, word: Word) {
+        let Some(term) = self.term.get().filter(|term| term.ballot == word.ballot) else {
+            return;
+        };
+        self.term.set(Some(Term { settled: true, ..term }));
+        let me = self.me;
+        self.feed.change(|store| {
+            store.holder = Some(me);
+            store.set_word(Rc::new(word));
+            true
+        });
+    }
+
+    /// Whether a majority has it on disk; tried again and again until then, or the lease ends.
+    async fn kept(self: &Rc<Self>, word: &Word) -> bool {
+        let voters = self.voters();
+        let (said, mut oaths) = mpsc::unbounded_channel();
+        let mut trying = Vec::new();
+        for &voter in &voters {
+            let (office, plea, said) = (Rc::clone(self), Plea::Keep { word: word.clone() }, said.clone());
+            trying.push(tokio::task::spawn_local(async move {
+                loop {
+                    let kept = match office.ask(voter, &plea, SLOW).await {
+                        Some(Oath::Kept) => true,
+                        Some(Oath::Refused { .. }) => false,
+                        _ => {
+                            sleep(AGAIN).await;
+                            continue;
+                        }
+                    };
+                    // Where nobody counts any more it is known already.
+                    let _ = said.send(kept);
+                    return;
+                }
+            }));
+        }
+        drop(said);
+        let wanted = majority(voters.len());
+        let (mut kept, mut refused) = (0, 0);
+        let counting = async {
+            while let Some(yes) = oaths.recv().await {
+                kept += usize::from(yes);
+                refused += usize::from(!yes);
+                if kept >= wanted || refused > voters.len() - wanted {
+                    break;
+                }
+            }
+        };
+        let _ = timeout(KEPT_BY, counting).await;
+        // Those that lag behind are told all the same, for as long as one more try lasts.
+        tokio::task::spawn_local(async move {
+            sleep(SLOW).await;
+            trying.iter().for_each(tokio::task::JoinHandle::abort);
+        });
+        kept >= wanted
+    }
+
+    /// Makes a word the one in force; false where it is not certain to be.
+    pub async fn acknowledge(self: &Rc<Self>, change: impl FnOnce(&Word) -> Word) -> bool {
+        let Some(term) = self.term.get().filter(|_| self.holds()) else {
+            return false;
+        };
+        let now = self.feed.store().word.clone();
+        let changed = change(now.as_deref().unwrap_or(&Word::none()));
+        let no = self.next.get();
+        self.next.set(WordNo(no.0 + 1));
+        let word = Word { ballot: term.ballot, no, ..changed };
+        if !self.kept(&word).await || !self.holds() || self.ballot() != term.ballot {
+            return false;
+        }
+        self.feed.change(|store| store.set_word(Rc::new(word)));
+        true
+    }
+
+    /// What the holder made known is kept here too, where it is newer than what this disk has.
+    pub async fn adopt(&self) {
+        let word = self.feed.store().word.clone();
+        let newer = |word: &Rc<Word>| word.rank() > self.voter.borrow().word().rank();
+        if let Some(word) = word.filter(newer) {
+            self.plead(Plea::Keep { word: Word::clone(&word) }).await;
+        }
+    }
+
+    /// Gives the lease up, so that nobody has to wait for its end.
+    pub async fn leave(self: &Rc<Self>) {
+        self.leaving.set(true);
+        if let Some(term) = self.term.take() {
+            self.poll(Plea::Release { ballot: term.ballot }, QUICK).await;
+        }
+    }
+
+    /// One that has forgotten what it swore asks a majority of voters among the others, and swears to that again.
+    pub async fn recall(self: Rc<Self>, disk: Disk) {
+        while self.voter.borrow().forgetful() {
+            let others: Vec<_> = self.voters().into_iter().filter(|voter| *voter != self.me).collect();
+            let mut told = Vec::new();
+            for other in &others {
+                if let Some(Oath::Told { sworn, word }) = self.ask(*other, &Plea::Recall, QUICK).await {
+                    told.push((sworn, word));
+                }
+            }
+            if told.len() >= majority(self.voters().len()) {
+                let (ballot, word) = recalled(told);
+                let sworn = Sworn { ballot, voters: self.voters() };
+                while !(disk.save(Paper::Word, &word).await.is_ok()
+                    && disk.save(Paper::Sworn, &sworn).await.is_ok())
+                {
+                    sleep(AGAIN).await;
+                }
+                self.voter.borrow_mut().remind(ballot, word, self.now());
+                spdlog::warn!("what was forgotten was recalled from {} others", others.len());
+            }
+            sleep(AGAIN).await;
+        }
+    }
+}
--- /dev/null
+++ b/postmaster/src/orders.rs
@@ -0,0 +1,98 @@
+//! The operator's orders: one task takes them one after the other while this process holds the lease.
+
+use crate::office::Office;
+use serde_json::value::RawValue;
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+use vanewharf_mailroom::config::{Config, Revision};
+use vanewharf_mailroom::settings::Settings;
+use vanewharf_mailroom::words::Word;
+
+#[derive(Debug)]
+pub enum Order {
+    Replace { revision: Revision, config: Box<RawValue> },
+    Evacuate { zone: String, begin: bool },
+    Read,
+}
+
+/// What became of an order.
+#[derive(Debug)]
+pub enum Done {
+    Acknowledged,
+    Configuration(Option<Box<RawValue>>),
+    /// Nothing is certain: it may or may not come to be in force.
+    Uncertain,
+    /// Another process takes orders, or nobody does.
+    NotHere,
+}
+
+#[derive(Clone)]
+pub struct Orders {
+    queue: mpsc::Sender<(Order, oneshot::Sender<Done>)>,
+}
+
+/// Orders that wait at once; more are turned away.
+const MOST_WAITING: usize = 32;
+
+impl Orders {
+    pub fn start(office: Rc<Office>, settings: Rc<Settings>) -> Orders {
+        let (queue, mut taken) = mpsc::channel::<(Order, oneshot::Sender<Done>)>(MOST_WAITING);
+        tokio::task::spawn_local(async move {
+            while let Some((order, reply)) = taken.recv().await {
+                let _ = reply.send(carry_out(&office, order).await);
+            }
+            drop(settings);
+        });
+        Orders { queue }
+    }
+
+    pub async fn give(&self, order: Order) -> Done {
+        let (reply, done) = oneshot::channel();
+        if self.queue.try_send((order, reply)).is_err() {
+            return Done::Uncertain;
+        }
+        done.await.unwrap_or(Done::Uncertain)
+    }
+}
+
+fn revision(word: &Word) -> Option<Revision> {
+    let config = word.config.as_ref()?;
+    Config::of(config.get().as_bytes()).ok().map(|config| config.revision)
+}
+
+async fn carry_out(office: &Rc<Office>, order: Order) -> Done {
+    if !office.holds() {
+        return Done::NotHere;
+    }
+    let word = office.feed.store().word.clone();
+    let word = word.as_deref();
+    let acknowledged = match order {
+        Order::Read => {
+            let config = word.and_then(|word| word.config.clone());
+            return if office.holds() { Done::Configuration(config) } else { Done::NotHere };
+        }
+        Order::Replace { revision: newer, config } => {
+            // A version that is not above the one held changes nothing.
+            if word.and_then(revision).is_some_and(|held| held >= newer) {
+                return if office.holds() { Done::Acknowledged } else { Done::NotHere };
+            }
+            office.acknowledge(|word| Word { config: Some(config), ..word.clone() }).await
+        }
+        Order::Evacuate { zone, begin } => {
+            if word.is_some_and(|word| word.evacuated.contains(&zone)) == begin {
+                return if office.holds() { Done::Acknowledged } else { Done::NotHere };
+            }
+            let change = |word: &Word| {
+                let mut word = word.clone();
+                if begin {
+                    word.evacuated.insert(zone);
+                } else {
+                    word.evacuated.remove(&zone);
+                }
+                word
+            };
+            office.acknowledge(change).await
+        }
+    };
+    if acknowledged { Done::Acknowledged } else { Done::Uncertain }
+}
--- /dev/null
+++ b/postmaster/src/public.rs
@@ -0,0 +1,87 @@
+//! Calls from outside: the operator's, and clients that ask where to go. One dispatch on method and path segments.
+
+use crate::duties::Desk;
+use crate::orders::{Done, Order, Orders};
+use serde_json::json;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+use std::time::Duration;
+use vanewharf_frames::Request;
+use vanewharf_franking::summing::resolved;
+use vanewharf_mailroom::call::Said;
+use vanewharf_mailroom::config::Config;
+
+/// The most doors that one answer names.
+const MOST_NAMED: usize = 64;
+/// How long clients hold on to an answer.
+const LIFETIME: Duration = Duration::from_millis(1500);
+
+pub async fn dispatch(desk: &Desk, orders: &Orders, request: &Request) -> Said {
+    let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
+    let segments: Vec<_> = path.split('/').skip(1).collect();
+    let order = match (request.method(), segments.as_slice()) {
+        ("GET", ["-", "resolution"]) => return resolution(desk, query),
+        ("POST", ["-", "Configuration.Replace"]) => replace(request.body()),
+        ("GET", ["-", "Configuration.Read"]) => Ok(Order::Read),
+        ("POST", ["-", "Evacuation.Begin", zone]) => evacuate(desk, zone, true),
+        ("POST", ["-", "Evacuation.Finish", zone]) => evacuate(desk, zone, false),
+        (_, ["-", ..]) => Err(Said::status(404, "there is no such call")),
+        _ => Err(Said::status(404, "calls begin with /-/")),
+    };
+    let done = match order {
+        Ok(order) => orders.give(order).await,
+        Err(said) => return said,
+    };
+    match done {
+        Done::Acknowledged => Said::json(&json!({})),
+        Done::Configuration(Some(config)) => {
+            Said { status: 200, fields: Vec::new(), body: config.get().to_owned() }
+        }
+        Done::Configuration(None) => Said::status(404, "no configuration was sent yet"),
+        Done::Uncertain => Said::status(503, "not certain to hold; send it again"),
+        Done::NotHere => elsewhere(desk, request),
+    }
+}
+
+/// To the door that takes orders now.
+fn elsewhere(desk: &Desk, request: &Request) -> Said {
+    let control = desk.settings.listens("control_plane").ok();
+    let holder = desk.office.holder().filter(|holder| *holder != desk.office.me);
+    let Some((holder, control)) = holder.zip(control) else {
+        return Said::status(503, "nobody takes orders now; try again");
+    };
+    let there = SocketAddr::new(holder.ip(), control.port());
+    let location = format!("http://{there}{}", request.target());
+    Said { status: 307, fields: vec![("Location", location)], body: "{}".to_owned() }
+}
+
+fn replace(body: &[u8]) -> Result<Order, Said> {
+    let config = Config::of(body).map_err(|fault| Said::status(400, &fault.to_string()))?;
+    let text = String::from_utf8(body.to_vec()).map_err(|_| Said::status(400, "it is no text"))?;
+    let raw = RawValue::from_string(text).map_err(|error| Said::status(400, &error.to_string()))?;
+    Ok(Order::Replace { revision: config.revision, config: raw })
+}
+
+fn evacuate(desk: &Desk, zone: &str, begin: bool) -> Result<Order, Said> {
+    if !desk.settings.zones.contains_key(zone) {
+        return Err(Said::status(404, &format!("the zone {zone} is not known")));
+    }
+    Ok(Order::Evacuate { zone: zone.to_owned(), begin })
+}
+
+fn resolution(desk: &Desk, query: &str) -> Said {
+    let field = |name: &str| {
+        query.split('&').filter_map(|pair| pair.split_once('=')).find(|(known, _)| *known == name)
+    };
+    let region = field("region").map_or("", |(_, region)| region);
+    let store = desk.feed.store();
+    let Some(ledger) = &store.ledger else {
+        return Said::status(503, "no doors are known yet");
+    };
+    let addresses: Vec<_> = resolved(ledger, region, MOST_NAMED).iter().map(|door| door.address).collect();
+    if addresses.is_empty() {
+        return Said::status(503, "no doors are known yet");
+    }
+    let lifetime = LIFETIME.min(desk.settings.bounds.ttl_max);
+    Said::json(&json!({ "addresses": addresses, "lifetime": format!("{}ms", lifetime.as_millis()) }))
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -199,7 +199,7 @@
     pub expiry: Tenths,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     Settled,
     Error,
--- a/txns/src/line.rs
+++ b/txns/src/line.rs
@@ -40,8 +40,7 @@
     Garbled,
     /// A whole answer; `last` where the connection ends with it.
     Answered {
-        status: u16,
-        unprocessed: bool,
+        outcome: Outcome,
         last: bool,
     },
     CalledOff(CalledOff),
@@ -83,12 +82,7 @@
             (Line::Writing { fresh: false }, Broke) => (Line::Dialling, Then::DialsAnew),
             (Line::Waiting { .. }, Broke) => (Line::Over, Then::EndsSilently(Outcome::Broken)),
             (Line::Waiting { .. }, Garbled) => over(Outcome::Broken),
-            (Line::Waiting { .. }, Answered { status, unprocessed, last }) => {
-                let outcome = match status {
-                    200 => Outcome::Settled,
-                    503 | 504 if unprocessed => Outcome::TurnedAway,
-                    _ => Outcome::Error,
-                };
+            (Line::Waiting { .. }, Answered { outcome, last }) => {
                 (if last { Line::Over } else { Line::Idle }, Then::Ends(outcome))
             }
             // Not all of it had gone out, so nothing can have run.
@@ -118,7 +112,7 @@
     #[test]
     fn what_is_proved_follows_from_what_was_written() {
         use Happened::*;
-        let answered = |status, unprocessed, last| Answered { status, unprocessed, last };
+        let answered = |outcome, last| Answered { outcome, last };
         let (timed_out, cancelled) =
             (CalledOff(super::CalledOff::TimedOut), CalledOff(super::CalledOff::Cancelled));
         let cases: &[(bool, &[Happened], Line, Then)] = &[
@@ -131,17 +125,26 @@
             (false, &[Up, Written, timed_out], Line::Over, Then::Ends(Outcome::TimedOut)),
             (false, &[Up, Written, cancelled], Line::Over, Then::Ends(Outcome::Cancelled)),
             (false, &[Up, Written, Garbled], Line::Over, Then::Ends(Outcome::Broken)),
-            (false, &[Up, Written, answered(200, false, false)], Line::Idle, Then::Ends(Outcome::Settled)),
-            (false, &[Up, Written, answered(200, false, true)], Line::Over, Then::Ends(Outcome::Settled)),
-            (false, &[Up, Written, answered(503, true, false)], Line::Idle, Then::Ends(Outcome::TurnedAway)),
-            (false, &[Up, Written, answered(503, false, false)], Line::Idle, Then::Ends(Outcome::Error)),
-            (false, &[Up, Written, answered(500, true, false)], Line::Idle, Then::Ends(Outcome::Error)),
             (
                 false,
-                &[Up, Answered { status: 200, unprocessed: false, last: false }],
-                Line::Writing { fresh: true },
-                Then::Odd,
+                &[Up, Written, answered(Outcome::Settled, false)],
+                Line::Idle,
+                Then::Ends(Outcome::Settled),
             ),
+            (
+                false,
+                &[Up, Written, answered(Outcome::Settled, true)],
+                Line::Over,
+                Then::Ends(Outcome::Settled),
+            ),
+            (
+                false,
+                &[Up, Written, answered(Outcome::TurnedAway, false)],
+                Line::Idle,
+                Then::Ends(Outcome::TurnedAway),
+            ),
+            (false, &[Up, Written, answered(Outcome::Error, false)], Line::Idle, Then::Ends(Outcome::Error)),
+            (false, &[Up, answered(Outcome::Settled, false)], Line::Writing { fresh: true }, Then::Odd),
         ];
         for (kept, what, line, then) in cases {
             assert_eq!(after(*kept, what), (*line, *then), "{what:?}");
