Grow slices only into what the others left, and send clients of homed hosts home

(2) Sorters left an answering postmaster for dead ones because it was behind, so the registry heard of two doors; behind is now better than silent, and the registry goes by its own hearing where the ledger is old.

--- a/carrier/src/link.rs
+++ b/carrier/src/link.rs
@@ -12,7 +12,7 @@
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::words::{DoorRow, Pull, Report};
 
-const WAIT: Duration = Duration::from_millis(400);
+const WAIT: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// What the decisions last said of themselves.
@@ -20,6 +20,7 @@
 pub struct Told {
     pub let_through: RefCell<BTreeMap<String, u64>>,
     pub slices: RefCell<BTreeMap<String, f64>>,
+    pub hosts: RefCell<BTreeMap<String, (u64, u64)>>,
     /// Told to end: clients are to go elsewhere.
     pub ending: Cell<bool>,
 }
@@ -50,6 +51,7 @@
                 age_ms: 0,
                 let_through: self.told.let_through.borrow().clone(),
                 slices: self.told.slices.borrow().clone(),
+                hosts: self.told.hosts.borrow().clone(),
             };
             let wait_ms = WAIT.as_millis() as u64;
             let pull = Pull { have: self.feed.store().have(), wait_ms, office: None, reports: vec![report] };
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -105,6 +105,9 @@
     thawing: BTreeMap<String, At>,
 }
 
+/// Of a request's aim, the time by which the module goes. It takes a third of that for the longest that an answer may
+/// be expected to take, as where aims are many times the usual answer; here they are three times that.
+const PATIENT: f64 = 2.0;
 /// The wait before a refusal by the bucket is worth another try, at least.
 const LEAST_WAIT: Duration = Duration::from_millis(50);
 
@@ -266,6 +269,7 @@
             return actions.push(Action::Decline { txn: id, retry_after: None });
         };
         let at = self.steady.now();
+        self.count(&rule);
         if let Some(tenant) = &tenant
             && let Err(wait) = self.buckets.ask(&tenant.name, tenant.quota, at)
         {
@@ -308,6 +312,18 @@
         self.go_on(id, now, actions);
     }
 
+    /// Where requests must be served, by host: the registry sends clients by it.
+    fn count(&self, rule: &Rule) {
+        let mut hosts = self.reported.hosts.borrow_mut();
+        if !hosts.contains_key(&*rule.host) {
+            hosts.insert(rule.host.to_string(), (0, 0));
+        }
+        if let Some((all, homed)) = hosts.get_mut(&*rule.host) {
+            *all += 1;
+            *homed += u64::from(!rule.homes.is_empty());
+        }
+    }
+
     /// To the next region's round; refused where none is left.
     fn go_on(&mut self, id: TxnId, now: Tenths, actions: &mut Vec<Action>) {
         let Some(way) = self.ways.get_mut(&id) else {
@@ -558,7 +574,7 @@
 /// What a round's module is told: aims, values by precedence, no quota of its own.
 fn start(classes: &[(Duration, RouteKind, u64)], warmup: Duration, seed: u64, now: Tenths) -> Start {
     let product = |(target, kind, precedence): &(Duration, RouteKind, u64)| Product {
-        sla_time: tenths(*target),
+        sla_time: tenths(target.mul_f64(PATIENT)),
         value: 1.0 / (1.0 + *precedence as f64),
         repeat: if *kind == RouteKind::ReadOnly { Repeat::InquiryLike } else { Repeat::OnceOnly },
     };
--- a/carrier/src/tables.rs
+++ b/carrier/src/tables.rs
@@ -11,6 +11,7 @@
 /// One route, as a request under way goes by it.
 #[derive(Debug, PartialEq)]
 pub struct Rule {
+    pub host: Rc<str>,
     pub kind: RouteKind,
     pub deadline: Duration,
     pub target: Duration,
@@ -57,6 +58,7 @@
             let services =
                 route.services.into_iter().map(|(name, weight)| (Rc::from(name), weight)).collect();
             let rule = Rule {
+                host: Rc::from(route.hostname.as_str()),
                 kind: route.kind,
                 deadline: route.deadline,
                 target: route.target,
--- a/franking/src/quota.rs
+++ b/franking/src/quota.rs
@@ -18,8 +18,13 @@
 /// Of what the rules allow beyond the quota once: the doors' buckets may be so much deeper, all together. The rest is
 /// kept for slices that sum past the quota while readings are late.
 const DEEPER: f64 = 0.6;
+/// Of what the doors' slices leave of the whole, a door takes so much of its share at each reading: the others take
+/// theirs of the same before they hear of it.
+const TAKEN: f64 = 0.5;
+/// Seconds that a client is told to wait at most.
+const LONGEST: f64 = 30.0;
 /// A door that hears nothing for so long counts itself as cut off: the others are told of its slice no more.
-pub const SILENT: Duration = Duration::from_secs(8);
+pub const SILENT: Duration = Duration::from_secs(50);
 
 /// A tenant's quota over all doors. A rate of 0 is no limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -106,7 +111,7 @@
         let needed = depth.mul_add(ENOUGH, 0.0).min(1.0);
         if bucket.tokens < needed {
             let rate = (quota.rate * bucket.slice).max(1e-3);
-            return Err(Duration::from_secs_f64(((needed - bucket.tokens) / rate).min(60.0)));
+            return Err(Duration::from_secs_f64(((needed - bucket.tokens) / rate).min(LONGEST)));
         }
         bucket.tokens -= 1.0;
         bucket.let_through += 1;
@@ -116,7 +121,6 @@
     /// A new ledger: how many doors there are, and each tenant's use and the slices that the doors hold together.
     pub fn read(&mut self, doors: u32, uses: &BTreeMap<String, Use>, quota: impl Fn(&str) -> Quota, now: At) {
         let doors = f64::from(doors.max(1));
-        let grown = self.doors != doors;
         let even = 1.0 / doors;
         let gap = now.since(self.read_at).as_secs_f64().max(1e-3);
         let weight = 1.0 - (-gap / SPAN).exp();
@@ -136,14 +140,12 @@
             } else {
                 bucket.slice + weight * (even - bucket.slice)
             };
-            let most = (2.0 * bucket.slice).min(1.0);
-            let slice = target.clamp((FLOOR * even).min(most), most);
-            // Late and misaligned readings make slices sum past the whole: each gives its part back.
-            bucket.slice = slice / reading.slices.max(1.0);
-            if grown {
-                bucket.slice = bucket.slice.min(2.0 * even);
-            }
-            // Idle full buckets are what a tenant not yet seen gets anyway.
+            let target = target.max(FLOOR * even).min(2.0 * bucket.slice).min(1.0);
+            // Readings come late and misaligned, so that targets sum past the whole when requests rise: a slice grows
+            // into what the others left, and where they sum past it each gives its part back.
+            let left = (1.0 - reading.slices).max(0.0) * TAKEN * target;
+            let grown = target.min(bucket.slice + left);
+            bucket.slice = if reading.slices > 0.0 { grown / reading.slices.max(1.0) } else { even };
         }
         self.doors = doors;
         let (allowance, full) = (self.allowance, self.full);
--- a/franking/src/summing.rs
+++ b/franking/src/summing.rs
@@ -3,12 +3,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use vanewharf_mailroom::clock::At;
+use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::words::{DoorRow, Ledger, OfficeRow, Report, Use, Version};
 
 /// A door is named to clients for so long after it was last heard.
-const NAMED: Duration = Duration::from_millis(1500);
-/// And counted for so long: by then its own slices have shrunk to their floor.
-const COUNTED: Duration = Duration::from_secs(12);
+const NAMED: Duration = Duration::from_millis(1000);
+/// And its slices are kept for it so long: by then they have shrunk to their floor. A door that died leaves its part
+/// unused meanwhile, which tenants well below their quotas do not feel.
+const COUNTED: Duration = Duration::from_secs(60);
+const OFFICES_KNOWN: Duration = Duration::from_secs(12);
+/// Where so many of a host's requests must go home, its clients are better sent there themselves.
+const MOSTLY: f64 = 0.6;
 /// A reading is averaged over at least this.
 const READING: Duration = Duration::from_millis(900);
 
@@ -23,6 +28,7 @@
     latest: BTreeMap<String, u64>,
     rates: BTreeMap<String, f64>,
     slices: BTreeMap<String, f64>,
+    hosts: BTreeMap<String, (u64, u64)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -34,11 +40,11 @@
 impl Summing {
     pub fn report(&mut self, report: Report, now: At) {
         let made = now.before(Duration::from_millis(report.age_ms));
-        let Report { door, life, let_through, slices, .. } = report;
+        let Report { door, life, let_through, slices, hosts, .. } = report;
         let heard = self.doors.get_mut(&door.name);
         match heard.filter(|heard| heard.life == life) {
             Some(heard) if made > heard.made => {
-                (heard.row, heard.made, heard.slices) = (door, made, slices);
+                (heard.row, heard.made, heard.slices, heard.hosts) = (door, made, slices, hosts);
                 heard.latest = let_through;
                 let gap = made.since(heard.base_at);
                 if gap >= READING {
@@ -53,12 +59,29 @@
             Some(_) => {}
             None => {
                 let (base, latest, rates) = (let_through.clone(), let_through, BTreeMap::new());
-                let heard = Heard { row: door, life, made, base, base_at: made, latest, rates, slices };
+                let heard =
+                    Heard { row: door, life, made, base, base_at: made, latest, rates, slices, hosts };
                 self.doors.insert(heard.row.name.clone(), heard);
             }
         }
     }
 
+    /// What the holder before knew of the doors: those that nothing is heard of are counted all the same.
+    pub fn inherit(&mut self, ledger: &Ledger, now: At) {
+        for row in &ledger.doors {
+            let row = DoorRow { ready: false, ..row.clone() };
+            let (slices, hosts, empty) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+            let (base, latest, rates) = (empty.clone(), empty, BTreeMap::new());
+            let heard = Heard { row, life: 0, made: now, base, base_at: now, latest, rates, slices, hosts };
+            self.doors.entry(heard.row.name.clone()).or_insert(heard);
+        }
+    }
+
+    /// The doors that this process itself hears of, as they are now.
+    pub fn heard(&self, now: At) -> impl Iterator<Item = &DoorRow> {
+        self.doors.values().filter(move |heard| now.since(heard.made) < NAMED).map(|heard| &heard.row)
+    }
+
     pub fn office(&mut self, office: OfficeRow, now: At) {
         self.offices.insert(office, now);
     }
@@ -72,13 +95,14 @@
             age_ms: now.since(heard.made).as_millis() as u64,
             let_through: heard.latest.clone(),
             slices: heard.slices.clone(),
+            hosts: heard.hosts.clone(),
         };
         fresh.map(told).collect()
     }
 
     pub fn ledger(&mut self, version: Version, now: At) -> Ledger {
         self.doors.retain(|_, heard| now.since(heard.made) < COUNTED);
-        self.offices.retain(|_, heard| now.since(*heard) < COUNTED);
+        self.offices.retain(|_, heard| now.since(*heard) < OFFICES_KNOWN);
         let mut tenants: BTreeMap<String, Use> = BTreeMap::new();
         for heard in self.doors.values() {
             for (name, slice) in &heard.slices {
@@ -87,11 +111,22 @@
                 sum.per_s += heard.rates.get(name).copied().unwrap_or(0.0);
             }
         }
-        for sum in tenants.values_mut() {
+        let counted = self.doors.len() as f64;
+        for (name, sum) in &mut tenants {
+            // A door that has no bucket for a tenant may have one at any moment, at the even slice.
+            let without = self.doors.values().filter(|heard| !heard.slices.contains_key(name)).count();
+            sum.slices += without as f64 / counted;
             // Rounded: it is sent to all doors.
             sum.per_s = (sum.per_s * 100.0).round() / 100.0;
             sum.slices = (sum.slices * 1000.0).round() / 1000.0;
         }
+        let mut hosts: BTreeMap<&String, (u64, u64)> = BTreeMap::new();
+        for (name, (all, homed)) in self.doors.values().flat_map(|heard| &heard.hosts) {
+            let sum = hosts.entry(name).or_default();
+            *sum = (sum.0 + all, sum.1 + homed);
+        }
+        let mostly = hosts.into_iter().filter(|(_, (all, homed))| *homed as f64 > MOSTLY * *all as f64);
+        let homed = mostly.map(|(name, _)| name.clone()).collect();
         let row = |heard: &Heard| DoorRow {
             ready: heard.row.ready && now.since(heard.made) < NAMED,
             ..heard.row.clone()
@@ -101,25 +136,49 @@
             doors: self.doors.values().map(row).collect(),
             counted: self.doors.len() as u32,
             tenants,
+            homed,
             offices: self.offices.keys().cloned().collect::<BTreeSet<_>>(),
         }
     }
 }
 
-/// The doors that a client is sent to: ready ones in its region, else any that are ready, else all.
-pub fn resolved<'a>(ledger: &'a Ledger, region: &str, most: usize) -> Vec<&'a DoorRow> {
-    let ready = || ledger.doors.iter().filter(|door| door.ready);
-    let mut named: Vec<_> = ready().filter(|door| door.region == region).collect();
+/// The doors that a client is sent to: ready ones in its region where all that its host serves may be served there,
+/// else in a region where it may, else any that are ready, else all.
+pub fn resolved<'a>(
+    doors: &[&'a DoorRow],
+    region: &str,
+    homes: Option<&BTreeSet<String>>,
+    most: usize,
+) -> Vec<&'a DoorRow> {
+    let ready = || doors.iter().copied().filter(|door| door.ready);
+    let home = |region: &str| homes.is_none_or(|homes| homes.contains(region));
+    let mut named: Vec<_> = ready().filter(|door| door.region == region && home(region)).collect();
+    if named.is_empty() {
+        named = ready().filter(|door| home(&door.region)).collect();
+    }
     if named.is_empty() {
         named = ready().collect();
     }
     if named.is_empty() {
-        named = ledger.doors.iter().collect();
+        named = doors.to_vec();
     }
     named.truncate(most);
     named
 }
 
+/// For each host with routes that have homes, the regions in which all of its routes may be served. A host whose routes
+/// have no region in common is left out: its clients go to their own region.
+pub fn homes(config: &Config) -> BTreeMap<String, BTreeSet<String>> {
+    let mut hosts: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for route in config.routes.values().filter(|route| !route.home_regions.is_empty()) {
+        let home: BTreeSet<_> = route.home_regions.iter().cloned().collect();
+        let common = hosts.entry(route.hostname.clone()).or_insert_with(|| home.clone());
+        common.retain(|region| home.contains(region));
+    }
+    hosts.retain(|_, common| !common.is_empty());
+    hosts
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -136,7 +195,7 @@
         };
         let tenant = || "t".to_owned();
         let (let_through, slices) = ([(tenant(), through)].into(), [(tenant(), 0.5)].into());
-        Report { door: row, life, age_ms, let_through, slices }
+        Report { door: row, life, age_ms, let_through, slices, hosts: BTreeMap::new() }
     }
 
     #[test]
@@ -154,10 +213,41 @@
         sums.report(report("a", 1, 0, 100), at(7000));
         let ledger = sums.ledger(Version::default(), at(7000));
         assert_eq!((ledger.counted, ledger.doors[1].ready), (2, false), "b is counted and not named");
-        assert_eq!(resolved(&ledger, "r", 64).len(), 1);
+        let doors: Vec<_> = ledger.doors.iter().collect();
+        assert_eq!(resolved(&doors, "r", None, 64).len(), 1);
         assert_eq!(sums.reports(at(7000)).len(), 1);
-        sums.report(report("a", 1, 0, 100), at(16000));
-        assert_eq!(sums.ledger(Version::default(), at(16000)).counted, 1);
+        sums.report(report("a", 1, 0, 100), at(64_000));
+        assert_eq!(sums.ledger(Version::default(), at(64_000)).counted, 1);
+    }
+
+    #[test]
+    fn clients_of_a_host_with_homes_are_sent_home() {
+        let row = |name: &str, region: &str, ready| DoorRow {
+            region: region.to_owned(),
+            ready,
+            ..report(name, 1, 0, 0).door
+        };
+        let rows = [row("a", "r", true), row("b", "s", true), row("c", "s", false)];
+        let doors: Vec<_> = rows.iter().collect();
+        let names = |region, homes: &[&str]| {
+            let homes: BTreeSet<_> = homes.iter().map(|home| home.to_string()).collect();
+            let homes = Some(&homes).filter(|homes| !homes.is_empty());
+            resolved(&doors, region, homes, 64).iter().map(|door| door.name.clone()).collect::<String>()
+        };
+        assert_eq!(
+            (names("r", &[]), names("r", &["s"]), names("s", &["s", "r"])),
+            ("a".into(), "b".into(), "b".into())
+        );
+        assert_eq!(names("r", &["t"]), "ab", "none is at home: any that is ready");
+    }
+
+    #[test]
+    fn a_host_is_homed_where_most_of_its_requests_are() {
+        let mut sums = Summing::default();
+        let hosts = [("mostly".to_owned(), (10, 7)), ("hardly".to_owned(), (10, 5))];
+        sums.report(Report { hosts: hosts.into(), ..report("a", 1, 0, 0) }, START);
+        let homed = sums.ledger(Version::default(), START).homed;
+        assert_eq!(homed.into_iter().collect::<Vec<_>>(), ["mostly"]);
     }
 
     #[test]
--- a/mailroom/src/words.rs
+++ b/mailroom/src/words.rs
@@ -102,6 +102,8 @@
     /// By how many doors what all may do together is divided.
     pub counted: u32,
     pub tenants: BTreeMap<String, Use>,
+    /// Hosts most of whose requests are on routes with homes.
+    pub homed: BTreeSet<String>,
     pub offices: BTreeSet<OfficeRow>,
 }
 
@@ -116,6 +118,8 @@
     /// Requests let through since the start, by tenant, and the slices that they were let through by.
     pub let_through: BTreeMap<String, u64>,
     pub slices: BTreeMap<String, f64>,
+    /// For each host the requests since the start, and those on routes with homes.
+    pub hosts: BTreeMap<String, (u64, u64)>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -4,15 +4,17 @@
 use crate::cloud;
 use crate::office::Office;
 use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
-use vanewharf_franking::summing::Summing;
+use vanewharf_franking::summing::{Summing, homes};
 use vanewharf_mailroom::call::{Caller, Failed};
+use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::settings::Settings;
-use vanewharf_mailroom::words::{List, Mail, OfficeRow, Pull, Version};
+use vanewharf_mailroom::words::{List, Mail, OfficeRow, Pull, Version, WordNo};
 
 /// A follower's pull, while nothing is new.
 const FOLLOW: Duration = Duration::from_millis(400);
@@ -30,9 +32,24 @@
     pub sums: Rc<RefCell<Summing>>,
     pub row: OfficeRow,
     pub settings: Rc<Settings>,
+    /// The homes of hosts, by the word that they were taken from.
+    pub hosts: RefCell<(WordNo, Rc<Homes>)>,
 }
 
+pub type Homes = BTreeMap<String, BTreeSet<String>>;
+
 impl Desk {
+    /// Where each host's clients are to go, by the word in hand.
+    pub fn homes(&self) -> Rc<Homes> {
+        let word = self.feed.store().word.clone();
+        if let Some(word) = word.filter(|word| word.no != self.hosts.borrow().0) {
+            let config = word.config.as_ref().and_then(|config| Config::of(config.get().as_bytes()).ok());
+            let hosts = config.as_ref().map(homes).unwrap_or_default();
+            *self.hosts.borrow_mut() = (word.no, Rc::new(hosts));
+        }
+        Rc::clone(&self.hosts.borrow().1)
+    }
+
     /// A pull by a sorter or by another postmaster: takes its reports and gives it what it lacks.
     pub async fn pulled(&self, pull: Pull) -> Mail {
         let now = self.feed.now();
@@ -102,8 +119,15 @@
     }
 
     pub async fn sum(self: Rc<Self>) {
+        let mut held = false;
         loop {
-            if self.office.holds() {
+            let holds = self.office.holds();
+            if holds && !std::mem::replace(&mut held, holds) {
+                let (now, before) = (self.feed.now(), self.feed.store().ledger.clone());
+                before.iter().for_each(|ledger| self.sums.borrow_mut().inherit(ledger, now));
+            }
+            held = holds;
+            if holds {
                 let (now, last) = (self.feed.now(), self.feed.store().have().ledger);
                 let mut sums = self.sums.borrow_mut();
                 sums.office(self.row.clone(), now);
--- a/postmaster/src/main.rs
+++ b/postmaster/src/main.rs
@@ -118,6 +118,7 @@
         sums,
         row,
         settings: Rc::clone(&settings),
+        hosts: RefCell::default(),
     });
     tokio::task::spawn_local(Rc::clone(&desk).follow());
     tokio::task::spawn_local(Rc::clone(&desk).sum());
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -13,8 +13,10 @@
 
 /// The most doors that one answer names.
 const MOST_NAMED: usize = 64;
+/// A ledger that is older was made by a holder that is gone.
+const CURRENT: Duration = Duration::from_millis(2200);
 /// How long clients hold on to an answer.
-const LIFETIME: Duration = Duration::from_millis(1500);
+const LIFETIME: Duration = Duration::from_millis(4000);
 
 pub async fn dispatch(desk: &Desk, orders: &Orders, request: &Request) -> Said {
     let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
@@ -75,10 +77,20 @@
     };
     let region = field("region").map_or("", |(_, region)| region);
     let store = desk.feed.store();
-    let Some(ledger) = &store.ledger else {
-        return Said::status(503, "no doors are known yet");
-    };
-    let addresses: Vec<_> = resolved(ledger, region, MOST_NAMED).iter().map(|door| door.address).collect();
+    let host = field("name").map_or("", |(_, host)| host).to_ascii_lowercase();
+    let hosts = desk.homes();
+    let homed = store.ledger.as_ref().is_some_and(|ledger| ledger.homed.contains(&host));
+    let homes = hosts.get(&host).filter(|_| homed);
+    let now = desk.feed.now();
+    let sums = desk.sums.borrow();
+    // A ledger that is old names doors that are gone; whoever is still there has come to this process by then.
+    let current = store.ledger.as_ref().filter(|_| now.since(store.ledger_at) < CURRENT);
+    let heard: Vec<_> = sums.heard(now).collect();
+    let told = current.iter().flat_map(|ledger| &ledger.doors);
+    let unheard = told.filter(|door| !heard.iter().any(|known| known.name == door.name));
+    let doors: Vec<_> = heard.iter().copied().chain(unheard).collect();
+    let addresses: Vec<_> =
+        resolved(&doors, region, homes, MOST_NAMED).iter().map(|door| door.address).collect();
     if addresses.is_empty() {
         return Said::status(503, "no doors are known yet");
     }
--- a/sorter/src/main.rs
+++ b/sorter/src/main.rs
@@ -18,10 +18,10 @@
 use vanewharf_mailroom::words::{Pull, Report};
 
 /// How long a pull waits for news.
-const WAIT: Duration = Duration::from_millis(400);
+const WAIT: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(60);
 /// A report that its carrier made longer ago tells nothing: the carrier is gone.
-const STALE: Duration = Duration::from_millis(1200);
+const STALE: Duration = Duration::from_millis(800);
 /// A postmaster that is further behind than this is left for another.
 const BEHIND: Duration = Duration::from_millis(2000);
 /// How long one that failed is not asked again while others are left.
@@ -89,12 +89,16 @@
 /// From the nearest postmaster that answers: first in this zone, then in this region, then anywhere.
 async fn keep_pulling(settings: Settings, feed: Feed, last: Last) {
     let (mut from, mut failed): (Option<Caller>, BTreeMap<IpAddr, At>) = (None, BTreeMap::new());
+    let mut behind: BTreeMap<IpAddr, At> = BTreeMap::new();
     loop {
         let offices = known(&settings, &feed);
         let now = feed.now();
         failed.retain(|_, at| now.since(*at) < SPARED);
-        let best = offices.iter().find(|ip| !failed.contains_key(ip)).copied();
-        let Some(best) = best else {
+        behind.retain(|_, at| now.since(*at) < SPARED);
+        let answers = |ip: &&IpAddr| !failed.contains_key(ip);
+        // One that answers, though it knows nothing new, is better than none: clients hear of this door through it.
+        let best = offices.iter().filter(answers).find(|ip| !behind.contains_key(ip));
+        let Some(best) = best.or_else(|| offices.iter().find(answers)).copied() else {
             failed.clear();
             sleep(PAUSE).await;
             continue;
@@ -122,7 +126,7 @@
                 let sure = feed.store().sure;
                 if sure.is_none_or(|sure| feed.now().since(sure) > BEHIND) {
                     // It answers and knows nothing new itself: another may.
-                    failed.insert(best, feed.now());
+                    behind.insert(best, feed.now());
                     sleep(PAUSE).await;
                 }
             }
