Show the whole system on loopback, and test it through kills, wipes, drains and lapsed keys

testletter/ runs the real programs, each on a thread and a loopback address, among stand-ins for platform, backends, operator and clients; six tests check afterwards what backends and operator saw: way, key, quota and homes; invalid and equal numbers; drain and evacuation through a restart of all; any postmaster killed with its disk, turn by turn; a door cut off where revocations bind it; nothing run twice or promised falsely. The programs became libraries with a small main each.

--- /dev/null
+++ b/carrier/src/lib.rs
@@ -0,0 +1,146 @@
+//! The data plane's program: takes requests from clients, lets them in by route, key and the tenant's bucket, sends them to
+//! a backend that the decision module picks, and gives the answers back. The stages are the front door's own.
+
+mod gate;
+mod link;
+mod rounds;
+mod tables;
+
+use gate::{Posted, Wicket};
+use link::{Link, Told};
+use rand::Rng;
+use rounds::{Place, Rounds};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpSocket;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep, timeout_at};
+use vanewharf::interface::Tenths;
+use vanewharf_door::book::{Book, Room};
+use vanewharf_door::clock::Clock;
+use vanewharf_door::note::Told as Listing;
+use vanewharf_door::open::OpenIds;
+use vanewharf_door::route::Route;
+use vanewharf_door::shared::Shared;
+use vanewharf_door::take_in;
+use vanewharf_mailroom::call::{Caller, Said, listen, serve};
+use vanewharf_mailroom::clock::Steady;
+use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::program::End;
+use vanewharf_mailroom::settings::Settings;
+use vanewharf_mailroom::words::DoorRow;
+use vanewharf_told::Lines;
+
+const BACKLOG: u32 = 1024;
+/// Backends close idle connections after so long, at the soonest known; a connection not up by then never comes up.
+const LINES: Lines = Lines { idle: Tenths(80_000), dial: Tenths(3_000) };
+/// Of the grace that a process is given at its end, clients that still come are taken for so much.
+const TAKES_ON: f64 = 0.7;
+const ENDS_BY: f64 = 0.95;
+
+pub async fn run(settings: Settings, end: End) -> Result<(), String> {
+    let frontend = settings.listens("frontend").map_err(|fault| fault.to_string())?;
+    let readiness = settings.listens("readiness").map_err(|fault| fault.to_string())?;
+    let (steady, life) = (Steady::start(), rand::rng().random::<u64>() >> 1);
+    let (feed, told) = (Feed::new(steady), Rc::<Told>::default());
+    let posted = Rc::new(Posted {
+        tables: RefCell::default(),
+        entries: RefCell::default(),
+        sure: Cell::new(None),
+        steady,
+        revocation_global: settings.bounds.revocation_global,
+        revocation: settings.bounds.revocation,
+    });
+
+    let room = Room::within(settings.descriptors.saturating_sub(256) as usize, settings.memory_mb as usize);
+    let book = Rc::new(Book::new(room));
+    let (notes, noted) = mpsc::unbounded_channel();
+    let shared = Rc::new(Shared {
+        clock: Clock::start(),
+        book: Rc::clone(&book),
+        gate: Box::new(Wicket(Rc::clone(&posted))),
+        lines: LINES,
+        notes,
+        txns: Cell::new(0),
+        open: OpenIds::default(),
+    });
+    let place =
+        Place { zone: settings.zone.clone(), region: settings.region.clone(), zones: settings.zones.clone() };
+    let told_rounds = Rc::clone(&told);
+    let rounds = Rounds::start(
+        place,
+        settings.bounds.clone(),
+        Rc::clone(&posted),
+        settings.initial_start,
+        life,
+        told_rounds,
+    );
+    let none = Listing { whole: false, entries: Vec::new() };
+    let route = Route::new(Rc::clone(&shared), rounds, none, None, None);
+    let (news, heard) = mpsc::unbounded_channel();
+    let mut routing = tokio::task::spawn_local(route.run(noted, heard));
+
+    let row = DoorRow {
+        name: settings.name.clone(),
+        address: frontend,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        ready: false,
+    };
+    let sorter = Caller::to(settings.loopback());
+    let link = Link {
+        feed: feed.clone(),
+        sorter,
+        row,
+        life,
+        posted: Rc::clone(&posted),
+        told: Rc::clone(&told),
+        news,
+    };
+    tokio::task::spawn_local(link.run());
+
+    let listening = |address: SocketAddr| {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    let listener = listening(frontend).map_err(|error| format!("cannot listen on {frontend}: {error}"))?;
+    let stop = Rc::new(Notify::new());
+    let accepting = tokio::task::spawn_local(take_in::accept(listener, Rc::clone(&shared), Rc::clone(&stop)));
+    let asked = listen(readiness).map_err(|error| format!("cannot listen on {readiness}: {error}"))?;
+    let (known, said) = (Rc::clone(&posted), Rc::clone(&told));
+    tokio::task::spawn_local(serve(asked, move |request| {
+        let ready = Link::ready(&known, &said, &feed);
+        let target = (request.method() == "GET" && request.target() == "/-/readiness").then_some(ready);
+        async move {
+            match target {
+                Some(true) => Said::status(200, ""),
+                Some(false) => Said::status(503, "not ready"),
+                None => Said::status(404, "there is no such call"),
+            }
+        }
+    }));
+
+    tokio::select! {
+        _ = end => {}
+        ended = &mut routing => return Err(format!("route ended: {ended:?}")),
+    }
+    // Clients hold on to what they were told for a while; each answer from here on ends its connection.
+    let by = Instant::now() + settings.bounds.grace.mul_f64(ENDS_BY);
+    told.ending.set(true);
+    book.drain();
+    sleep(settings.bounds.grace.mul_f64(TAKES_ON)).await;
+    stop.notify_one();
+    let _ = timeout_at(by, accepting).await;
+    let emptied = async {
+        while book.clients() > 0 {
+            book.freed.notified().await;
+        }
+    };
+    let _ = timeout_at(by, emptied).await;
+    sleep(Duration::from_millis(10)).await;
+    Ok(())
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! The `vanewharf` command line: the lab, cluster traces, and checks of what an operator has written.
 
+mod system;
+
 use clap::{Parser, Subcommand, ValueEnum};
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -35,6 +37,9 @@
     /// Cluster traces in CSV.
     #[command(subcommand)]
     Trace(Trace),
+    /// The whole system.
+    #[command(subcommand)]
+    System(system::System),
     /// What an operator has written.
     #[command(subcommand)]
     Config(Config),
@@ -94,6 +99,10 @@
         What::Trace(Trace::Import { experiment, trace, out }) => import(&experiment, &trace, Some(&out)),
         What::Trace(Trace::Inspect { experiment, trace }) => import(&experiment, &trace, None),
         What::Config(Config::Check { file }) => check(&file),
+        What::System(what) => {
+            what.run();
+            Ok(())
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/mailroom/src/program.rs
+++ b/mailroom/src/program.rs
@@ -1,18 +1,60 @@
-//! The command line that all of the system's programs have.
+//! What all of the system's programs do alike: their command line, their runtime, and how they are told to end.
 
 use crate::settings::{Settings, Unread};
 use getopts::Options;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::runtime::{Builder, LocalOptions};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::oneshot;
+
+/// Comes when the program is to end.
+pub type End = oneshot::Receiver<()>;
+
+/// Reads what the program is called with and runs it until SIGTERM.
+pub fn main<F, R>(name: &str, version: &str, run: F) -> ExitCode
+where
+    F: FnOnce(Settings, End) -> R,
+    R: Future<Output = Result<(), String>>,
+{
+    let settings = match called(name, version) {
+        Called::Run(settings) => *settings,
+        Called::Over(code) => return code,
+    };
+    crate::log::start(name);
+    let ended = match Builder::new_current_thread().enable_all().build_local(LocalOptions::default()) {
+        Ok(runtime) => runtime.block_on(async {
+            let signals = |error: std::io::Error| format!("no signals: {error}");
+            // First, as a signal that nobody has asked for ends the program.
+            let mut term = signal(SignalKind::terminate()).map_err(signals)?;
+            // Nothing follows the settings file while it runs: what may change in it, the system tells itself.
+            let _reload = signal(SignalKind::hangup()).map_err(signals)?;
+            let (tell, end) = oneshot::channel();
+            tokio::task::spawn_local(async move {
+                term.recv().await;
+                let _ = tell.send(());
+            });
+            run(settings, end).await
+        }),
+        Err(error) => Err(format!("no runtime: {error}")),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            eprintln!("{name}: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
 
 /// What a program is called with.
-pub enum Called {
+enum Called {
     Run(Box<Settings>),
     /// Said all there was to say.
     Over(ExitCode),
 }
 
-pub fn called(name: &str, version: &str) -> Called {
+fn called(name: &str, version: &str) -> Called {
     let mut options = Options::new();
     options.optopt("s", "settings", "the settings file (else the one VANEWHARF_SETTINGS names)", "FILE");
     options.optflag("c", "check", "only tell whether it would start by the settings");
--- a/mailroom/src/settings.rs
+++ b/mailroom/src/settings.rs
@@ -136,7 +136,9 @@
 
     /// Where the sorter on this machine listens for its carrier.
     pub fn loopback(&self) -> SocketAddr {
-        SocketAddr::new(IpAddr::from([127, 0, 0, 1]), self.internal.0 + 2)
+        // Where machines are stood in for by loopback addresses, each has its own.
+        let ip = if self.ip.is_loopback() { self.ip } else { IpAddr::from([127, 0, 0, 1]) };
+        SocketAddr::new(ip, self.internal.0 + 2)
     }
 }
 
--- /dev/null
+++ b/postmaster/src/lib.rs
@@ -0,0 +1,146 @@
+//! The control plane's program: keeps the operator's word, lists and sums what all doors need, and is the registry that
+//! clients ask where to go.
+
+mod cloud;
+mod disk;
+mod duties;
+mod office;
+mod orders;
+mod public;
+
+use disk::{Disk, Paper};
+use duties::Desk;
+use office::Office;
+use orders::Orders;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+use vanewharf_franking::summing::Summing;
+use vanewharf_franking::voter::{Sworn, Voter};
+use vanewharf_mailroom::call::{Caller, Said, listen, serve};
+use vanewharf_mailroom::clock::Steady;
+use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::program::End;
+use vanewharf_mailroom::settings::Settings;
+use vanewharf_mailroom::words::{Ballot, OfficeRow, Plea, Pull, Word};
+
+/// Calls that are under way at the end are answered.
+const LAST_ANSWERS: Duration = Duration::from_millis(600);
+
+/// The set of voters: the three seeds of the first start, for good. One that has lost its disk asks the others.
+async fn voters(settings: &Settings, sworn: Option<&Sworn>) -> Vec<SocketAddr> {
+    let seeds = || settings.seeds.iter().map(|seed| settings.office(seed.ip())).collect::<Vec<_>>();
+    match sworn {
+        Some(sworn) if !sworn.voters.is_empty() => return sworn.voters.clone(),
+        _ if settings.initial_start => return seeds(),
+        _ => {}
+    }
+    loop {
+        for seed in seeds().into_iter().filter(|seed| seed.ip() != settings.ip) {
+            let within = Duration::from_millis(500);
+            let answer = Caller::to(seed).call("GET", "/voters", "", within).await;
+            if let Ok((200, body)) = answer
+                && let Ok(voters) = serde_json::from_slice::<Vec<SocketAddr>>(&body)
+                && !voters.is_empty()
+            {
+                return voters;
+            }
+        }
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+pub async fn run(settings: Settings, end: End) -> Result<(), String> {
+    let because = |what: &str, error: std::io::Error| format!("{what}: {error}");
+    let settings = Rc::new(settings);
+    let (control, registry) = (settings.listens("control_plane"), settings.listens("directory_service"));
+    let control = control.map_err(|fault| fault.to_string())?;
+    let dir = settings.data.clone().ok_or("data_directory is missing: a postmaster needs a disk")?;
+    let found = disk::find(&dir).map_err(|error| because("the disk cannot be read", error))?;
+    for aside in &found.spoilt {
+        spdlog::warn!("a copy was torn or spoilt and is set aside: {}", aside.display());
+    }
+    let disk = Disk::start(dir, &found).map_err(|error| because("no thread for the disk", error))?;
+
+    let steady = Steady::start();
+    let feed = Feed::new(steady);
+    let me = settings.office(settings.ip);
+    let sworn: Option<Sworn> = found.paper(Paper::Sworn);
+    let voters = voters(&settings, sworn.as_ref()).await;
+    let first = settings.initial_start && found.nothing() || !voters.contains(&me);
+    if first {
+        let sworn = Sworn { ballot: Ballot(0), holder: None, voters: voters.clone() };
+        if let Err(error) = disk.save(Paper::Sworn, &sworn).await {
+            spdlog::warn!("the set of voters is not on disk: {}", error);
+        }
+    }
+    let word: Option<Word> = found.paper(Paper::Word);
+    let voter = Voter::start(sworn.as_ref().map(|sworn| sworn.ballot), word, first, steady.now());
+    let forgetful = voter.forgetful();
+    let office = Office::start(me, voters, voter, Some(disk.clone()), feed.clone());
+    if let Some(sworn) = sworn {
+        tokio::task::spawn_local(Rc::clone(&office).inquire(sworn));
+    }
+    if forgetful {
+        tokio::task::spawn_local(Rc::clone(&office).recall(disk));
+    }
+
+    let sums = Rc::new(RefCell::new(Summing::default()));
+    let row = OfficeRow { ip: settings.ip, zone: settings.zone.clone() };
+    let desk = Rc::new(Desk {
+        office: Rc::clone(&office),
+        feed: feed.clone(),
+        sums,
+        row,
+        settings: Rc::clone(&settings),
+        hosts: RefCell::default(),
+    });
+    tokio::task::spawn_local(Rc::clone(&desk).follow());
+    tokio::task::spawn_local(Rc::clone(&desk).sum());
+    tokio::task::spawn_local(Rc::clone(&desk).ask_platform());
+    tokio::task::spawn_local(Rc::clone(&desk).attest());
+    let orders = Orders::start(Rc::clone(&office), Rc::clone(&settings));
+
+    let inside = listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
+    let within = Rc::clone(&desk);
+    tokio::task::spawn_local(serve(inside, move |request| {
+        let desk = Rc::clone(&within);
+        async move { internal(&desk, &request).await }
+    }));
+    for address in [Some(control), registry.ok()].into_iter().flatten() {
+        let outside =
+            listen(address).map_err(|error| because(&format!("cannot listen on {address}"), error))?;
+        let (desk, orders) = (Rc::clone(&desk), orders.clone());
+        tokio::task::spawn_local(serve(outside, move |request| {
+            let (desk, orders) = (Rc::clone(&desk), orders.clone());
+            async move { public::dispatch(&desk, &orders, &request).await }
+        }));
+    }
+    let _ = end.await;
+    office.leave().await;
+    sleep(LAST_ANSWERS).await;
+    Ok(())
+}
+
+/// The system's own calls.
+async fn internal(desk: &Desk, request: &vanewharf_frames::Request) -> Said {
+    let unread = |error: serde_json::Error| Said::status(400, &error.to_string());
+    match (request.method(), request.target()) {
+        ("POST", "/pull") => match serde_json::from_slice::<Pull>(request.body()) {
+            Ok(pull) => Said::json(&desk.pulled(pull).await),
+            Err(error) => unread(error),
+        },
+        ("POST", "/plea") => match serde_json::from_slice::<Plea>(request.body()) {
+            Ok(plea) => Said::json(&desk.office.plead(plea).await),
+            Err(error) => unread(error),
+        },
+        ("POST", "/holds") => match serde_json::from_slice::<Ballot>(request.body()) {
+            Ok(ballot) => Said::json(&desk.office.holds_by(ballot)),
+            Err(error) => unread(error),
+        },
+        ("GET", "/voters") => Said::json(&desk.office.voters()),
+        _ => Said::status(404, "there is no such call"),
+    }
+}
--- /dev/null
+++ b/testletter/tests/whole.rs
@@ -0,0 +1,162 @@
+//! The whole system on loopback, through what it is built to live through.
+
+use serde_json::{Value, json};
+use vanewharf_testletter::http::call;
+use vanewharf_testletter::stand_ins::Manner;
+use vanewharf_testletter::town::{OFFICES, Town, config};
+
+const READ: &str = "/read/x";
+const WRITE: &str = "/write/x";
+
+fn town(doors: usize) -> Town {
+    let town = Town::start(doors, |_| {});
+    assert_eq!(town.order("POST", "/-/Configuration.Replace", &config(1, |_| {})).status(), 200);
+    (0..doors).for_each(|door| drop(town.until_status(door, READ, Some("key-a"), 200)));
+    town
+}
+
+fn replace(town: &Town, revision: u64, change: impl FnOnce(&mut Value)) -> u16 {
+    town.order("POST", "/-/Configuration.Replace", &config(revision, change)).status()
+}
+
+fn revision(town: &Town) -> String {
+    let read: Value =
+        serde_json::from_str(&town.order("GET", "/-/Configuration.Read", "").body).expect("JSON");
+    read["revision"].as_str().expect("a version").to_owned()
+}
+
+#[test]
+fn a_request_is_let_in_by_route_key_and_quota_and_reaches_one_backend() {
+    let town = town(1);
+    let status = |method, path, key| town.ask(0, method, path, key).expect("answered").status();
+    assert_eq!(status("GET", "/none/x", Some("key-a")), 404);
+    assert_eq!((status("GET", READ, None), status("GET", READ, Some("key-z"))), (401, 401));
+    let answer = town.ask_as(0, "POST", WRITE, Some("key-c"), "one").expect("answered");
+    assert_eq!((answer.status(), answer.field("Backend-Seal")), (200, Some("s.1")));
+    let ran: Vec<_> =
+        town.backends.iter().flat_map(|backend| backend.ran()).filter(|ran| ran.attempt == "one").collect();
+    assert_eq!((ran.len(), ran[0].customer.as_deref(), ran[0].key.as_deref()), (1, Some("bor"), None));
+    assert_eq!(answer.body, "i-writes-west-a", "its tenant is at home there alone");
+    // A burst of 4 at the first start, and one of them is spent.
+    let refused = town.until("the quota binds", || {
+        town.ask(0, "GET", READ, Some("key-c")).ok().filter(|answer| answer.status() == 429)
+    });
+    let wait: f64 =
+        refused.field("Retry-After").and_then(|wait| wait.parse().ok()).expect("when to come back");
+    assert!(wait > 0.0 && wait <= 1.5, "{wait}");
+    let found = town.until("doors are named", || {
+        let asked =
+            call(town.registry(1), "GET", "/-/resolution?name=shop.example&region=west&zone=west-a", &[], "");
+        asked.ok().filter(|answer| answer.status() == 200)
+    });
+    let found: Value = serde_json::from_str(&found.body).expect("JSON");
+    assert_eq!(found["addresses"], json!([town.door(0).to_string()]));
+    assert_eq!(call(town.readiness(0), "GET", "/-/readiness", &[], "").expect("answered").status(), 200);
+}
+
+#[test]
+fn what_is_invalid_is_refused_by_name_and_the_first_body_under_a_number_stays() {
+    let town = town(1);
+    let unknown = |config: &mut Value| config["routes"]["r-read"]["service"] = json!("nobody");
+    let refused = town.order("POST", "/-/Configuration.Replace", &config(2, unknown));
+    assert!(refused.status() == 400 && refused.body.contains("routes.r-read"), "{refused:?}");
+    assert_eq!(town.order("POST", "/-/Nothing", "").status(), 404);
+    assert_eq!(town.order("POST", "/-/Evacuation.Begin/nowhere", "").status(), 404);
+    assert_eq!(replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/first/")), 200);
+    assert_eq!(
+        replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/second/")),
+        200
+    );
+    assert_eq!(replace(&town, 2, |_| {}), 200, "older, and changes nothing");
+    town.until_status(0, "/first/x", Some("key-a"), 200);
+    assert_eq!(town.ask(0, "GET", "/second/x", Some("key-a")).expect("answered").status(), 404);
+    assert_eq!(revision(&town), "r3");
+}
+
+#[test]
+fn a_drain_and_an_evacuation_are_followed_and_outlast_all_processes() {
+    let mut town = town(1);
+    let shown: Vec<_> =
+        town.backends.iter().map(|backend| (backend, backend.id != "i-reads-east-a")).collect();
+    town.platform.show(&shown);
+    let to = |town: &Town, id: &str| {
+        town.ask(0, "GET", READ, Some("key-a"))
+            .is_ok_and(|answer| answer.status() == 200 && answer.body == id)
+    };
+    let all_to = |town: &Town, id: &str| (0..12).all(|_| to(town, id)).then_some(());
+    town.until("the draining one gets nothing", || all_to(&town, "i-reads-west-a"));
+    town.platform.show(&town.backends.iter().map(|backend| (backend, true)).collect::<Vec<_>>());
+    assert_eq!(town.order("POST", "/-/Evacuation.Begin/west-a", "").status(), 200);
+    town.until("the zone gets nothing", || all_to(&town, "i-reads-east-a"));
+    (0..=OFFICES).for_each(|machine| town.kill(machine));
+    (0..=OFFICES).for_each(|machine| town.boot(machine));
+    town.until_status(0, READ, Some("key-a"), 200);
+    let before = town.backends[1].ran().len();
+    // A restarted door's buckets fill from nothing, so that some are refused at first.
+    (0..12).for_each(|_| town.until("it is served elsewhere", || to(&town, "i-reads-east-a").then_some(())));
+    assert_eq!(town.backends[1].ran().len(), before);
+    assert_eq!(town.order("POST", "/-/Evacuation.Finish/west-a", "").status(), 200);
+    assert_eq!(revision(&town), "r1");
+}
+
+#[test]
+fn what_was_acknowledged_outlives_any_postmaster_and_any_disk() {
+    let mut town = town(1);
+    for (turn, lost) in [0, 1, 2, 0].into_iter().enumerate() {
+        let newer = turn as u64 + 2;
+        assert_eq!(replace(&town, newer, |_| {}), 200);
+        town.kill(lost);
+        town.wipe(lost);
+        assert_eq!(revision(&town), format!("r{newer}"), "with {lost} gone");
+        town.boot(lost);
+        // With its empty disk it answers for nothing until it has caught up: the next turn needs it to have.
+        town.until("it has caught up", || {
+            let others = (0..OFFICES).filter(|office| *office != lost);
+            let recalled = call(town.office(lost), "GET", "/-/Configuration.Read", &[], "").ok()?;
+            (matches!(recalled.status(), 200 | 307) && others.count() == 2).then_some(())
+        });
+    }
+    (0..OFFICES).for_each(|office| town.kill(office));
+    (0..OFFICES).for_each(|office| town.boot(office));
+    assert_eq!(revision(&town), "r5");
+}
+
+#[test]
+fn a_door_that_hears_nothing_lets_no_key_in_where_revocations_bind_it() {
+    let mut town = Town::start(2, |bounds| {
+        bounds["revocation_global"] = json!(true);
+        bounds["revocation"] = json!("2500ms");
+    });
+    assert_eq!(replace(&town, 1, |_| {}), 200);
+    (0..2).for_each(|door| drop(town.until_status(door, READ, Some("key-a"), 200)));
+    town.kill_sorter(0);
+    assert_eq!(replace(&town, 2, |config| config["customers"]["ana"]["access_keys"] = json!(["key-b"])), 200);
+    let refused = town.until_status(0, READ, Some("key-b"), 503);
+    assert!(refused.field("Retry-After").is_some(), "another door may serve it");
+    assert_eq!(town.ask(0, "GET", READ, Some("key-a")).expect("answered").status(), 503);
+    town.until_status(1, READ, Some("key-a"), 401);
+    assert_eq!(town.ask(1, "GET", READ, Some("key-b")).expect("answered").status(), 200);
+}
+
+#[test]
+fn what_may_have_run_is_never_sent_again_nor_promised_not_to_have() {
+    let town = town(1);
+    let be = |manner| town.backends.iter().for_each(|backend| backend.be(manner));
+    let ran = |attempt: &str| {
+        let all = town.backends.iter().flat_map(|backend| backend.ran());
+        all.filter(|ran| ran.attempt == attempt).count()
+    };
+    let post =
+        |attempt: &str| town.ask_as(0, "POST", WRITE, Some("key-a"), attempt).expect("answered").status();
+    be(Manner::LosesAnswers);
+    assert_eq!((post("lost"), ran("lost")), (502, 1));
+    be(Manner::Fails);
+    assert_eq!((post("failed"), ran("failed")), (500, 1), "the backend's own answer");
+    be(Manner::Sheds);
+    assert_eq!((post("shed"), ran("shed")), (503, 0), "it never ran");
+    be(Manner::AnswersTwice);
+    let answer = town.until("it is served again", || {
+        town.ask(0, "GET", READ, Some("key-a")).ok().filter(|answer| answer.status() == 200)
+    });
+    assert!(answer.body.starts_with("i-reads"), "not another's answer: {answer:?}");
+}
