--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -333,6 +333,9 @@
             way.sent.len() >= way.rule.tries || way.may_have_run && way.rule.kind == RouteKind::Mutating;
         let next = if spent { None } else { way.regions.pop() };
         let Some(region) = next else {
+            if let Some(tenant) = way.tenant.as_ref().filter(|_| !way.arrived) {
+                self.buckets.give_back(&tenant.name);
+            }
             self.conclude(id);
             return actions.push(Action::Decline { txn: id, retry_after: None });
         };
--- a/franking/src/quota.rs
+++ b/franking/src/quota.rs
@@ -118,6 +118,14 @@
         Ok(())
     }
 
+    /// What was let in and never sent on gives its token back.
+    pub fn give_back(&mut self, tenant: &str) {
+        if let Some(bucket) = self.buckets.get_mut(tenant) {
+            bucket.tokens += 1.0;
+            bucket.let_through = bucket.let_through.saturating_sub(1);
+        }
+    }
+
     /// A new ledger: how many doors there are, and each tenant's use and the slices that the doors hold together.
     pub fn read(&mut self, doors: u32, uses: &BTreeMap<String, Use>, quota: impl Fn(&str) -> Quota, now: At) {
         let doors = f64::from(doors.max(1));
@@ -129,7 +137,7 @@
         for name in names {
             let quota = quota(&name);
             let bucket = self.refilled(&name, quota, now);
-            let let_now = (bucket.let_through - bucket.let_before) as f64 / gap;
+            let let_now = bucket.let_through.saturating_sub(bucket.let_before) as f64 / gap;
             bucket.let_before = bucket.let_through;
             bucket.let_rate += weight * (let_now - bucket.let_rate);
             let reading = uses.get(&name).copied().unwrap_or_default();
@@ -274,6 +282,19 @@
         assert!(door.ask("free", Quota { rate: 0.0, burst: 0.0 }, START).is_ok(), "no limit");
     }
 
+    #[test]
+    fn what_was_never_sent_on_costs_nothing() {
+        let mut door = Buckets::start(0.0, true, START);
+        let small = Quota { rate: 2.0, burst: 16.0 };
+        door.read(8, &BTreeMap::new(), |_| small, START);
+        for _ in 0..20 {
+            assert!(door.ask("s", small, START).is_ok());
+            door.give_back("s");
+        }
+        assert!(door.ask("s", small, START).is_ok() && door.ask("s", small, START).is_ok());
+        assert!(door.ask("s", small, START).is_err());
+    }
+
     #[test]
     fn a_slice_below_one_request_lets_it_in_by_debt() {
         let mut door = Buckets::start(0.0, true, START);
