Lend tokens from the postmasters where doors are too many to hold a slice of each quota

A bucket lets nothing in before it was told by what quotas are divided (a fresh lender gave its whole burst; found by the loopback test). Ruled out: fewer named doors (2 Mbit/s a machine), lending beyond slices by the meter (a surge shows 2 s late).

--- a/carrier/src/gate.rs
+++ b/carrier/src/gate.rs
@@ -26,6 +26,9 @@
 pub struct Entry {
     pub rule: Rc<Rule>,
     pub tenant: Option<Rc<Tenant>>,
+    pub expiry: Tenths,
+    /// Its client has left while it waited.
+    pub left: bool,
 }
 
 /// What the gate goes by; the owner of the tables puts them here whole.
@@ -84,7 +87,7 @@
         };
         let span = left.min(rule.deadline);
         let expiry = now + Tenths((span.as_micros() / 100) as i64);
-        posted.entries.borrow_mut().insert(txn, Entry { rule, tenant });
+        posted.entries.borrow_mut().insert(txn, Entry { rule, tenant, expiry, left: false });
         Admitted::Txn(Arrival { txn, expiry, ..Arrival::default() })
     }
 }
--- /dev/null
+++ b/carrier/src/lend.rs
@@ -0,0 +1,109 @@
+//! Tokens borrowed from the nearest postmaster, where doors are too many to hold a slice of each quota: asks that wait are
+//! sent together, and each is answered, also where no postmaster answers.
+
+use crate::rounds::News;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use vanewharf::interface::TxnId;
+use vanewharf_mailroom::call::Caller;
+use vanewharf_mailroom::clock::At;
+use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::settings::Settings;
+use vanewharf_mailroom::words::Tokens;
+
+/// For one answer: across regions it takes two ways.
+pub const WITHIN: Duration = Duration::from_millis(160);
+/// A postmaster that did not answer is not asked for so long.
+const SPARED: Duration = Duration::from_secs(2);
+const MOST_AT_ONCE: usize = 64;
+
+/// One request's ask.
+pub struct Ask {
+    pub txn: TxnId,
+    pub tenant: Rc<str>,
+}
+
+pub struct Lending {
+    pub feed: Feed,
+    pub settings: Rc<Settings>,
+    pub news: mpsc::UnboundedSender<News>,
+    callers: RefCell<Vec<Caller>>,
+    spared: RefCell<BTreeMap<IpAddr, At>>,
+}
+
+impl Lending {
+    pub fn new(feed: Feed, settings: Rc<Settings>, news: mpsc::UnboundedSender<News>) -> Lending {
+        Lending { feed, settings, news, callers: RefCell::default(), spared: RefCell::default() }
+    }
+
+    pub async fn run(self: Rc<Self>, mut asks: mpsc::UnboundedReceiver<Ask>) {
+        let mut batch = Vec::new();
+        while asks.recv_many(&mut batch, MOST_AT_ONCE).await > 0 {
+            let (lending, batch) = (Rc::clone(&self), std::mem::take(&mut batch));
+            tokio::task::spawn_local(async move {
+                let given = lending.borrow(&batch).await;
+                let of = |ask: Ask, given: &mut Option<Tokens>| {
+                    let left = given.as_mut().map(|given| given.entry(ask.tenant.to_string()).or_default());
+                    let lent = left.map(|left| {
+                        let lent = *left > 0;
+                        *left -= u32::from(lent);
+                        lent
+                    });
+                    (ask.txn, lent)
+                };
+                let mut given = given;
+                let lent = batch.into_iter().map(|ask| of(ask, &mut given)).collect();
+                // Route ends with the program only.
+                let _ = lending.news.send(News::Lent(lent));
+            });
+        }
+    }
+
+    /// What was lent; nothing where nobody answered.
+    async fn borrow(&self, asks: &[Ask]) -> Option<Tokens> {
+        let mut wanted = Tokens::new();
+        for ask in asks {
+            *wanted.entry(ask.tenant.to_string()).or_default() += 1;
+        }
+        for _ in 0..2 {
+            let ip = self.nearest()?;
+            let address = self.settings.office(ip);
+            let kept = {
+                let mut callers = self.callers.borrow_mut();
+                callers.iter().position(|caller| caller.address == address).map(|at| callers.swap_remove(at))
+            };
+            let mut caller = kept.unwrap_or_else(|| Caller::to(address));
+            match caller.ask("/lend", &wanted, WITHIN).await {
+                Ok(given) => {
+                    self.callers.borrow_mut().push(caller);
+                    return Some(given);
+                }
+                Err(_) => drop(self.spared.borrow_mut().insert(ip, self.feed.now())),
+            }
+        }
+        None
+    }
+
+    fn order(&self, ip: IpAddr) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (&self.settings.name, ip).hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn nearest(&self) -> Option<IpAddr> {
+        let (now, store) = (self.feed.now(), self.feed.store());
+        let spared = self.spared.borrow();
+        let settings = &self.settings;
+        let rows = store.ledger.as_ref()?.offices.iter();
+        let open = rows.filter(|row| spared.get(&row.ip).is_none_or(|at| now.since(*at) > SPARED));
+        let far =
+            |zone: &String| (*zone != settings.zone, settings.zones.get(zone) != Some(&settings.region));
+        // Of those that are equally near, each door has its own order, so that none is everybody's first.
+        open.min_by_key(|row| (far(&row.zone), self.order(row.ip))).map(|row| row.ip)
+    }
+}
--- a/carrier/src/lib.rs
+++ b/carrier/src/lib.rs
@@ -2,11 +2,13 @@
 //! a backend that the decision module picks, and gives the answers back. The stages are the front door's own.
 
 mod gate;
+mod lend;
 mod link;
 mod rounds;
 mod tables;
 
 use gate::{Posted, Wicket};
+use lend::Lending;
 use link::{Link, Told};
 use rand::Rng;
 use rounds::{Place, Rounds};
@@ -41,6 +43,7 @@
 const ENDS_BY: f64 = 0.95;
 
 pub async fn run(settings: Settings, end: End) -> Result<(), String> {
+    let settings = Rc::new(settings);
     let frontend = settings.listens("frontend").map_err(|fault| fault.to_string())?;
     let readiness = settings.listens("readiness").map_err(|fault| fault.to_string())?;
     let (steady, life) = (Steady::start(), rand::rng().random::<u64>() >> 1);
@@ -68,19 +71,16 @@
     });
     let place =
         Place { zone: settings.zone.clone(), region: settings.region.clone(), zones: settings.zones.clone() };
-    let told_rounds = Rc::clone(&told);
-    let rounds = Rounds::start(
-        place,
-        settings.bounds.clone(),
-        Rc::clone(&posted),
-        settings.initial_start,
-        life,
-        told_rounds,
-    );
+    let (asks, asked) = mpsc::unbounded_channel();
+    let start =
+        rounds::Start { place, bounds: settings.bounds.clone(), first: settings.initial_start, seed: life };
+    let rounds = Rounds::start(start, Rc::clone(&posted), Rc::clone(&told), asks);
     let none = Listing { whole: false, entries: Vec::new() };
     let route = Route::new(Rc::clone(&shared), rounds, none, None, None);
     let (news, heard) = mpsc::unbounded_channel();
     let mut routing = tokio::task::spawn_local(route.run(noted, heard));
+    let lending = Rc::new(Lending::new(feed.clone(), Rc::clone(&settings), news.clone()));
+    tokio::task::spawn_local(lending.run(asked));
 
     let row = DoorRow {
         name: settings.name.clone(),
--- a/carrier/src/link.rs
+++ b/carrier/src/link.rs
@@ -38,7 +38,8 @@
 impl Link {
     /// Whether this door may be named to clients.
     pub fn ready(posted: &Posted, told: &Told, feed: &Feed) -> bool {
-        let known = posted.tables.borrow().is_some() && feed.store().list.is_some();
+        let known =
+            posted.tables.borrow().is_some() && feed.store().list.is_some() && feed.store().ledger.is_some();
         known && !told.ending.get() && !posted.lapsed()
     }
 
@@ -54,7 +55,13 @@
                 hosts: self.told.hosts.borrow().clone(),
             };
             let wait_ms = WAIT.as_millis() as u64;
-            let pull = Pull { have: self.feed.store().have(), wait_ms, office: None, reports: vec![report] };
+            let pull = Pull {
+                have: self.feed.store().have(),
+                wait_ms,
+                office: None,
+                lent: None,
+                reports: vec![report],
+            };
             match self.feed.pull(&mut self.sorter, &pull).await {
                 Ok(fresh) => {
                     let store = self.feed.store();
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -3,6 +3,7 @@
 //! may go, how often it may be sent on, what a cold backend may be given.
 
 use crate::gate::{Entry, Posted};
+use crate::lend::{Ask, WITHIN};
 use crate::link::Told as Reported;
 use crate::tables::{Rule, Tables, Tenant};
 use rand::rngs::SmallRng;
@@ -11,8 +12,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::mpsc;
 use vanewharf::decide::Door;
-use vanewharf::interface::*;
+use vanewharf::interface::{self as told, *};
 use vanewharf_door::note::Told;
 use vanewharf_door::relay::Final;
 use vanewharf_door::route::Decides;
@@ -30,6 +32,8 @@
     /// With the time at which it was taken.
     List(Rc<List>, At),
     Ledger(Rc<Ledger>),
+    /// For each request that waited for a token, whether it was lent; none where nobody answered.
+    Lent(Vec<(TxnId, Option<bool>)>),
 }
 
 /// One service in one region.
@@ -82,6 +86,15 @@
     pub zones: BTreeMap<String, String>,
 }
 
+/// What a carrier's decisions start from.
+pub struct Start {
+    pub place: Place,
+    pub bounds: Bounds,
+    /// The first start of all.
+    pub first: bool,
+    pub seed: u64,
+}
+
 pub struct Rounds {
     place: Place,
     bounds: Bounds,
@@ -101,6 +114,15 @@
     reported: Rc<Reported>,
     repeats: BTreeMap<Rc<str>, Repeats>,
     doors: f64,
+    /// Where postmasters lend: their number, and the asks to them.
+    lenders: Option<u32>,
+    asks: mpsc::UnboundedSender<Ask>,
+    /// Requests that wait for a token.
+    waiting: BTreeMap<TxnId, Entry>,
+    /// Tokens that were lent and not used, and until when they may be.
+    pocket: BTreeMap<Rc<str>, (u32, At)>,
+    /// What came of news, to be carried out with the next batch.
+    pending: Vec<Action>,
     /// Cold from when their evacuation ended.
     thawing: BTreeMap<String, At>,
 }
@@ -108,18 +130,19 @@
 /// Of a request's aim, the time by which the module goes. It takes a third of that for the longest that an answer may
 /// be expected to take, as where aims are many times the usual answer; here they are three times that.
 const PATIENT: f64 = 2.0;
+/// How long a token that was lent may wait in a door for its next request.
+const POCKETED: Duration = Duration::from_secs(1);
 /// The wait before a refusal by the bucket is worth another try, at least.
 const LEAST_WAIT: Duration = Duration::from_millis(50);
 
 impl Rounds {
     pub fn start(
-        place: Place,
-        bounds: Bounds,
+        start: Start,
         posted: Rc<Posted>,
-        first: bool,
-        seed: u64,
         told: Rc<Reported>,
+        asks: mpsc::UnboundedSender<Ask>,
     ) -> Rounds {
+        let Start { place, bounds, first, seed } = start;
         let steady = posted.steady;
         let buckets = Buckets::start(bounds.rate_allowance, first, steady.now());
         Rounds {
@@ -141,6 +164,11 @@
             reported: told,
             repeats: BTreeMap::new(),
             doors: 1.0,
+            lenders: None,
+            asks,
+            waiting: BTreeMap::new(),
+            pocket: BTreeMap::new(),
+            pending: Vec::new(),
             thawing: BTreeMap::new(),
         }
     }
@@ -265,17 +293,95 @@
             *entries = later;
             entry
         };
-        let Some(Entry { rule, tenant }) = entry else {
+        let Some(entry) = entry else {
             return actions.push(Action::Decline { txn: id, retry_after: None });
         };
+        self.count(&entry.rule);
         let at = self.steady.now();
-        self.count(&rule);
-        if let Some(tenant) = &tenant
+        let limited = entry.tenant.as_ref().filter(|tenant| tenant.quota.rate > 0.0).cloned();
+        if let (Some(tenant), Some(_)) = (limited, self.lenders) {
+            // One that has hardly time to wait for an answer goes by what this door has itself.
+            let pocketed = self.take_pocketed(&tenant.name, at);
+            if pocketed {
+                return self.let_in(arrival, entry, now, actions);
+            }
+            if arrival.expiry - now > tenths(WITHIN * 3) {
+                let tenant = Rc::clone(&tenant.name);
+                self.waiting.insert(id, Entry { expiry: arrival.expiry, ..entry });
+                // The asks end with the program only.
+                let _ = self.asks.send(Ask { txn: id, tenant });
+                return;
+            }
+        }
+        self.by_bucket(arrival, entry, now, actions);
+    }
+
+    /// A token that was lent to this door and is still good.
+    fn take_pocketed(&mut self, tenant: &Rc<str>, at: At) -> bool {
+        let Some((tokens, until)) = self.pocket.get_mut(tenant) else {
+            return false;
+        };
+        let good = *tokens > 0 && *until > at;
+        *tokens -= u32::from(good);
+        if *tokens == 0 || !good {
+            self.pocket.remove(tenant);
+        }
+        good
+    }
+
+    fn pocket_one(&mut self, tenant: &Rc<str>) {
+        let until = self.steady.now().after(POCKETED);
+        let (tokens, known) = self.pocket.entry(Rc::clone(tenant)).or_insert((0, until));
+        *tokens += 1;
+        *known = until;
+    }
+
+    /// What came of asks for tokens.
+    fn lent(&mut self, lent: Vec<(TxnId, Option<bool>)>, now: Tenths) {
+        let mut actions = Vec::new();
+        for (id, lent) in lent {
+            let Some(entry) = self.waiting.remove(&id) else {
+                continue;
+            };
+            let Some(tenant) = entry.tenant.clone() else {
+                continue;
+            };
+            if entry.left {
+                if lent == Some(true) {
+                    self.pocket_one(&tenant.name);
+                }
+                continue;
+            }
+            let arrival = Arrival { txn: id, expiry: entry.expiry, ..Arrival::default() };
+            match lent {
+                Some(true) => self.let_in(arrival, entry, now, &mut actions),
+                None => self.by_bucket(arrival, entry, now, &mut actions),
+                Some(false) => {
+                    let lenders = f64::from(self.lenders.unwrap_or(1));
+                    let wait = Duration::from_secs_f64(lenders / tenant.quota.rate.max(1e-3));
+                    let retry_after = Some(tenths(wait.clamp(LEAST_WAIT, Duration::from_secs(30))));
+                    actions.push(Action::Decline { txn: id, retry_after });
+                }
+            }
+        }
+        self.pending.append(&mut actions);
+    }
+
+    /// By the tenant's bucket at this door.
+    fn by_bucket(&mut self, arrival: Arrival, entry: Entry, now: Tenths, actions: &mut Vec<Action>) {
+        let (id, at) = (arrival.txn, self.steady.now());
+        let Entry { tenant, .. } = &entry;
+        if let Some(tenant) = tenant
             && let Err(wait) = self.buckets.ask(&tenant.name, tenant.quota, at)
         {
             let retry_after = Some(tenths(wait.max(LEAST_WAIT)));
             return actions.push(Action::Decline { txn: id, retry_after });
         }
+        self.let_in(arrival, entry, now, actions);
+    }
+
+    fn let_in(&mut self, arrival: Arrival, entry: Entry, now: Tenths, actions: &mut Vec<Action>) {
+        let (id, Entry { rule, tenant, .. }) = (arrival.txn, entry);
         let draw = self.chance.random::<f64>();
         let service = weighted(rule.services.iter().map(|(_, weight)| *weight), draw);
         let service = Rc::clone(&rule.services[service].0);
@@ -333,8 +439,11 @@
             way.sent.len() >= way.rule.tries || way.may_have_run && way.rule.kind == RouteKind::Mutating;
         let next = if spent { None } else { way.regions.pop() };
         let Some(region) = next else {
-            if let Some(tenant) = way.tenant.as_ref().filter(|_| !way.arrived) {
-                self.buckets.give_back(&tenant.name);
+            if let Some(tenant) = way.tenant.clone().filter(|_| !way.arrived) {
+                match self.lenders {
+                    Some(_) => self.pocket_one(&tenant.name),
+                    None => self.buckets.give_back(&tenant.name),
+                }
             }
             self.conclude(id);
             return actions.push(Action::Decline { txn: id, retry_after: None });
@@ -476,11 +585,14 @@
             }
         }
         self.buckets.tick(self.steady.now());
-        let mut actions = Vec::new();
+        let mut actions = std::mem::take(&mut self.pending);
         for event in events {
             match event {
                 Event::Arrived(arrival) => self.arrived(arrival, now, &mut actions),
                 Event::Ended(ending) => self.ended(ending, now, &mut actions),
+                Event::Left(id) if self.waiting.contains_key(&id) => {
+                    self.waiting.get_mut(&id).into_iter().for_each(|entry| entry.left = true);
+                }
                 Event::Left(id) => {
                     let key = self.ways.get(&id).and_then(|way| way.round.clone());
                     self.conclude(id);
@@ -519,7 +631,13 @@
                 *self.posted.tables.borrow_mut() = Some(tables);
             }
             News::List(list, at) => self.list = Some((list, at)),
+            News::Lent(lent) => {
+                self.lent(lent, now);
+                return None;
+            }
             News::Ledger(ledger) => {
+                self.lenders = ledger.lenders;
+                self.buckets.keep_reserve(ledger.lenders.is_some());
                 self.doors = f64::from(ledger.counted.max(1));
                 let tables = self.tables.clone();
                 let quota = |tenant: &str| {
@@ -575,7 +693,7 @@
 }
 
 /// What a round's module is told: aims, values by precedence, no quota of its own.
-fn start(classes: &[(Duration, RouteKind, u64)], warmup: Duration, seed: u64, now: Tenths) -> Start {
+fn start(classes: &[(Duration, RouteKind, u64)], warmup: Duration, seed: u64, now: Tenths) -> told::Start {
     let product = |(target, kind, precedence): &(Duration, RouteKind, u64)| Product {
         sla_time: tenths(target.mul_f64(PATIENT)),
         value: 1.0 / (1.0 + *precedence as f64),
@@ -590,7 +708,7 @@
         ceiling_rate: 0.0,
         ceiling_depth: 0.0,
     };
-    Start {
+    told::Start {
         seed,
         at: now,
         me: DoorId(0),
--- a/franking/src/quota.rs
+++ b/franking/src/quota.rs
@@ -21,6 +21,10 @@
 /// Of what the doors' slices leave of the whole, a door takes so much of its share at each reading: the others take
 /// theirs of the same before they hear of it.
 const TAKEN: f64 = 0.5;
+/// Of a quota, what doors hold where postmasters lend: for doors that reach none of them.
+const RESERVE: f64 = 0.1;
+/// When to come back to a door that was not told yet.
+const UNTOLD: Duration = Duration::from_millis(200);
 /// Seconds that a client is told to wait at most.
 const LONGEST: f64 = 30.0;
 /// A door that hears nothing for so long counts itself as cut off: the others are told of its slice no more.
@@ -45,9 +49,11 @@
     metered: f64,
 }
 
-/// All tenants' buckets at one door.
+/// All tenants' buckets at one door, or at one lender.
 #[derive(Clone, Debug)]
 pub struct Buckets {
+    /// Where postmasters lend, a door's own buckets are for when none answers: so much of the quota is left to them.
+    reserve: Option<f64>,
     /// By how many doors what all may do together is divided; the system supplies it.
     doors: f64,
     /// The whole allowance beyond a quota that the rules make, once.
@@ -57,12 +63,23 @@
     full: bool,
     buckets: BTreeMap<String, Bucket>,
     read_at: At,
+    /// Whether it was ever told by what the quotas are divided; until then nothing is let in.
+    told: bool,
 }
 
 impl Buckets {
     pub fn start(allowance: f64, full: bool, now: At) -> Buckets {
         let buckets = BTreeMap::new();
-        Buckets { doors: 1.0, allowance, started: now, full, buckets, read_at: now }
+        Buckets {
+            reserve: None,
+            doors: 1.0,
+            allowance,
+            started: now,
+            full,
+            buckets,
+            read_at: now,
+            told: false,
+        }
     }
 
     pub fn doors(&self) -> f64 {
@@ -99,11 +116,48 @@
         bucket
     }
 
+    /// Whether postmasters lend: the door's own buckets then hold a small part, by whole requests and never in debt.
+    pub fn keep_reserve(&mut self, lent: bool) {
+        if lent != self.reserve.is_some() {
+            self.reserve = lent.then_some(RESERVE);
+            self.buckets.clear();
+            (self.full, self.started) = (false, self.read_at);
+        }
+    }
+
+    /// Tokens for another, as far as they go.
+    pub fn lend(&mut self, tenant: &str, wanted: u32, quota: Quota, now: At) -> u32 {
+        (0..wanted).take_while(|_| self.ask(tenant, quota, now).is_ok()).count() as u32
+    }
+
     /// One request: spent, or when the next try is worth its while.
     pub fn ask(&mut self, tenant: &str, quota: Quota, now: At) -> Result<(), Duration> {
         if quota.rate <= 0.0 {
             return Ok(());
         }
+        if !self.told {
+            return Err(UNTOLD);
+        }
+        if let Some(part) = self.reserve {
+            let (rate, started) = (quota.rate * part / self.doors, self.started);
+            let new = Bucket {
+                slice: 0.0,
+                tokens: 0.0,
+                last: started,
+                let_through: 0,
+                let_before: 0,
+                let_rate: 0.0,
+                metered: 0.0,
+            };
+            let bucket = self.buckets.entry(tenant.to_owned()).or_insert(new);
+            bucket.tokens = (bucket.tokens + rate * now.since(bucket.last).as_secs_f64()).min(1.0);
+            bucket.last = now;
+            if bucket.tokens < 1.0 {
+                return Err(Duration::from_secs_f64(((1.0 - bucket.tokens) / rate.max(1e-3)).min(LONGEST)));
+            }
+            bucket.tokens -= 1.0;
+            return Ok(());
+        }
         let depth = quota.burst / self.doors + DEEPER * self.allowance / self.doors;
         let bucket = self.refilled(tenant, quota, now);
         // A slice whose burst is below one request would never admit it: a fair part of a full one is enough, the rest
@@ -129,6 +183,11 @@
     /// A new ledger: how many doors there are, and each tenant's use and the slices that the doors hold together.
     pub fn read(&mut self, doors: u32, uses: &BTreeMap<String, Use>, quota: impl Fn(&str) -> Quota, now: At) {
         let doors = f64::from(doors.max(1));
+        self.told = true;
+        if self.reserve.is_some() {
+            (self.doors, self.read_at) = (doors, now);
+            return;
+        }
         let even = 1.0 / doors;
         let gap = now.since(self.read_at).as_secs_f64().max(1e-3);
         let weight = 1.0 - (-gap / SPAN).exp();
--- a/franking/src/summing.rs
+++ b/franking/src/summing.rs
@@ -1,10 +1,11 @@
 //! The ledger: what the doors report, summed; doors that fall silent stay in the sums until their slices have lapsed.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::IpAddr;
 use std::time::Duration;
 use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::config::Config;
-use vanewharf_mailroom::words::{DoorRow, Ledger, OfficeRow, Report, Use, Version};
+use vanewharf_mailroom::words::{DoorRow, Ledger, Lent, OfficeRow, Report, Use, Version};
 
 /// A door is named to clients for so long after it was last heard.
 const NAMED: Duration = Duration::from_millis(1000);
@@ -14,12 +15,21 @@
 const OFFICES_KNOWN: Duration = Duration::from_secs(12);
 /// Where so many of a host's requests must go home, its clients are better sent there themselves.
 const MOSTLY: f64 = 0.6;
+/// Requests beyond quotas that a door may let in by itself: below this, postmasters lend.
+const NARROW: f64 = 1.5;
 /// A reading is averaged over at least this.
 const READING: Duration = Duration::from_millis(900);
 
 #[derive(Clone, Debug)]
 struct Heard {
     row: DoorRow,
+    counts: Counts,
+    hosts: BTreeMap<String, (u64, u64)>,
+}
+
+/// What one door or lender let through, and by which slices.
+#[derive(Clone, Debug)]
+struct Counts {
     life: u64,
     made: At,
     /// The counts that the rates are taken from, and when they were made.
@@ -28,58 +38,108 @@
     latest: BTreeMap<String, u64>,
     rates: BTreeMap<String, f64>,
     slices: BTreeMap<String, f64>,
-    hosts: BTreeMap<String, (u64, u64)>,
+}
+
+impl Counts {
+    fn new(life: u64, latest: BTreeMap<String, u64>, slices: BTreeMap<String, f64>, made: At) -> Counts {
+        let (base, rates) = (latest.clone(), BTreeMap::new());
+        Counts { life, made, base, base_at: made, latest, rates, slices }
+    }
+
+    fn hear(&mut self, life: u64, latest: BTreeMap<String, u64>, slices: BTreeMap<String, f64>, made: At) {
+        if life != self.life {
+            *self = Counts::new(life, latest, slices, made);
+            return;
+        }
+        if made <= self.made {
+            return;
+        }
+        (self.made, self.slices, self.latest) = (made, slices, latest);
+        let gap = made.since(self.base_at);
+        if gap >= READING {
+            let rate = |(name, count): (&String, &u64)| {
+                let before = self.base.get(name).copied().unwrap_or(0);
+                (name.clone(), count.saturating_sub(before) as f64 / gap.as_secs_f64())
+            };
+            self.rates = self.latest.iter().map(rate).collect();
+            (self.base, self.base_at) = (self.latest.clone(), made);
+        }
+    }
+}
+
+/// Each tenant's use and slices, summed.
+fn summed<'a>(all: impl Iterator<Item = &'a Counts> + Clone) -> BTreeMap<String, Use> {
+    let mut tenants: BTreeMap<String, Use> = BTreeMap::new();
+    for counts in all.clone() {
+        for (name, slice) in &counts.slices {
+            let sum = tenants.entry(name.clone()).or_default();
+            sum.slices += slice;
+            sum.per_s += counts.rates.get(name).copied().unwrap_or(0.0);
+        }
+    }
+    let counted = all.clone().count() as f64;
+    for (name, sum) in &mut tenants {
+        // One that has no bucket for a tenant may have one at any moment, at the even slice.
+        let without = all.clone().filter(|counts| !counts.slices.contains_key(name)).count();
+        sum.slices += without as f64 / counted;
+        // Rounded: it is sent to all doors.
+        sum.per_s = (sum.per_s * 100.0).round() / 100.0;
+        sum.slices = (sum.slices * 1000.0).round() / 1000.0;
+    }
+    tenants
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct Summing {
     doors: BTreeMap<String, Heard>,
+    lenders: BTreeMap<IpAddr, Counts>,
     offices: BTreeMap<OfficeRow, At>,
 }
 
 impl Summing {
     pub fn report(&mut self, report: Report, now: At) {
         let made = now.before(Duration::from_millis(report.age_ms));
-        let Report { door, life, let_through, slices, hosts, .. } = report;
-        let heard = self.doors.get_mut(&door.name);
-        match heard.filter(|heard| heard.life == life) {
-            Some(heard) if made > heard.made => {
-                (heard.row, heard.made, heard.slices, heard.hosts) = (door, made, slices, hosts);
-                heard.latest = let_through;
-                let gap = made.since(heard.base_at);
-                if gap >= READING {
-                    let rate = |(name, count): (&String, &u64)| {
-                        let before = heard.base.get(name).copied().unwrap_or(0);
-                        (name.clone(), count.saturating_sub(before) as f64 / gap.as_secs_f64())
-                    };
-                    heard.rates = heard.latest.iter().map(rate).collect();
-                    (heard.base, heard.base_at) = (heard.latest.clone(), made);
+        let Report { door: row, life, let_through, slices, hosts, .. } = report;
+        match self.doors.get_mut(&row.name) {
+            Some(heard) => {
+                if made > heard.counts.made || heard.counts.life != life {
+                    (heard.row, heard.hosts) = (row, hosts);
                 }
+                heard.counts.hear(life, let_through, slices, made);
             }
-            Some(_) => {}
             None => {
-                let (base, latest, rates) = (let_through.clone(), let_through, BTreeMap::new());
-                let heard =
-                    Heard { row: door, life, made, base, base_at: made, latest, rates, slices, hosts };
-                self.doors.insert(heard.row.name.clone(), heard);
+                let counts = Counts::new(life, let_through, slices, made);
+                self.doors.insert(row.name.clone(), Heard { row, counts, hosts });
             }
         }
     }
 
+    pub fn lent(&mut self, lent: Lent, now: At) {
+        let Lent { ip, life, let_through, slices } = lent;
+        match self.lenders.get_mut(&ip) {
+            Some(counts) => counts.hear(life, let_through, slices, now),
+            None => drop(self.lenders.insert(ip, Counts::new(life, let_through, slices, now))),
+        }
+    }
+
     /// What the holder before knew of the doors: those that nothing is heard of are counted all the same.
     pub fn inherit(&mut self, ledger: &Ledger, now: At) {
         for row in &ledger.doors {
             let row = DoorRow { ready: false, ..row.clone() };
-            let (slices, hosts, empty) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-            let (base, latest, rates) = (empty.clone(), empty, BTreeMap::new());
-            let heard = Heard { row, life: 0, made: now, base, base_at: now, latest, rates, slices, hosts };
+            let counts = Counts::new(0, BTreeMap::new(), BTreeMap::new(), now);
+            let heard = Heard { row, counts, hosts: BTreeMap::new() };
             self.doors.entry(heard.row.name.clone()).or_insert(heard);
         }
+        // Their slices are even until they say otherwise.
+        for office in ledger.offices.iter().filter(|_| ledger.lenders.is_some()) {
+            let counts = Counts::new(0, BTreeMap::new(), BTreeMap::new(), now);
+            self.lenders.entry(office.ip).or_insert(counts);
+        }
     }
 
     /// The doors that this process itself hears of, as they are now.
     pub fn heard(&self, now: At) -> impl Iterator<Item = &DoorRow> {
-        self.doors.values().filter(move |heard| now.since(heard.made) < NAMED).map(|heard| &heard.row)
+        self.doors.values().filter(move |heard| now.since(heard.counts.made) < NAMED).map(|heard| &heard.row)
     }
 
     pub fn office(&mut self, office: OfficeRow, now: At) {
@@ -88,38 +148,30 @@
 
     /// What this process heard itself, for the one who sums.
     pub fn reports(&self, now: At) -> Vec<Report> {
-        let fresh = self.doors.values().filter(|heard| now.since(heard.made) < NAMED);
+        let fresh = self.doors.values().filter(|heard| now.since(heard.counts.made) < NAMED);
         let told = |heard: &Heard| Report {
             door: heard.row.clone(),
-            life: heard.life,
-            age_ms: now.since(heard.made).as_millis() as u64,
-            let_through: heard.latest.clone(),
-            slices: heard.slices.clone(),
+            life: heard.counts.life,
+            age_ms: now.since(heard.counts.made).as_millis() as u64,
+            let_through: heard.counts.latest.clone(),
+            slices: heard.counts.slices.clone(),
             hosts: heard.hosts.clone(),
         };
         fresh.map(told).collect()
     }
 
-    pub fn ledger(&mut self, version: Version, now: At) -> Ledger {
-        self.doors.retain(|_, heard| now.since(heard.made) < COUNTED);
+    pub fn ledger(&mut self, version: Version, allowance: f64, now: At) -> Ledger {
+        self.doors.retain(|_, heard| now.since(heard.counts.made) < COUNTED);
         self.offices.retain(|_, heard| now.since(*heard) < OFFICES_KNOWN);
-        let mut tenants: BTreeMap<String, Use> = BTreeMap::new();
-        for heard in self.doors.values() {
-            for (name, slice) in &heard.slices {
-                let sum = tenants.entry(name.clone()).or_default();
-                sum.slices += slice;
-                sum.per_s += heard.rates.get(name).copied().unwrap_or(0.0);
-            }
-        }
-        let counted = self.doors.len() as f64;
-        for (name, sum) in &mut tenants {
-            // A door that has no bucket for a tenant may have one at any moment, at the even slice.
-            let without = self.doors.values().filter(|heard| !heard.slices.contains_key(name)).count();
-            sum.slices += without as f64 / counted;
-            // Rounded: it is sent to all doors.
-            sum.per_s = (sum.per_s * 100.0).round() / 100.0;
-            sum.slices = (sum.slices * 1000.0).round() / 1000.0;
-        }
+        self.lenders.retain(|_, counts| now.since(counts.made) < COUNTED);
+        // Where a door's part of what the rules leave is about a request, its slice lets in none, or by debts of all
+        // doors together too many.
+        let narrow = allowance / (self.doors.len() as f64) < NARROW && !self.lenders.is_empty();
+        let lenders = narrow.then_some(self.lenders.len() as u32);
+        let tenants = match lenders {
+            Some(_) => summed(self.lenders.values()),
+            None => summed(self.doors.values().map(|heard| &heard.counts)),
+        };
         let mut hosts: BTreeMap<&String, (u64, u64)> = BTreeMap::new();
         for (name, (all, homed)) in self.doors.values().flat_map(|heard| &heard.hosts) {
             let sum = hosts.entry(name).or_default();
@@ -128,7 +180,7 @@
         let mostly = hosts.into_iter().filter(|(_, (all, homed))| *homed as f64 > MOSTLY * *all as f64);
         let homed = mostly.map(|(name, _)| name.clone()).collect();
         let row = |heard: &Heard| DoorRow {
-            ready: heard.row.ready && now.since(heard.made) < NAMED,
+            ready: heard.row.ready && now.since(heard.counts.made) < NAMED,
             ..heard.row.clone()
         };
         Ledger {
@@ -136,6 +188,7 @@
             doors: self.doors.values().map(row).collect(),
             counted: self.doors.len() as u32,
             tenants,
+            lenders,
             homed,
             offices: self.offices.keys().cloned().collect::<BTreeSet<_>>(),
         }
@@ -208,16 +261,16 @@
             // Told twice, the second time late: nothing is counted again.
             sums.report(report("b", 1, 400, second * 5), at(second * 1000 + 100));
         }
-        let ledger = sums.ledger(Version::default(), at(3000));
+        let ledger = sums.ledger(Version::default(), 20.0, at(3000));
         assert_eq!(ledger.tenants["t"], Use { per_s: 15.0, slices: 1.0 });
         sums.report(report("a", 1, 0, 100), at(7000));
-        let ledger = sums.ledger(Version::default(), at(7000));
+        let ledger = sums.ledger(Version::default(), 20.0, at(7000));
         assert_eq!((ledger.counted, ledger.doors[1].ready), (2, false), "b is counted and not named");
         let doors: Vec<_> = ledger.doors.iter().collect();
         assert_eq!(resolved(&doors, "r", None, 64).len(), 1);
         assert_eq!(sums.reports(at(7000)).len(), 1);
         sums.report(report("a", 1, 0, 100), at(64_000));
-        assert_eq!(sums.ledger(Version::default(), at(64_000)).counted, 1);
+        assert_eq!(sums.ledger(Version::default(), 20.0, at(64_000)).counted, 1);
     }
 
     #[test]
@@ -246,10 +299,30 @@
         let mut sums = Summing::default();
         let hosts = [("mostly".to_owned(), (10, 7)), ("hardly".to_owned(), (10, 5))];
         sums.report(Report { hosts: hosts.into(), ..report("a", 1, 0, 0) }, START);
-        let homed = sums.ledger(Version::default(), START).homed;
+        let homed = sums.ledger(Version::default(), 20.0, START).homed;
         assert_eq!(homed.into_iter().collect::<Vec<_>>(), ["mostly"]);
     }
 
+    #[test]
+    fn where_doors_are_too_many_for_a_slice_each_the_lenders_are_summed() {
+        let mut sums = Summing::default();
+        let lent = |ip: u8, through, slice| {
+            let (let_through, slices) =
+                ([("t".to_owned(), through)].into(), [("t".to_owned(), slice)].into());
+            Lent { ip: IpAddr::from([10, 0, 0, ip]), life: 1, let_through, slices }
+        };
+        for second in 0..3 {
+            let now = START.after(Duration::from_secs(second));
+            sums.lent(lent(1, second * 8, 0.4), now);
+            sums.lent(lent(2, second * 4, 0.5), now);
+            (0..20).for_each(|door| sums.report(report(&format!("d{door}"), 1, 0, second * 100), now));
+        }
+        let ledger = sums.ledger(Version::default(), 20.0, START.after(Duration::from_secs(2)));
+        assert_eq!((ledger.lenders, ledger.tenants["t"]), (Some(2), Use { per_s: 12.0, slices: 0.9 }));
+        let ledger = sums.ledger(Version::default(), 60.0, START.after(Duration::from_secs(2)));
+        assert_eq!((ledger.lenders, ledger.tenants["t"].per_s), (None, 2000.0));
+    }
+
     #[test]
     fn a_new_life_counts_from_nothing() {
         let mut sums = Summing::default();
@@ -257,7 +330,7 @@
         sums.report(report("a", 2, 0, 3), START.after(Duration::from_secs(1)));
         sums.report(report("a", 2, 0, 13), START.after(Duration::from_secs(2)));
         assert_eq!(
-            sums.ledger(Version::default(), START.after(Duration::from_secs(2))).tenants["t"].per_s,
+            sums.ledger(Version::default(), 20.0, START.after(Duration::from_secs(2))).tenants["t"].per_s,
             10.0
         );
     }
--- a/mailroom/src/words.rs
+++ b/mailroom/src/words.rs
@@ -102,6 +102,9 @@
     /// By how many doors what all may do together is divided.
     pub counted: u32,
     pub tenants: BTreeMap<String, Use>,
+    /// By how many postmasters the tenants' quotas are divided, where doors are too many to hold a slice each: then
+    /// these hold the slices, and doors borrow. Nothing: doors hold them.
+    pub lenders: Option<u32>,
     /// Hosts most of whose requests are on routes with homes.
     pub homed: BTreeSet<String>,
     pub offices: BTreeSet<OfficeRow>,
@@ -122,6 +125,18 @@
     pub hosts: BTreeMap<String, (u64, u64)>,
 }
 
+/// What a postmaster says of the tokens that it lends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Lent {
+    pub ip: IpAddr,
+    pub life: u64,
+    pub let_through: BTreeMap<String, u64>,
+    pub slices: BTreeMap<String, f64>,
+}
+
+/// Tokens asked of a lender, or given by it, by tenant.
+pub type Tokens = BTreeMap<String, u32>;
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Pull {
     pub have: Vector,
@@ -129,6 +144,8 @@
     pub wait_ms: u64,
     /// Who pulls, where it is a postmaster.
     pub office: Option<OfficeRow>,
+    /// What that postmaster lends.
+    pub lent: Option<Lent>,
     pub reports: Vec<Report>,
 }
 
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -9,12 +9,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
+use vanewharf_franking::quota::{Buckets, Quota};
 use vanewharf_franking::summing::{Summing, homes};
 use vanewharf_mailroom::call::{Caller, Failed};
-use vanewharf_mailroom::config::Config;
+use vanewharf_mailroom::config::{Config, Customer};
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::settings::Settings;
-use vanewharf_mailroom::words::{List, Mail, OfficeRow, Pull, Version, WordNo};
+use vanewharf_mailroom::words::{Lent, List, Mail, OfficeRow, Pull, Tokens, Version, WordNo};
 
 /// A follower's pull, while nothing is new.
 const FOLLOW: Duration = Duration::from_millis(400);
@@ -34,11 +35,64 @@
     pub settings: Rc<Settings>,
     /// The homes of hosts, by the word that they were taken from.
     pub hosts: RefCell<(WordNo, Rc<Homes>)>,
+    /// The tokens that this process lends, and by which quotas.
+    pub lending: RefCell<Lending>,
+}
+
+pub struct Lending {
+    pub buckets: Buckets,
+    pub life: u64,
+    /// By the word that they were taken from.
+    pub quotas: (WordNo, BTreeMap<String, Quota>),
 }
 
 pub type Homes = BTreeMap<String, BTreeSet<String>>;
 
 impl Desk {
+    fn quotas_of(&self, lending: &mut Lending) {
+        let word = self.feed.store().word.clone();
+        if let Some(word) = word.filter(|word| word.no != lending.quotas.0) {
+            let config = word.config.as_ref().and_then(|config| Config::of(config.get().as_bytes()).ok());
+            let customers = config.and_then(|config| config.customers).unwrap_or_default().into_iter();
+            let quota = |(name, customer): (String, Customer)| {
+                (name, Quota { rate: customer.rate_per_s, burst: customer.burst_allowance })
+            };
+            lending.quotas = (word.no, customers.map(quota).collect());
+        }
+    }
+
+    /// Tokens for a door; none of a tenant that no configuration in hand knows.
+    pub fn lend(&self, wanted: Tokens) -> Tokens {
+        let (mut lending, now) = (self.lending.borrow_mut(), self.feed.now());
+        self.quotas_of(&mut lending);
+        let Lending { buckets, quotas, .. } = &mut *lending;
+        let lent = |(tenant, wanted): (String, u32)| {
+            let quota = quotas.1.get(&tenant)?;
+            let lent = buckets.lend(&tenant, wanted, *quota, now);
+            Some((tenant, lent))
+        };
+        wanted.into_iter().filter_map(lent).collect()
+    }
+
+    /// A new ledger tells how many lend, and how much.
+    fn read_ledger(&self) {
+        let ledger = self.feed.store().ledger.clone();
+        let (mut lending, now) = (self.lending.borrow_mut(), self.feed.now());
+        self.quotas_of(&mut lending);
+        let Lending { buckets, quotas, .. } = &mut *lending;
+        let none = Quota { rate: 0.0, burst: 0.0 };
+        let quota = |tenant: &str| quotas.1.get(tenant).copied().unwrap_or(none);
+        if let Some((ledger, lenders)) = ledger.as_ref().and_then(|ledger| Some((ledger, ledger.lenders?))) {
+            buckets.read(lenders, &ledger.tenants, quota, now);
+        }
+    }
+
+    fn lent(&self) -> Lent {
+        let lending = self.lending.borrow();
+        let (let_through, slices) = (lending.buckets.let_through(), lending.buckets.slices());
+        Lent { ip: self.row.ip, life: lending.life, let_through, slices }
+    }
+
     /// Where each host's clients are to go, by the word in hand.
     pub fn homes(&self) -> Rc<Homes> {
         let word = self.feed.store().word.clone();
@@ -56,6 +110,7 @@
         {
             let mut sums = self.sums.borrow_mut();
             pull.office.iter().for_each(|office| sums.office(office.clone(), now));
+            pull.lent.iter().for_each(|lent| sums.lent(lent.clone(), now));
             pull.reports.iter().for_each(|report| sums.report(report.clone(), now));
         }
         let mut mail = self.feed.answer(&pull).await;
@@ -88,6 +143,7 @@
                 have: self.feed.store().have(),
                 wait_ms: FOLLOW.as_millis() as u64,
                 office: Some(self.row.clone()),
+                lent: Some(self.lent()),
                 reports: self.sums.borrow().reports(self.feed.now()),
             };
             match self.feed.pull(caller, &pull).await {
@@ -95,6 +151,9 @@
                     if news.word {
                         self.office.adopt().await;
                     }
+                    if news.ledger {
+                        self.read_ledger();
+                    }
                     if self.feed.store().holder != Some(from) {
                         turn += 1;
                         sleep(ALONE).await;
@@ -129,11 +188,14 @@
             held = holds;
             if holds {
                 let (now, last) = (self.feed.now(), self.feed.store().have().ledger);
+                let allowance = self.settings.bounds.rate_allowance;
                 let mut sums = self.sums.borrow_mut();
                 sums.office(self.row.clone(), now);
-                let ledger = sums.ledger(self.version(last), now);
+                sums.lent(self.lent(), now);
+                let ledger = sums.ledger(self.version(last), allowance, now);
                 drop(sums);
                 self.feed.change(|store| store.set_ledger(ledger, now));
+                self.read_ledger();
             }
             sleep(SUMMED).await;
         }
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -9,7 +9,7 @@
 mod public;
 
 use disk::{Disk, Paper};
-use duties::Desk;
+use duties::{Desk, Lending};
 use office::Office;
 use orders::Orders;
 use std::cell::RefCell;
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
+use vanewharf_franking::quota::Buckets;
 use vanewharf_franking::summing::Summing;
 use vanewharf_franking::voter::{Sworn, Voter};
 use vanewharf_mailroom::call::{Caller, Said, listen, serve};
@@ -24,7 +25,7 @@
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
-use vanewharf_mailroom::words::{Ballot, OfficeRow, Plea, Pull, Word};
+use vanewharf_mailroom::words::{Ballot, OfficeRow, Plea, Pull, Tokens, Word};
 
 /// Calls that are under way at the end are answered.
 const LAST_ANSWERS: Duration = Duration::from_millis(600);
@@ -96,6 +97,11 @@
         row,
         settings: Rc::clone(&settings),
         hosts: RefCell::default(),
+        lending: RefCell::new(Lending {
+            buckets: Buckets::start(settings.bounds.rate_allowance, settings.initial_start, steady.now()),
+            life: rand::random::<u64>() >> 1,
+            quotas: Default::default(),
+        }),
     });
     tokio::task::spawn_local(Rc::clone(&desk).follow());
     tokio::task::spawn_local(Rc::clone(&desk).sum());
@@ -132,6 +138,10 @@
             Ok(pull) => Said::json(&desk.pulled(pull).await),
             Err(error) => unread(error),
         },
+        ("POST", "/lend") => match serde_json::from_slice::<Tokens>(request.body()) {
+            Ok(wanted) => Said::json(&desk.lend(wanted)),
+            Err(error) => unread(error),
+        },
         ("POST", "/plea") => match serde_json::from_slice::<Plea>(request.body()) {
             Ok(plea) => Said::json(&desk.office.plead(plea).await),
             Err(error) => unread(error),
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -93,6 +93,7 @@
             have: feed.store().have(),
             wait_ms: WAIT.as_millis() as u64,
             office: None,
+            lent: None,
             reports: report.into_iter().collect(),
         };
         match feed.pull(caller, &pull).await {
--- a/testletter/src/town.rs
+++ b/testletter/src/town.rs
@@ -129,7 +129,7 @@
         }
         platform.show(&backends.iter().map(|backend| (backend, true)).collect::<Vec<_>>());
         let mut bounds = json!({"revocation_global": false, "revocation": "5000ms", "grace_period": "2s",
-            "ttl_max": "5s", "rate_allowance": 0, "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 50,
+            "ttl_max": "5s", "rate_allowance": 20, "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 50,
             "warmup_overshoot": 1.5, "warmup_allowance": 5});
         change(&mut bounds);
         let disks = TempDir::new().expect("a folder for the disks");
--- a/testletter/tests/whole.rs
+++ b/testletter/tests/whole.rs
@@ -37,7 +37,7 @@
         town.backends.iter().flat_map(|backend| backend.ran()).filter(|ran| ran.attempt == "one").collect();
     assert_eq!((ran.len(), ran[0].customer.as_deref(), ran[0].key.as_deref()), (1, Some("bor"), None));
     assert_eq!(answer.body, "i-writes-west-a", "its tenant is at home there alone");
-    // A burst of 4 at the first start, and one of them is spent.
+    // A burst of 4 at the first start, and what the rules allow beyond it once; one is spent.
     let refused = town.until("the quota binds", || {
         town.ask(0, "GET", READ, Some("key-c")).ok().filter(|answer| answer.status() == 429)
     });
@@ -160,3 +160,21 @@
     });
     assert!(answer.body.starts_with("i-reads"), "not another's answer: {answer:?}");
 }
+
+#[test]
+fn where_doors_hold_less_than_a_request_they_borrow_and_a_dead_lender_is_passed_over() {
+    let mut town = Town::start(2, |bounds| bounds["rate_allowance"] = json!(1));
+    let quota = |config: &mut Value| config["customers"]["bor"]["burst_allowance"] = json!(30);
+    assert_eq!(replace(&town, 1, quota), 200);
+    (0..2).for_each(|door| drop(town.until_status(door, READ, Some("key-a"), 200)));
+    let served = |town: &Town| {
+        let answers =
+            (0..60).map(|no| town.ask(no % 2, "GET", READ, Some("key-c")).expect("answered").status());
+        answers.filter(|status| *status == 200).count()
+    };
+    // The lenders have 30 and a little that has refilled; no door has a slice of its own.
+    let before = served(&town);
+    assert!((8..=36).contains(&before), "{before}");
+    town.kill(0);
+    town.until("tokens refill, and the others lend them", || (served(&town) > 0).then_some(()));
+}
