Tell doors only what they go by, and take a holder's duties up at once

(3) After a loss of power doors waited up to 0.7 s for the first ledger since they need one: the holder makes it within 30 ms.

--- a/carrier/src/lend.rs
+++ b/carrier/src/lend.rs
@@ -17,7 +17,7 @@
 use vanewharf_mailroom::words::Tokens;
 
 /// For one answer: across regions it takes two ways.
-pub const WITHIN: Duration = Duration::from_millis(160);
+pub const WITHIN: Duration = Duration::from_millis(300);
 /// A postmaster that did not answer is not asked for so long.
 const SPARED: Duration = Duration::from_secs(2);
 const MOST_AT_ONCE: usize = 64;
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -305,7 +305,7 @@
             if pocketed {
                 return self.let_in(arrival, entry, now, actions);
             }
-            if arrival.expiry - now > tenths(WITHIN * 3) {
+            if arrival.expiry - now > tenths(WITHIN * 2) {
                 let tenant = Rc::clone(&tenant.name);
                 self.waiting.insert(id, Entry { expiry: arrival.expiry, ..entry });
                 // The asks end with the program only.
--- a/franking/src/quota.rs
+++ b/franking/src/quota.rs
@@ -236,10 +236,17 @@
     }
 
     pub fn let_through(&self) -> BTreeMap<String, u64> {
+        // What is lent is counted where it is lent.
+        if self.reserve.is_some() {
+            return BTreeMap::new();
+        }
         self.buckets.iter().map(|(name, bucket)| (name.clone(), bucket.let_through)).collect()
     }
 
     pub fn slices(&self) -> BTreeMap<String, f64> {
+        if self.reserve.is_some() {
+            return BTreeMap::new();
+        }
         // Rounded: it is sent once a second.
         let slice = |bucket: &Bucket| (bucket.slice * 1e4).round() / 1e4;
         self.buckets.iter().map(|(name, bucket)| (name.clone(), slice(bucket))).collect()
--- a/franking/src/summing.rs
+++ b/franking/src/summing.rs
@@ -219,6 +219,12 @@
     named
 }
 
+/// What of a ledger a door goes by; the rest is for postmasters.
+pub fn for_doors(ledger: Ledger) -> Ledger {
+    let tenants = if ledger.lenders.is_some() { BTreeMap::new() } else { ledger.tenants };
+    Ledger { doors: Vec::new(), homed: BTreeSet::new(), tenants, ..ledger }
+}
+
 /// For each host with routes that have homes, the regions in which all of its routes may be served. A host whose routes
 /// have no region in common is left out: its clients go to their own region.
 pub fn homes(config: &Config) -> BTreeMap<String, BTreeSet<String>> {
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use tokio::time::sleep;
 use vanewharf_franking::quota::{Buckets, Quota};
-use vanewharf_franking::summing::{Summing, homes};
+use vanewharf_franking::summing::{Summing, for_doors, homes};
 use vanewharf_mailroom::call::{Caller, Failed};
 use vanewharf_mailroom::config::{Config, Customer};
 use vanewharf_mailroom::feed::Feed;
@@ -20,6 +20,8 @@
 /// A follower's pull, while nothing is new.
 const FOLLOW: Duration = Duration::from_millis(400);
 const ALONE: Duration = Duration::from_millis(100);
+/// How soon a duty is taken up with the lease.
+const ALERT: Duration = Duration::from_millis(30);
 /// About a meter period.
 const SUMMED: Duration = Duration::from_millis(700);
 const ATTESTED: Duration = Duration::from_millis(80);
@@ -115,6 +117,9 @@
         }
         let mut mail = self.feed.answer(&pull).await;
         mail.holder = self.office.holder();
+        if pull.office.is_none() {
+            mail.ledger = mail.ledger.map(for_doors);
+        }
         mail
     }
 
@@ -197,7 +202,8 @@
                 self.feed.change(|store| store.set_ledger(ledger, now));
                 self.read_ledger();
             }
-            sleep(SUMMED).await;
+            // A new holder is waited for by all doors.
+            sleep(if holds { SUMMED } else { ALERT }).await;
         }
     }
 
@@ -211,7 +217,7 @@
                     false
                 });
             }
-            sleep(ATTESTED).await;
+            sleep(if self.office.holds() { ATTESTED } else { ALERT }).await;
         }
     }
 
@@ -222,7 +228,7 @@
         let mut platform = Caller::to(api.address);
         loop {
             if !self.office.holds() {
-                sleep(ALONE).await;
+                sleep(ALERT).await;
                 continue;
             }
             let asked = self.feed.now();
