--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -730,3 +730,6 @@
         most_cost: 1.0,
     }
 }
+
+#[cfg(test)]
+mod tests;
