--- a/src/decide/account.rs
+++ b/src/decide/account.rs
@@ -93,7 +93,7 @@
         }
         // Else a slice below one txn never admits it: a fair part of a full one is enough, the rest is debt.
         let needed = cost.min(ENOUGH * plan.burst * self.slice) * (1.0 + again);
-        // A quota mostly unclaimed is lent from, down to what being wrong costs; the slice is left in no debt.
+        // A quota mostly unclaimed is lent from, down to what being wrong costs; the slice is left no debt.
         let beyond = plan.beyond_cost - plan.beyond_worth;
         let kept = KEPT * (beyond.max(0.0) + again);
         let lent = self.unclaimed - cost.min(ENOUGH * plan.burst) >= kept * plan.burst;
