Let the set of voters grow to what the losses to be borne want, as part of the word

The word now names the voters; the holder adds a postmaster that follows, one at a time, kept by majorities of both sets. Ballots' low bits are of the address, as places in two sets may be alike.

--- a/carrier/src/rounds/tests.rs
+++ b/carrier/src/rounds/tests.rs
@@ -42,7 +42,7 @@
     );
     let config = Some(serde_json::from_str(&config).expect("JSON"));
     let evacuated = evacuated.iter().map(|zone| zone.to_string()).collect();
-    Rc::new(Word { ballot: Ballot(1), no: WordNo(no), config, evacuated })
+    Rc::new(Word { ballot: Ballot(1), no: WordNo(no), config, evacuated, voters: Vec::new() })
 }
 
 fn ledger(lenders: Option<u32>) -> News {
--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -6,7 +6,7 @@
 //! first; the owner does one after the other.
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::words::{Ballot, Oath, Plea, Word};
@@ -184,9 +184,26 @@
     voters / 2 + 1
 }
 
-/// A ballot above all that were seen, and no other voter's.
-pub fn above(seen: Ballot, place: usize) -> Ballot {
-    Ballot(((seen.0 >> 8) + 1) << 8 | place as u64 & 0xff)
+/// A ballot above all that were seen, and no other voter's: its low bits are of the voter's address.
+pub fn above(seen: Ballot, me: SocketAddr) -> Ballot {
+    let own = match me.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()) & OWN,
+        IpAddr::V6(ip) => ip.to_bits() as u64 & OWN,
+    };
+    Ballot((((seen.0 >> OWN_BITS) + 1) << OWN_BITS) | own)
+}
+
+const OWN_BITS: u32 = 24;
+const OWN: u64 = (1 << OWN_BITS) - 1;
+
+/// How many voters there are to be, where so many may be lost at once: enough that the rest is a majority.
+pub fn wanted(losses: u64) -> usize {
+    2 * losses.clamp(1, 4) as usize + 1
+}
+
+/// Whether those who assent are a majority of a set.
+pub fn carries<'a>(set: &[SocketAddr], assents: impl Iterator<Item = &'a SocketAddr>) -> bool {
+    assents.filter(|voter| set.contains(voter)).count() >= majority(set.len())
 }
 
 #[cfg(test)]
--- a/mailroom/src/settings.rs
+++ b/mailroom/src/settings.rs
@@ -54,6 +54,8 @@
     pub memory_mb: u64,
     pub descriptors: u64,
     pub data: Option<PathBuf>,
+    /// How many machines with a disk may be lost at once.
+    pub losses: u64,
     pub bounds: Bounds,
     pub cloud: Option<CloudApi>,
 }
@@ -113,6 +115,7 @@
             memory_mb: limits.at("memory_mb")?.count()?,
             descriptors: limits.at("file_descriptors")?.count()?,
             data,
+            losses: doc.may("fault_tolerance")?.map_or(Ok(1), |doc| doc.at("machine_losses")?.count())?,
             bounds: bounds(&doc.at("limits_table")?)?,
             cloud,
         })
--- a/mailroom/src/words.rs
+++ b/mailroom/src/words.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 
-/// Grows with each holder of a lease that a majority granted; the low byte tells voters' tries apart.
+/// Grows with each holder of a lease that a majority granted; the low bits tell voters' tries apart.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ballot(pub u64);
 
@@ -22,11 +22,20 @@
     /// Null until the first one has come.
     pub config: Option<Box<RawValue>>,
     pub evacuated: BTreeSet<String>,
+    /// Who grants leases and keeps words; none: those of the first start.
+    #[serde(default)]
+    pub voters: Vec<SocketAddr>,
 }
 
 impl Word {
     pub fn none() -> Word {
-        Word { ballot: Ballot(0), no: WordNo(0), config: None, evacuated: BTreeSet::new() }
+        Word {
+            ballot: Ballot(0),
+            no: WordNo(0),
+            config: None,
+            evacuated: BTreeSet::new(),
+            voters: Vec::new(),
+        }
     }
 
     /// Of two, the one that later holders go by.
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -3,6 +3,7 @@
 
 use crate::cloud;
 use crate::office::Office;
+use crate::orders::{Order, Orders};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use tokio::time::sleep;
 use vanewharf_franking::quota::{Buckets, Quota};
 use vanewharf_franking::summing::{Summing, for_doors, homes};
+use vanewharf_franking::voter::wanted;
 use vanewharf_mailroom::call::{Caller, Failed};
 use vanewharf_mailroom::config::{Config, Customer};
 use vanewharf_mailroom::feed::Feed;
@@ -20,6 +22,10 @@
 /// A follower's pull, while nothing is new.
 const FOLLOW: Duration = Duration::from_millis(400);
 const ALONE: Duration = Duration::from_millis(100);
+/// By then all that start together have been heard.
+const GATHERED: Duration = Duration::from_millis(1500);
+/// How often it is seen whether a voter is missing.
+const ENLARGED: Duration = Duration::from_millis(250);
 /// How soon a duty is taken up with the lease.
 const ALERT: Duration = Duration::from_millis(30);
 /// About a meter period.
@@ -184,6 +190,10 @@
 
     pub async fn sum(self: Rc<Self>) {
         let mut held = false;
+        // At the first start of all, buckets are full: nobody may divide by fewer than there are.
+        if self.settings.initial_start {
+            sleep(GATHERED).await;
+        }
         loop {
             let holds = self.office.holds();
             if holds && !std::mem::replace(&mut held, holds) {
@@ -221,6 +231,23 @@
         }
     }
 
+    /// While there are fewer voters than the losses to be borne want, one that follows is made a voter.
+    pub async fn enlarge(self: Rc<Self>, orders: Orders) {
+        loop {
+            sleep(ENLARGED).await;
+            let voters = self.office.voters();
+            if !self.office.holds() || voters.len() >= wanted(self.settings.losses) {
+                continue;
+            }
+            let rows =
+                self.feed.store().ledger.as_ref().map(|ledger| ledger.offices.clone()).unwrap_or_default();
+            let offices = rows.into_iter().map(|row| self.settings.office(row.ip));
+            if let Some(voter) = offices.into_iter().find(|office| !voters.contains(office)) {
+                orders.give(Order::Enlarge { voter }).await;
+            }
+        }
+    }
+
     pub async fn ask_platform(self: Rc<Self>) {
         let Some(api) = &self.settings.cloud else {
             return;
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -108,6 +108,7 @@
     tokio::task::spawn_local(Rc::clone(&desk).ask_platform());
     tokio::task::spawn_local(Rc::clone(&desk).attest());
     let orders = Orders::start(Rc::clone(&office), Rc::clone(&settings));
+    tokio::task::spawn_local(Rc::clone(&desk).enlarge(orders.clone()));
 
     let inside = listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
     let within = Rc::clone(&desk);
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -4,13 +4,15 @@
 use crate::disk::{Disk, Paper};
 use rand::Rng;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use vanewharf_franking::voter::{MARGIN, RENEWED, Save, Sworn, TERM, Voter, above, majority, recalled};
+use vanewharf_franking::voter::{
+    MARGIN, RENEWED, Save, Sworn, TERM, Voter, above, carries, majority, recalled,
+};
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::feed::Feed;
@@ -30,6 +32,12 @@
 
 type Pleas = mpsc::UnboundedSender<(Plea, oneshot::Sender<Oath>)>;
 
+/// Those who assented.
+fn assents(oaths: &[(SocketAddr, Oath)]) -> impl Iterator<Item = &SocketAddr> {
+    let yes = oaths.iter().filter(|(_, oath)| matches!(oath, Oath::Granted { .. } | Oath::Kept));
+    yes.map(|(voter, _)| voter)
+}
+
 /// A lease in hand.
 #[derive(Clone, Copy, Debug)]
 struct Term {
@@ -45,7 +53,8 @@
     pub feed: Feed,
     steady: Steady,
     voter: RefCell<Voter>,
-    voters: RefCell<Vec<SocketAddr>>,
+    /// The voters of the first start.
+    founders: Vec<SocketAddr>,
     pleas: Pleas,
     term: Cell<Option<Term>>,
     callers: RefCell<BTreeMap<SocketAddr, Vec<Caller>>>,
@@ -69,7 +78,7 @@
             feed,
             steady,
             voter: RefCell::new(voter),
-            voters: RefCell::new(voters),
+            founders: voters,
             pleas,
             term: Cell::new(None),
             callers: RefCell::default(),
@@ -85,8 +94,15 @@
         self.steady.now()
     }
 
+    /// By the newest word that this process has, settled or not.
     pub fn voters(&self) -> Vec<SocketAddr> {
-        self.voters.borrow().clone()
+        let (voter, store) = (self.voter.borrow(), self.feed.store());
+        let settled = store.word.as_deref().filter(|word| word.rank() > voter.word().rank());
+        self.voters_of(settled.unwrap_or(voter.word()))
+    }
+
+    fn voters_of(&self, word: &Word) -> Vec<SocketAddr> {
+        if word.voters.is_empty() { self.founders.clone() } else { word.voters.clone() }
     }
 
     /// Whether this process holds the lease now and may act by it.
@@ -137,7 +153,7 @@
         };
         match save {
             Save::Ballot(ballot, holder) => {
-                let sworn = Sworn { ballot: *ballot, holder: Some(*holder), voters: self.voters() };
+                let sworn = Sworn { ballot: *ballot, holder: Some(*holder), voters: self.founders.clone() };
                 disk.save(Paper::Sworn, &sworn).await
             }
             Save::Word(word) => disk.save(Paper::Word, word).await,
@@ -166,29 +182,29 @@
         oath
     }
 
-    /// Asks all voters at once; ends with a majority's assent, or when all have spoken.
-    async fn poll(self: &Rc<Self>, plea: Plea, within: Duration) -> (usize, Vec<Oath>) {
-        let voters = self.voters();
+    /// Asks these voters at once; ends with a majority's assent, or when all have spoken.
+    async fn poll(
+        self: &Rc<Self>,
+        voters: &[SocketAddr],
+        plea: Plea,
+        within: Duration,
+    ) -> Vec<(SocketAddr, Oath)> {
         let (said, mut oaths) = mpsc::unbounded_channel();
-        for &voter in &voters {
+        for &voter in voters {
             let (office, plea, said) = (Rc::clone(self), plea.clone(), said.clone());
             tokio::task::spawn_local(async move {
-                let _ = said.send(office.ask(voter, &plea, within).await);
+                let _ = said.send((voter, office.ask(voter, &plea, within).await));
             });
         }
         drop(said);
-        let (mut assents, mut all) = (0, Vec::new());
-        while let Some(oath) = oaths.recv().await {
-            let Some(oath) = oath else {
-                continue;
-            };
-            assents += usize::from(matches!(oath, Oath::Granted { .. } | Oath::Kept));
-            all.push(oath);
-            if assents >= majority(voters.len()) {
+        let mut all = Vec::new();
+        while let Some((voter, oath)) = oaths.recv().await {
+            all.extend(oath.map(|oath| (voter, oath)));
+            if carries(voters, assents(&all)) {
                 break;
             }
         }
-        (assents, all)
+        all
     }
 
     /// Tries for the lease whenever nobody holds it.
@@ -209,29 +225,45 @@
             if !self.voter.borrow().vacant(self.now()) {
                 continue;
             }
-            let ballot = above(seen.max(self.voter.borrow().sworn()), place);
+            let ballot = above(seen.max(self.voter.borrow().sworn()), self.me);
             let asked = self.now();
-            let (granted, oaths) = self.poll(Plea::Lease { ballot, holder: self.me }, QUICK).await;
-            let refused = oaths.iter().filter_map(|oath| match oath {
+            let plea = Plea::Lease { ballot, holder: self.me };
+            let mut set = self.voters();
+            let mut oaths = self.poll(&set, plea.clone(), QUICK).await;
+            let newest = |oaths: &[(SocketAddr, Oath)]| {
+                let words = oaths.iter().filter_map(|(_, oath)| match oath {
+                    Oath::Granted { word } => Some(word),
+                    _ => None,
+                });
+                words.max_by_key(|word| word.rank()).cloned().unwrap_or_else(Word::none)
+            };
+            let mut found = newest(&oaths);
+            // The word that is found may have other voters: their majority is needed, too.
+            while carries(&set, assents(&oaths)) && self.voters_of(&found) != set {
+                set = self.voters_of(&found);
+                let others: Vec<_> = set
+                    .iter()
+                    .copied()
+                    .filter(|voter| !oaths.iter().any(|(asked, _)| asked == voter))
+                    .collect();
+                oaths.extend(self.poll(&others, plea.clone(), QUICK).await);
+                found = newest(&oaths);
+            }
+            let refused = oaths.iter().filter_map(|(_, oath)| match oath {
                 Oath::Refused { sworn, .. } => Some(*sworn),
                 _ => None,
             });
             seen = refused.max().unwrap_or_default().max(seen);
-            if granted < majority(self.voters().len()) {
-                self.poll(Plea::Release { ballot }, QUICK).await;
+            if !carries(&set, assents(&oaths)) {
+                self.poll(&set, Plea::Release { ballot }, QUICK).await;
                 sleep(Duration::from_millis(rand::rng().random_range(50..250))).await;
                 continue;
             }
-            let words = oaths.into_iter().filter_map(|oath| match oath {
-                Oath::Granted { word } => Some(word),
-                _ => None,
-            });
-            let found = words.max_by_key(Word::rank).unwrap_or_else(Word::none);
             self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled: false }));
             self.hold(ballot, found).await;
             self.term.set(None);
             spdlog::info!("the lease under ballot {} has ended", ballot.0);
-            self.poll(Plea::Release { ballot }, QUICK).await;
+            self.poll(&self.voters(), Plea::Release { ballot }, QUICK).await;
         }
     }
 
@@ -254,9 +286,10 @@
                 break;
             }
             let asked = self.now();
-            let (kept, oaths) = self.poll(Plea::Renew { ballot, holder: self.me }, QUICK).await;
-            let higher = |oath: &Oath| matches!(oath, Oath::Refused { sworn, .. } if *sworn > ballot);
-            if kept >= majority(self.voters().len()) {
+            let set = self.voters();
+            let oaths = self.poll(&set, Plea::Renew { ballot, holder: self.me }, QUICK).await;
+            let higher = |(_, oath): &(SocketAddr, Oath)| matches!(oath, Oath::Refused { sworn, .. } if *sworn > ballot);
+            if carries(&set, assents(&oaths)) {
                 let settled = self.term.get().is_some_and(|term| term.settled);
                 self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled }));
             } else if oaths.iter().any(higher) {
@@ -282,9 +315,11 @@
         });
     }
 
-    /// Whether a majority has it on disk; tried again and again until then, or the lease ends.
+    /// Whether a majority has it on disk, of the voters before it and of those that it names; tried again and again
+    /// until then, or the lease ends.
     async fn kept(self: &Rc<Self>, word: &Word) -> bool {
-        let voters = self.voters();
+        let (before, after) = (self.voters(), self.voters_of(word));
+        let voters: BTreeSet<_> = before.iter().chain(&after).copied().collect();
         let (said, mut oaths) = mpsc::unbounded_channel();
         let mut trying = Vec::new();
         for &voter in &voters {
@@ -300,19 +335,27 @@
                         }
                     };
                     // Where nobody counts any more it is known already.
-                    let _ = said.send(kept);
+                    let _ = said.send((voter, kept));
                     return;
                 }
             }));
         }
         drop(said);
-        let wanted = majority(voters.len());
-        let (mut kept, mut refused) = (0, 0);
+        let (mut kept, mut refused) = (BTreeSet::new(), BTreeSet::new());
+        let carried =
+            |kept: &BTreeSet<SocketAddr>| carries(&before, kept.iter()) && carries(&after, kept.iter());
         let counting = async {
-            while let Some(yes) = oaths.recv().await {
-                kept += usize::from(yes);
-                refused += usize::from(!yes);
-                if kept >= wanted || refused > voters.len() - wanted {
+            while let Some((voter, yes)) = oaths.recv().await {
+                if yes {
+                    kept.insert(voter)
+                } else {
+                    refused.insert(voter)
+                };
+                let hopeless = |set: &[SocketAddr]| {
+                    let against = set.iter().filter(|voter| refused.contains(voter)).count();
+                    against > set.len() - majority(set.len())
+                };
+                if carried(&kept) || hopeless(&before) || hopeless(&after) {
                     break;
                 }
             }
@@ -323,7 +366,7 @@
             sleep(SLOW).await;
             trying.iter().for_each(tokio::task::JoinHandle::abort);
         });
-        kept >= wanted
+        carried(&kept)
     }
 
     /// Makes a word the one in force; false where it is not certain to be.
@@ -343,6 +386,18 @@
         true
     }
 
+    /// Another voter, where there are fewer than are wanted and this one follows.
+    pub async fn enlarge(self: &Rc<Self>, one: SocketAddr) -> bool {
+        let mut voters = self.voters();
+        voters.push(one);
+        voters.sort_unstable();
+        let enlarged = self.acknowledge(|word| Word { voters, ..word.clone() }).await;
+        if enlarged {
+            spdlog::info!("{} is a voter now", one);
+        }
+        enlarged
+    }
+
     /// What the holder made known is kept here too, where it is newer than what this disk has.
     pub async fn adopt(&self) {
         let word = self.feed.store().word.clone();
@@ -356,7 +411,7 @@
     pub async fn leave(self: &Rc<Self>) {
         self.leaving.set(true);
         if let Some(term) = self.term.take() {
-            self.poll(Plea::Release { ballot: term.ballot }, QUICK).await;
+            self.poll(&self.voters(), Plea::Release { ballot: term.ballot }, QUICK).await;
         }
     }
 
@@ -399,7 +454,7 @@
             }
             if told.len() >= majority(self.voters().len()) {
                 let (ballot, word) = recalled(told);
-                let sworn = Sworn { ballot, holder: None, voters: self.voters() };
+                let sworn = Sworn { ballot, holder: None, voters: self.founders.clone() };
                 while !(disk.save(Paper::Word, &word).await.is_ok()
                     && disk.save(Paper::Sworn, &sworn).await.is_ok())
                 {
--- a/postmaster/src/orders.rs
+++ b/postmaster/src/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::office::Office;
 use serde_json::value::RawValue;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
 use vanewharf_mailroom::config::{Config, Revision};
@@ -10,8 +11,18 @@
 
 #[derive(Debug)]
 pub enum Order {
-    Replace { revision: Revision, config: Box<RawValue> },
-    Evacuate { zone: String, begin: bool },
+    /// Not an operator's: the system's own set of voters grows by one.
+    Enlarge {
+        voter: SocketAddr,
+    },
+    Replace {
+        revision: Revision,
+        config: Box<RawValue>,
+    },
+    Evacuate {
+        zone: String,
+        begin: bool,
+    },
     Read,
 }
 
@@ -78,6 +89,7 @@
             }
             office.acknowledge(|word| Word { config: Some(config), ..word.clone() }).await
         }
+        Order::Enlarge { voter } => office.voters().contains(&voter) || office.enlarge(voter).await,
         Order::Evacuate { zone, begin } => {
             if word.is_some_and(|word| word.evacuated.contains(&zone)) == begin {
                 return if office.holds() { Done::Acknowledged } else { Done::NotHere };
--- a/testletter/src/town.rs
+++ b/testletter/src/town.rs
@@ -96,6 +96,7 @@
     net: [u8; 2],
     bounds: Value,
     first: bool,
+    offices: usize,
 }
 
 /// The postmasters, and the doors after them.
@@ -105,17 +106,22 @@
 impl Town {
     /// Three postmasters and so many doors, in two zones; each zone has a backend of each of two services.
     pub fn start(doors: usize, change: impl FnOnce(&mut Value)) -> Town {
+        Town::sized(OFFICES, doors, change)
+    }
+
+    /// With so many postmasters, of which a minority may be lost at once.
+    pub fn sized(offices: usize, doors: usize, change: impl FnOnce(&mut Value)) -> Town {
         let net = [rand::rng().random_range(1..250), rand::rng().random_range(1..250)];
         let ip = |host: usize| IpAddr::from([127, net[0], net[1], host as u8]);
         let mut machines = Vec::new();
-        for no in 0..OFFICES + doors {
-            let programs = if no < OFFICES {
+        for no in 0..offices + doors {
+            let programs = if no < offices {
                 vec![(Program::Postmaster, None)]
             } else {
                 vec![(Program::Sorter, None), (Program::Carrier, None)]
             };
             let name =
-                if no < OFFICES { format!("central-{no}") } else { format!("frontend-{}", no - OFFICES) };
+                if no < offices { format!("central-{no}") } else { format!("frontend-{}", no - offices) };
             machines.push(Machine { name, ip: ip(no + 1), zone: ZONES[no % 2].0, programs });
         }
         let platform = Platform::start(ip(100));
@@ -133,7 +139,7 @@
             "warmup_overshoot": 1.5, "warmup_allowance": 5});
         change(&mut bounds);
         let disks = TempDir::new().expect("a folder for the disks");
-        let mut town = Town { machines, platform, backends, disks, net, bounds, first: true };
+        let mut town = Town { machines, platform, backends, disks, net, bounds, first: true, offices };
         (0..town.machines.len()).for_each(|no| town.boot(no));
         town.first = false;
         town
@@ -155,6 +161,7 @@
             "initial_start": self.first, "limits": {"memory_mb": 200, "file_descriptors": 1024},
             "data_directory": office.then(|| self.disk(machine).to_string_lossy().into_owned()),
             "limits_table": self.bounds,
+            "fault_tolerance": {"machine_losses": (self.offices - 1) / 2, "zones": 0, "region_losses": 0},
             "cloud_api": {"address": self.platform.address.to_string(), "rate_per_s": 20.0, "allowed_lag": "500ms"},
             "a_field_of_tomorrow": 1});
         Settings::of(text.to_string().as_bytes()).expect("settings that can be read")
@@ -166,7 +173,7 @@
 
     /// Starts what is not running on a machine.
     pub fn boot(&mut self, no: usize) {
-        let settings = self.settings(&self.machines[no], no < OFFICES);
+        let settings = self.settings(&self.machines[no], no < self.offices);
         for (program, running) in &mut self.machines[no].programs {
             running.get_or_insert_with(|| Running::start(*program, settings.clone()));
         }
@@ -179,7 +186,7 @@
 
     /// The agent alone: its carrier hears nothing any more.
     pub fn kill_sorter(&mut self, door: usize) {
-        let programs = &mut self.machines[OFFICES + door].programs;
+        let programs = &mut self.machines[self.offices + door].programs;
         programs
             .iter_mut()
             .filter(|(program, _)| *program == Program::Sorter)
@@ -191,16 +198,21 @@
         std::fs::remove_dir_all(path).expect("there was a disk");
     }
 
+    /// Where the system's own calls go.
+    pub fn inside(&self, no: usize) -> SocketAddr {
+        SocketAddr::new(self.machines[no].ip, 7600)
+    }
+
     pub fn office(&self, no: usize) -> SocketAddr {
         SocketAddr::new(self.machines[no].ip, CONTROL)
     }
 
     pub fn door(&self, no: usize) -> SocketAddr {
-        SocketAddr::new(self.machines[OFFICES + no].ip, FRONTEND)
+        SocketAddr::new(self.machines[self.offices + no].ip, FRONTEND)
     }
 
     pub fn readiness(&self, no: usize) -> SocketAddr {
-        SocketAddr::new(self.machines[OFFICES + no].ip, READINESS)
+        SocketAddr::new(self.machines[self.offices + no].ip, READINESS)
     }
 
     pub fn registry(&self, no: usize) -> SocketAddr {
@@ -210,7 +222,7 @@
     /// As an operator does: any postmaster, two redirections, and on after a 5xx or silence until it is clear.
     pub fn order(&self, method: &str, path: &str, body: &str) -> Message {
         self.until("an order is answered", || {
-            for no in 0..OFFICES {
+            for no in 0..self.offices {
                 let mut answer = http::call(self.office(no), method, path, &[], body);
                 for _ in 0..2 {
                     let there = answer.as_ref().ok().filter(|answer| answer.status() == 307);
--- a/testletter/tests/whole.rs
+++ b/testletter/tests/whole.rs
@@ -178,3 +178,29 @@
     town.kill(0);
     town.until("tokens refill, and the others lend them", || (served(&town) > 0).then_some(()));
 }
+
+#[test]
+fn of_five_postmasters_any_two_may_go_with_their_disks() {
+    let mut town = Town::sized(5, 1, |_| {});
+    assert_eq!(replace(&town, 1, |_| {}), 200);
+    for (turn, lost) in [[0, 1], [3, 4], [2, 0]].into_iter().enumerate() {
+        // Three are told at the first start; the others become voters one by one, and those with empty disks recall.
+        let votes = |office: usize| {
+            let told = call(town.inside(office), "GET", "/voters", &[], "").ok()?;
+            let told: Vec<String> = serde_json::from_str(&told.body).ok()?;
+            let recalls = call(town.inside(office), "POST", "/plea", &[], r#""Recall""#).ok()?;
+            (told.len() == 5 && recalls.body.contains("Told")).then_some(())
+        };
+        town.until("all five are voters", || (0..5).all(|office| votes(office).is_some()).then_some(()));
+        let newer = 10 * (turn as u64 + 1);
+        assert_eq!(replace(&town, newer, |_| {}), 200);
+        for lost in lost {
+            town.kill(lost);
+            town.wipe(lost);
+        }
+        assert_eq!(revision(&town), format!("r{newer}"), "with {lost:?} gone");
+        assert_eq!(replace(&town, newer + 1, |_| {}), 200, "the rest is a majority");
+        lost.into_iter().for_each(|lost| town.boot(lost));
+        assert_eq!(revision(&town), format!("r{}", newer + 1));
+    }
+}
