Let doors know a few of each other, and hear through a neighbour where no postmaster answers

Sorters pull from a neighbour and have their reports passed on. Kept for doors that clients cannot leave.

--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod allowance;
 pub mod quota;
 pub mod summing;
+pub mod view;
 pub mod voter;
--- a/mailroom/src/words.rs
+++ b/mailroom/src/words.rs
@@ -134,6 +134,15 @@
     pub hosts: BTreeMap<String, (u64, u64)>,
 }
 
+/// A frontend door, as another one knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Neighbour {
+    pub ip: IpAddr,
+    pub region: String,
+    /// How long ago it was last heard of.
+    pub heard_ms: u64,
+}
+
 /// What a postmaster says of the tokens that it lends.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Lent {
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -4,6 +4,7 @@
 use crate::cloud;
 use crate::office::Office;
 use crate::orders::{Order, Orders};
+use rand::seq::SliceRandom;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,7 +18,9 @@
 use vanewharf_mailroom::config::{Config, Customer};
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::settings::Settings;
-use vanewharf_mailroom::words::{Lent, List, Mail, OfficeRow, Pull, Tokens, Version, WordNo};
+use vanewharf_mailroom::words::{
+    DoorRow, Lent, List, Mail, Neighbour, OfficeRow, Pull, Tokens, Version, WordNo,
+};
 
 /// A follower's pull, while nothing is new.
 const FOLLOW: Duration = Duration::from_millis(400);
@@ -26,6 +29,8 @@
 const GATHERED: Duration = Duration::from_millis(1500);
 /// How often it is seen whether a voter is missing.
 const ENLARGED: Duration = Duration::from_millis(250);
+/// How many doors one that knows none is told of.
+const NEIGHBOURS: usize = 4;
 /// How soon a duty is taken up with the lease.
 const ALERT: Duration = Duration::from_millis(30);
 /// About a meter period.
@@ -95,6 +100,16 @@
         }
     }
 
+    /// A few of the doors that this process hears, for one that knows no other.
+    pub fn neighbours(&self) -> Vec<Neighbour> {
+        let (now, sums) = (self.feed.now(), self.sums.borrow());
+        let mut heard: Vec<_> = sums.heard(now).collect();
+        heard.shuffle(&mut rand::rng());
+        let of =
+            |door: &DoorRow| Neighbour { ip: door.address.ip(), region: door.region.clone(), heard_ms: 0 };
+        heard.into_iter().take(NEIGHBOURS).map(of).collect()
+    }
+
     fn lent(&self) -> Lent {
         let lending = self.lending.borrow();
         let (let_through, slices) = (lending.buckets.let_through(), lending.buckets.slices());
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -151,6 +151,7 @@
             Ok(ballot) => Said::json(&desk.office.holds_by(ballot)),
             Err(error) => unread(error),
         },
+        ("GET", "/neighbours") => Said::json(&desk.neighbours()),
         ("GET", "/voters") => Said::json(&desk.office.voters()),
         _ => Said::status(404, "there is no such call"),
     }
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -1,18 +1,21 @@
 //! The agent beside a carrier, on its machine: keeps the link to the control plane, pulls what is new and feeds the
-//! carrier over loopback; carries the carrier's reports the other way.
+//! carrier over loopback; carries the carrier's reports the other way. Where no postmaster answers it hears through neighbours.
 
+use rand::Rng;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
+use vanewharf_frames::Request;
+use vanewharf_franking::view::View;
 use vanewharf_mailroom::call::{Caller, Said, listen, serve};
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
-use vanewharf_mailroom::words::{Pull, Report};
+use vanewharf_mailroom::words::{Neighbour, Pull, Report};
 
 /// How long a pull waits for news.
 const WAIT: Duration = Duration::from_millis(300);
@@ -26,8 +29,16 @@
 /// A carrier that ends is fed for this much of the grace that a process is given.
 const FEEDS_ON: f64 = 0.9;
 
+/// How often the view is shuffled, and how long a neighbour is waited for.
+const SHUFFLED: Duration = Duration::from_millis(1800);
+const BESIDE: Duration = Duration::from_millis(400);
+/// Other doors' reports that are passed on.
+const MOST_RELAYED: usize = 8;
+
 /// The carrier's last report, and when it was made.
 type Last = Rc<RefCell<Option<(Report, At)>>>;
+/// Reports of doors that reach no postmaster, by name.
+type Relayed = Rc<RefCell<BTreeMap<String, (Report, At)>>>;
 
 pub async fn run(settings: Settings, end: End) -> Result<(), String> {
     let (feed, last) = (Feed::new(Steady::start()), Last::default());
@@ -53,48 +64,136 @@
             }
         }
     }));
+    let view = Rc::new(RefCell::new(View::of(settings.ip, &settings.region)));
+    let beside = settings.neighbour(settings.ip);
+    let listener = listen(beside).map_err(|error| format!("cannot listen on {beside}: {error}"))?;
+    let relayed = Relayed::default();
+    let (fed, known, kept) = (feed.clone(), Rc::clone(&view), Rc::clone(&relayed));
+    tokio::task::spawn_local(serve(listener, move |request| {
+        let (feed, view, relayed) = (fed.clone(), Rc::clone(&known), Rc::clone(&kept));
+        async move { beside_calls(&feed, &view, &relayed, &request).await }
+    }));
     let grace = settings.bounds.grace;
-    tokio::task::spawn_local(keep_pulling(settings, feed, last));
+    let settings = Rc::new(settings);
+    tokio::task::spawn_local(shuffle(Rc::clone(&settings), feed.clone(), Rc::clone(&view)));
+    tokio::task::spawn_local(keep_pulling(settings, feed, last, view, relayed));
     let _ = end.await;
     sleep(grace.mul_f64(FEEDS_ON)).await;
     Ok(())
 }
 
-/// From the nearest postmaster that answers: first in this zone, then in this region, then anywhere.
-async fn keep_pulling(settings: Settings, feed: Feed, last: Last) {
-    let (mut from, mut failed): (Option<Caller>, BTreeMap<IpAddr, At>) = (None, BTreeMap::new());
-    let mut behind: BTreeMap<IpAddr, At> = BTreeMap::new();
+/// Calls of other doors.
+async fn beside_calls(feed: &Feed, view: &RefCell<View>, relayed: &Relayed, request: &Request) -> Said {
+    match (request.method(), request.target()) {
+        ("POST", "/shuffle") => match serde_json::from_slice::<Vec<Neighbour>>(request.body()) {
+            Ok(told) => {
+                let now = feed.now();
+                let mine = view.borrow().told(rand::rng().random_range(0..1 << 16), now);
+                view.borrow_mut().merge(&told, now);
+                Said::json(&mine)
+            }
+            Err(error) => Said::status(400, &error.to_string()),
+        },
+        ("POST", "/pull") => match serde_json::from_slice::<Pull>(request.body()) {
+            Ok(pull) => {
+                let now = feed.now();
+                {
+                    let mut relayed = relayed.borrow_mut();
+                    relayed.retain(|_, (_, made)| now.since(*made) < STALE);
+                    for report in pull.reports.iter().take(MOST_RELAYED.saturating_sub(relayed.len())) {
+                        let made = now.before(Duration::from_millis(report.age_ms));
+                        relayed.insert(report.door.name.clone(), (report.clone(), made));
+                    }
+                }
+                Said::json(&feed.answer(&pull).await)
+            }
+            Err(error) => Said::status(400, &error.to_string()),
+        },
+        _ => Said::status(404, "there is no such call"),
+    }
+}
+
+/// Now and then the view is told to one of the doors in it, and that one's view heard.
+async fn shuffle(settings: Rc<Settings>, feed: Feed, view: Rc<RefCell<View>>) {
+    loop {
+        let draw: usize = rand::rng().random_range(0..1 << 16);
+        sleep(SHUFFLED + Duration::from_millis(draw as u64 % 400)).await;
+        let first = view.borrow().order(draw).first().copied();
+        let now = feed.now();
+        match first {
+            Some(ip) => {
+                let told = view.borrow().told(draw, now);
+                let mut there = Caller::to(settings.neighbour(ip));
+                match there.ask::<_, Vec<Neighbour>>("/shuffle", &told, BESIDE).await {
+                    Ok(heard) => view.borrow_mut().merge(&heard, feed.now()),
+                    Err(_) => view.borrow_mut().lost(ip),
+                }
+            }
+            // It knows no door: a postmaster names some.
+            None => {
+                for ip in known(&settings, &feed) {
+                    let called = Caller::to(settings.office(ip)).call("GET", "/neighbours", "", BESIDE).await;
+                    if let Ok((200, body)) = called
+                        && let Ok(heard) = serde_json::from_slice::<Vec<Neighbour>>(&body)
+                    {
+                        view.borrow_mut().merge(&heard, feed.now());
+                        break;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// From the nearest postmaster that answers and is up to date; where there is none, from a neighbour that is; else from
+/// a postmaster that is behind: clients hear of this door through it.
+async fn keep_pulling(
+    settings: Rc<Settings>,
+    feed: Feed,
+    last: Last,
+    view: Rc<RefCell<View>>,
+    relayed: Relayed,
+) {
+    let mut from: Option<Caller> = None;
+    let (mut failed, mut behind): (BTreeMap<SocketAddr, At>, BTreeMap<SocketAddr, At>) = Default::default();
     loop {
-        let offices = known(&settings, &feed);
         let now = feed.now();
         failed.retain(|_, at| now.since(*at) < SPARED);
         behind.retain(|_, at| now.since(*at) < SPARED);
-        let answers = |ip: &&IpAddr| !failed.contains_key(ip);
-        // One that answers, though it knows nothing new, is better than none: clients hear of this door through it.
-        let best = offices.iter().filter(answers).find(|ip| !behind.contains_key(ip));
+        let offices: Vec<_> = known(&settings, &feed).into_iter().map(|ip| settings.office(ip)).collect();
+        let beside: Vec<_> = {
+            // From one on that is this door's own, so that not all turn to the same.
+            let order = view.borrow().order(usize::from(u8::try_from(settings.name.len()).unwrap_or(0)));
+            order.into_iter().map(|ip| settings.neighbour(ip)).collect()
+        };
+        let answers = |at: &&SocketAddr| !failed.contains_key(at);
+        let current = |at: &&SocketAddr| answers(at) && !behind.contains_key(at);
+        let best = offices.iter().find(current).or_else(|| beside.iter().find(current));
         let Some(best) = best.or_else(|| offices.iter().find(answers)).copied() else {
             failed.clear();
             sleep(PAUSE).await;
             continue;
         };
-        let address: SocketAddr = settings.office(best);
-        if from.as_ref().is_none_or(|caller| caller.address != address) {
-            from = Some(Caller::to(address));
+        if from.as_ref().is_none_or(|caller| caller.address != best) {
+            from = Some(Caller::to(best));
         }
         let Some(caller) = &mut from else {
             continue;
         };
-        let now = feed.now();
-        let report =
-            last.borrow().as_ref().filter(|(_, made)| now.since(*made) < STALE).map(|(report, made)| {
-                Report { age_ms: now.since(*made).as_millis() as u64, ..report.clone() }
-            });
+        let aged = |(report, made): &(Report, At)| {
+            let age = now.since(*made);
+            (age < STALE).then(|| Report { age_ms: age.as_millis() as u64, ..report.clone() })
+        };
+        let own = last.borrow().as_ref().and_then(aged);
+        let name = own.as_ref().map(|report| report.door.name.clone());
+        let relayed: Vec<_> = relayed.borrow().values().filter_map(aged).collect();
+        let others = relayed.into_iter().filter(|report| Some(&report.door.name) != name.as_ref());
         let pull = Pull {
             have: feed.store().have(),
             wait_ms: WAIT.as_millis() as u64,
             office: None,
             lent: None,
-            reports: report.into_iter().collect(),
+            reports: own.into_iter().chain(others).collect(),
         };
         match feed.pull(caller, &pull).await {
             Ok(_) => {
@@ -106,7 +205,7 @@
                 }
             }
             Err(why) => {
-                spdlog::debug!("nothing from {}: {}", address, why);
+                spdlog::debug!("nothing from {}: {}", best, why);
                 failed.insert(best, feed.now());
                 from = None;
                 sleep(PAUSE).await;
