Begin a stuck module anew, and let a holder that has forgotten divide by what doors were told

A module that declines all for 0.3 s with nothing out of its round starts afresh. Scaling at a join is taken out again; doors report by how many they were told to divide, and a holder younger than 4 s goes by that. (3) A sorter tried all neighbours before a postmaster that answers and is behind. Tests for each but (3).

--- a/carrier/src/link.rs
+++ b/carrier/src/link.rs
@@ -50,6 +50,7 @@
                 door: DoorRow { ready, ..self.row.clone() },
                 life: self.life,
                 age_ms: 0,
+                counted: self.feed.store().ledger.as_ref().map_or(0, |ledger| ledger.counted),
                 let_through: self.told.let_through.borrow().clone(),
                 slices: self.told.slices.borrow().clone(),
                 hosts: self.told.hosts.borrow().clone(),
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -43,6 +43,9 @@
     door: Door,
     /// What the module tells requests apart by.
     classes: Vec<(Duration, RouteKind, u64)>,
+    /// What is out of it, and since when it refuses all though nothing is.
+    out: usize,
+    stuck: Option<At>,
 }
 
 struct Backend {
@@ -130,6 +133,8 @@
 /// Of a request's aim, the time by which the module goes. It takes a third of that for the longest that an answer may
 /// be expected to take, as where aims are many times the usual answer; here they are three times that.
 const PATIENT: f64 = 2.0;
+/// How long a module may refuse all with nothing out.
+const STUCK: Duration = Duration::from_millis(300);
 /// How long a token that was lent may wait in a door for its next request.
 const POCKETED: Duration = Duration::from_secs(1);
 /// The wait before a refusal by the bucket is worth another try, at least.
@@ -278,7 +283,7 @@
             }
             let warmup = tables.and_then(|tables| tables.services.get(&*key.0)).map(|service| service.warmup);
             let start = start(&classes, warmup.unwrap_or_default(), self.chance.random(), now);
-            self.rounds.insert(key.clone(), Round { door: Door::start(start), classes });
+            self.rounds.insert(key.clone(), Round { door: Door::start(start), classes, out: 0, stuck: None });
         }
         self.rounds.get_mut(key).expect("just put there")
     }
@@ -451,15 +456,33 @@
         let key = (Rc::clone(&way.service), region);
         way.round = Some(key.clone());
         let (target, kind, expiry) = (way.rule.target, way.rule.kind, way.expiry);
-        let precedence = way.rule.precedence;
+        let (precedence, at) = (way.rule.precedence, self.steady.now());
         let round = self.round(&key, now);
         let product = nearest(&round.classes, target, kind, precedence);
         let arrival =
             Arrival { txn: id, product, want: Want { cost: 1.0, width: 1, ..Want::default() }, expiry };
         let decided = round.door.decide(now, vec![Event::Arrived(arrival)]);
+        let refused = matches!(decided.as_slice(), [Action::Decline { .. }]);
+        if refused && round.out == 0 {
+            let since = *round.stuck.get_or_insert(at);
+            if at.since(since) > STUCK {
+                self.begin_anew(&key, now);
+            }
+        } else if !refused {
+            round.stuck = None;
+        }
         self.carry_out(&key, decided, now, actions);
     }
 
+    /// A module that has learnt of long answers refuses all, and with nothing out never learns of short ones: it is
+    /// started anew, with what is known of its backends.
+    fn begin_anew(&mut self, key: &RoundKey, now: Tenths) {
+        self.rounds.remove(key);
+        let backends = self.backends.values().filter(|backend| backend.key == *key);
+        let shown: Vec<_> = backends.filter_map(|backend| backend.shown.clone()).collect();
+        self.round(key, now).door.decide(now, vec![Event::Listing(shown)]);
+    }
+
     fn conclude(&mut self, id: TxnId) {
         if let Some(way) = self.ways.get_mut(&id) {
             way.concluded = true;
@@ -513,6 +536,7 @@
         *asked += 1;
         if may {
             way.sent.push(Sent { key: key.clone(), local: no, ended: false });
+            self.rounds.get_mut(key).into_iter().for_each(|round| round.out += 1);
             return actions.push(Action::Submit { txn, backend, time_out: None });
         }
         // The module hears that nothing was sent, and looks further or gives up.
@@ -568,6 +592,7 @@
         let Some(round) = self.rounds.get_mut(&key) else {
             return;
         };
+        round.out = round.out.saturating_sub(1);
         let decided = round.door.decide(now, vec![Event::Ended(Ending { no, ..ending })]);
         self.carry_out(&key, decided, now, actions);
     }
--- a/carrier/src/rounds/tests.rs
+++ b/carrier/src/rounds/tests.rs
@@ -259,6 +259,39 @@
     assert!(matches!(actions.as_slice(), [Action::Decline { retry_after: Some(_), .. }]), "{actions:?}");
 }
 
+#[test]
+fn a_round_that_refuses_all_with_nothing_out_begins_anew() {
+    let mut stage = Stage::set(vec![server("e1", "s", "east-a"), server("e2", "s", "east-b")], None);
+    // Answers so late that no aim can be met: learnt well, and then never anything else.
+    for _ in 0..12 {
+        let (txn, actions) = stage.arrives("/write/x");
+        if stage.to(&actions).is_some() {
+            let ending = Ending {
+                txn,
+                no: SubmissionNo(0),
+                outcome: Outcome::Settled,
+                took: SECOND + SECOND,
+                complete: true,
+                metered: None,
+                true_cost: None,
+            };
+            stage.rounds.decide(SECOND, vec![Event::Ended(ending)]);
+        }
+    }
+    stage.rounds.buckets = Buckets::start(1000.0, true, stage.posted.steady.now());
+    stage.hears(ledger(None));
+    let served = |stage: &mut Stage| {
+        let (_, actions) = stage.arrives("/write/x");
+        matches!(actions.as_slice(), [Action::Submit { .. }])
+    };
+    assert!(!served(&mut stage), "it refuses");
+    // As if that had gone on for longer than it may.
+    let before = stage.posted.steady.now().before(STUCK * 2);
+    stage.rounds.rounds.values_mut().for_each(|round| round.stuck = Some(before));
+    served(&mut stage);
+    assert!(served(&mut stage), "it has begun anew");
+}
+
 #[test]
 fn a_failure_is_passed_on_as_it_is_unless_it_would_promise_something() {
     let stage = Stage::set(servers(), None);
--- a/franking/src/summing.rs
+++ b/franking/src/summing.rs
@@ -17,12 +17,15 @@
 const MOSTLY: f64 = 0.6;
 /// Requests beyond quotas that a door may let in by itself: below this, postmasters lend.
 const NARROW: f64 = 1.5;
+/// By then all doors that are there have come by.
+const GATHERING: Duration = Duration::from_secs(4);
 /// A reading is averaged over at least this.
 const READING: Duration = Duration::from_millis(900);
 
 #[derive(Clone, Debug)]
 struct Heard {
     row: DoorRow,
+    counted: u32,
     counts: Counts,
     hosts: BTreeMap<String, (u64, u64)>,
 }
@@ -68,7 +71,7 @@
 }
 
 /// Each tenant's use and slices, summed.
-fn summed<'a>(all: impl Iterator<Item = &'a Counts> + Clone) -> BTreeMap<String, Use> {
+fn summed<'a>(all: impl Iterator<Item = &'a Counts> + Clone, counted: usize) -> BTreeMap<String, Use> {
     let mut tenants: BTreeMap<String, Use> = BTreeMap::new();
     for counts in all.clone() {
         for (name, slice) in &counts.slices {
@@ -77,11 +80,10 @@
             sum.per_s += counts.rates.get(name).copied().unwrap_or(0.0);
         }
     }
-    let counted = all.clone().count() as f64;
     for (name, sum) in &mut tenants {
         // One that has no bucket for a tenant may have one at any moment, at the even slice.
-        let without = all.clone().filter(|counts| !counts.slices.contains_key(name)).count();
-        sum.slices += without as f64 / counted;
+        let with = all.clone().filter(|counts| counts.slices.contains_key(name)).count();
+        sum.slices += counted.saturating_sub(with) as f64 / counted as f64;
         // Rounded: it is sent to all doors.
         sum.per_s = (sum.per_s * 100.0).round() / 100.0;
         sum.slices = (sum.slices * 1000.0).round() / 1000.0;
@@ -93,23 +95,25 @@
 pub struct Summing {
     doors: BTreeMap<String, Heard>,
     lenders: BTreeMap<IpAddr, Counts>,
+    /// When this process began to sum for all.
+    begun: Option<At>,
     offices: BTreeMap<OfficeRow, At>,
 }
 
 impl Summing {
     pub fn report(&mut self, report: Report, now: At) {
         let made = now.before(Duration::from_millis(report.age_ms));
-        let Report { door: row, life, let_through, slices, hosts, .. } = report;
+        let Report { door: row, life, let_through, slices, hosts, counted, .. } = report;
         match self.doors.get_mut(&row.name) {
             Some(heard) => {
                 if made > heard.counts.made || heard.counts.life != life {
-                    (heard.row, heard.hosts) = (row, hosts);
+                    (heard.row, heard.hosts, heard.counted) = (row, hosts, counted);
                 }
                 heard.counts.hear(life, let_through, slices, made);
             }
             None => {
                 let counts = Counts::new(life, let_through, slices, made);
-                self.doors.insert(row.name.clone(), Heard { row, counts, hosts });
+                self.doors.insert(row.name.clone(), Heard { row, counted, counts, hosts });
             }
         }
     }
@@ -122,12 +126,17 @@
         }
     }
 
+    /// This process sums for all from now on.
+    pub fn begin(&mut self, now: At) {
+        self.begun = Some(now);
+    }
+
     /// What the holder before knew of the doors: those that nothing is heard of are counted all the same.
     pub fn inherit(&mut self, ledger: &Ledger, now: At) {
         for row in &ledger.doors {
             let row = DoorRow { ready: false, ..row.clone() };
             let counts = Counts::new(0, BTreeMap::new(), BTreeMap::new(), now);
-            let heard = Heard { row, counts, hosts: BTreeMap::new() };
+            let heard = Heard { row, counted: 0, counts, hosts: BTreeMap::new() };
             self.doors.entry(heard.row.name.clone()).or_insert(heard);
         }
         // Their slices are even until they say otherwise.
@@ -153,6 +162,7 @@
             door: heard.row.clone(),
             life: heard.counts.life,
             age_ms: now.since(heard.counts.made).as_millis() as u64,
+            counted: heard.counted,
             let_through: heard.counts.latest.clone(),
             slices: heard.counts.slices.clone(),
             hosts: heard.hosts.clone(),
@@ -166,11 +176,16 @@
         self.lenders.retain(|_, counts| now.since(counts.made) < COUNTED);
         // Where a door's part of what the rules leave is about a request, its slice lets in none, or by debts of all
         // doors together too many.
-        let narrow = allowance / (self.doors.len() as f64) < NARROW && !self.lenders.is_empty();
+        let heard = self.doors.len();
+        // Doors that have not come by yet are as many as others were told before this process began.
+        let recent = self.begun.is_some_and(|begun| now.since(begun) < GATHERING);
+        let told = self.doors.values().map(|heard| heard.counted).max().unwrap_or(0) as usize;
+        let counted = if recent { heard.max(told) } else { heard };
+        let narrow = allowance / (counted as f64) < NARROW && !self.lenders.is_empty();
         let lenders = narrow.then_some(self.lenders.len() as u32);
         let tenants = match lenders {
-            Some(_) => summed(self.lenders.values()),
-            None => summed(self.doors.values().map(|heard| &heard.counts)),
+            Some(lenders) => summed(self.lenders.values(), lenders as usize),
+            None => summed(self.doors.values().map(|heard| &heard.counts), counted),
         };
         let mut hosts: BTreeMap<&String, (u64, u64)> = BTreeMap::new();
         for (name, (all, homed)) in self.doors.values().flat_map(|heard| &heard.hosts) {
@@ -186,7 +201,7 @@
         Ledger {
             version,
             doors: self.doors.values().map(row).collect(),
-            counted: self.doors.len() as u32,
+            counted: counted as u32,
             tenants,
             lenders,
             homed,
@@ -254,7 +269,7 @@
         };
         let tenant = || "t".to_owned();
         let (let_through, slices) = ([(tenant(), through)].into(), [(tenant(), 0.5)].into());
-        Report { door: row, life, age_ms, let_through, slices, hosts: BTreeMap::new() }
+        Report { door: row, life, age_ms, counted: 0, let_through, slices, hosts: BTreeMap::new() }
     }
 
     #[test]
@@ -329,6 +344,22 @@
         assert_eq!((ledger.lenders, ledger.tenants["t"].per_s), (None, 2000.0));
     }
 
+    #[test]
+    fn a_holder_that_has_forgotten_divides_by_what_doors_were_told() {
+        let mut sums = Summing::default();
+        sums.begin(START);
+        sums.report(Report { counted: 9, ..report("a", 1, 0, 10) }, START);
+        let ledger = sums.ledger(Version::default(), 20.0, START);
+        assert_eq!(
+            (ledger.counted, ledger.tenants["t"].slices),
+            (9, 1.389),
+            "eight are to come, at the even slice"
+        );
+        let later = START.after(GATHERING);
+        sums.report(Report { counted: 9, ..report("a", 1, 0, 10) }, later);
+        assert_eq!(sums.ledger(Version::default(), 20.0, later).counted, 1, "nobody else came");
+    }
+
     #[test]
     fn a_new_life_counts_from_nothing() {
         let mut sums = Summing::default();
--- a/mailroom/src/words.rs
+++ b/mailroom/src/words.rs
@@ -127,6 +127,9 @@
     pub life: u64,
     /// How long ago it was made.
     pub age_ms: u64,
+    /// By how many doors it was last told that quotas are divided: a holder that has forgotten starts from that.
+    #[serde(default)]
+    pub counted: u32,
     /// Requests let through since the start, by tenant, and the slices that they were let through by.
     pub let_through: BTreeMap<String, u64>,
     pub slices: BTreeMap<String, f64>,
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -213,6 +213,7 @@
             let holds = self.office.holds();
             if holds && !std::mem::replace(&mut held, holds) {
                 let (now, before) = (self.feed.now(), self.feed.store().ledger.clone());
+                self.sums.borrow_mut().begin(now);
                 before.iter().for_each(|ledger| self.sums.borrow_mut().inherit(ledger, now));
             }
             held = holds;
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -154,7 +154,7 @@
     view: Rc<RefCell<View>>,
     relayed: Relayed,
 ) {
-    let mut from: Option<Caller> = None;
+    let (mut from, mut in_vain): (Option<Caller>, bool) = (None, false);
     let (mut failed, mut behind): (BTreeMap<SocketAddr, At>, BTreeMap<SocketAddr, At>) = Default::default();
     loop {
         let now = feed.now();
@@ -168,7 +168,10 @@
         };
         let answers = |at: &&SocketAddr| !failed.contains_key(at);
         let current = |at: &&SocketAddr| answers(at) && !behind.contains_key(at);
-        let best = offices.iter().find(current).or_else(|| beside.iter().find(current));
+        // A neighbour in vain is followed by a postmaster that answers: the registry must hear of this door.
+        let turn = !std::mem::replace(&mut in_vain, false);
+        let neighbour = beside.iter().find(|at| turn && current(at));
+        let best = offices.iter().find(current).or(neighbour);
         let Some(best) = best.or_else(|| offices.iter().find(answers)).copied() else {
             failed.clear();
             sleep(PAUSE).await;
@@ -201,12 +204,14 @@
                 if sure.is_none_or(|sure| feed.now().since(sure) > BEHIND) {
                     // It answers and knows nothing new itself: another may.
                     behind.insert(best, feed.now());
+                    in_vain = beside.contains(&best);
                     sleep(PAUSE).await;
                 }
             }
             Err(why) => {
                 spdlog::debug!("nothing from {}: {}", best, why);
                 failed.insert(best, feed.now());
+                in_vain = beside.contains(&best);
                 from = None;
                 sleep(PAUSE).await;
             }
