--- a/frames/src/read.rs
+++ b/frames/src/read.rs
@@ -358,6 +358,11 @@
                 $codec(Reader { most_body, ..Reader::default() })
             }
 
+            /// How much of a message that is not whole yet has come.
+            pub fn come(&self) -> usize {
+                self.0.begun.as_ref().map_or(0, |(message, _)| message.text.len())
+            }
+
             /// Bytes of a message that is not whole yet, beside those in the connection's buffer.
             pub fn held(&self) -> usize {
                 self.0.begun.as_ref().map_or(0, |(message, _)| message.bytes())
--- a/mailroom/src/call.rs
+++ b/mailroom/src/call.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::codec::Framed;
 use vanewharf_frames::{Answer, Fault, Inward, Outward, Request};
 
@@ -22,6 +22,8 @@
 /// From a request's first byte to its last, and how long a caller may say nothing.
 const WHOLE: Duration = Duration::from_secs(3);
 const IDLE: Duration = Duration::from_secs(20);
+/// From the first byte of an answer to its last.
+const WHOLE_ANSWER: Duration = Duration::from_secs(12);
 /// Callers at once; one more waits in the system's queue.
 const MOST_CALLERS: usize = 1500;
 /// The largest body between the system's own processes, and of a configuration.
@@ -67,25 +69,33 @@
         );
         let kept = self.kept.is_some();
         let message = [head.as_str(), body].concat();
-        match timeout(within, self.once(&message)).await {
-            Ok(Err(Failed::Broke)) if kept => {
-                timeout(within, self.once(&message)).await.unwrap_or(Err(Failed::Silent))
-            }
-            Ok(done) => done,
-            Err(_) => {
-                self.kept = None;
-                Err(Failed::Silent)
-            }
+        match self.once(&message, within).await {
+            Err(Failed::Broke) if kept => self.once(&message, within).await,
+            done => done,
         }
     }
 
-    async fn once(&mut self, message: &str) -> Result<(u16, Vec<u8>), Failed> {
+    /// `within` is for silence: an answer that keeps coming over a narrow link may take `WHOLE_ANSWER`.
+    async fn once(&mut self, message: &str, within: Duration) -> Result<(u16, Vec<u8>), Failed> {
         let mut framed = match self.kept.take() {
             Some(framed) => framed,
             None => Framed::new(dial(self.address).await?, Outward::up_to(MOST_BODY)),
         };
-        framed.get_mut().write_all(message.as_bytes()).await.map_err(|_| Failed::Broke)?;
-        let reply = match framed.next().await {
+        let sent = timeout(within.max(WHOLE), framed.get_mut().write_all(message.as_bytes())).await;
+        sent.map_err(|_| Failed::Silent)?.map_err(|_| Failed::Broke)?;
+        let begun = Instant::now();
+        let read = loop {
+            let before = (framed.codec().come(), framed.read_buffer().len());
+            match timeout(within, framed.next()).await {
+                Ok(read) => break read,
+                Err(_) if before == (framed.codec().come(), framed.read_buffer().len()) => {
+                    return Err(Failed::Silent);
+                }
+                Err(_) if begun.elapsed() > WHOLE_ANSWER => return Err(Failed::Silent),
+                Err(_) => {}
+            }
+        };
+        let reply = match read {
             Some(Ok(reply)) => reply,
             None | Some(Err(Fault::Io(_) | Fault::Cut)) => return Err(Failed::Broke),
             Some(Err(_)) => return Err(Failed::Unread),
@@ -213,7 +223,7 @@
         let mut fields: Vec<_> = said.fields.iter().map(|(name, value)| (*name, value.as_str())).collect();
         fields.push(("Content-Type", "application/json"));
         let answer = Answer { status: said.status, fields: &fields, body: &said.body, last };
-        if !matches!(timeout(WHOLE, framed.send(answer)).await, Ok(Ok(()))) || last {
+        if !matches!(timeout(WHOLE_ANSWER, framed.send(answer)).await, Ok(Ok(()))) || last {
             let _ = timeout(WHOLE, framed.get_mut().shutdown()).await;
             return;
         }
--- a/mailroom/src/feed.rs
+++ b/mailroom/src/feed.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::sleep_until;
 
 /// The longest that an answer is held back.
 const LONGEST: Duration = Duration::from_secs(2);
@@ -67,8 +67,7 @@
     pub async fn pull(&self, from: &mut Caller, pull: &Pull) -> Result<News, Failed> {
         let (asked, wait) = (self.now(), Duration::from_millis(pull.wait_ms));
         let within = wait + ON_THE_WAY;
-        let mail: Mail =
-            timeout(within, from.ask("/pull", pull, within)).await.map_err(|_| Failed::Silent)??;
+        let mail: Mail = from.ask("/pull", pull, within).await?;
         let mut news = News::default();
         self.change(|store| {
             news = store.absorb(mail, asked, self.steady.now());
