--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -547,7 +547,6 @@
     }
 
     fn may_submit(&mut self, txn: TxnId, backend: BackendId) -> bool {
-        let rule = self.repeat_rule();
         let at = self.steady.now();
         let Some(way) = self.ways.get(&txn) else {
             return false;
@@ -570,8 +569,8 @@
         if !way.arrived {
             return true;
         }
-        let start = || Repeats::start(&rule, false);
-        self.repeats.entry(Rc::clone(&way.service)).or_insert_with(start).spend()
+        // The request itself has filled it when it was let in.
+        self.repeats.get_mut(&way.service).is_some_and(Repeats::spend)
     }
 
     fn ended(&mut self, ending: Ending, now: Tenths, actions: &mut Vec<Action>) {
--- a/franking/src/quota.rs
+++ b/franking/src/quota.rs
@@ -49,6 +49,12 @@
     metered: f64,
 }
 
+impl Bucket {
+    fn new(slice: f64, tokens: f64, last: At) -> Bucket {
+        Bucket { slice, tokens, last, let_through: 0, let_before: 0, let_rate: 0.0, metered: 0.0 }
+    }
+}
+
 /// All tenants' buckets at one door, or at one lender.
 #[derive(Clone, Debug)]
 pub struct Buckets {
@@ -82,34 +88,22 @@
         }
     }
 
-    pub fn doors(&self) -> f64 {
-        self.doors
-    }
-
-    fn depth(&self, quota: Quota, slice: f64) -> f64 {
-        quota.burst * slice + DEEPER * self.allowance / self.doors
+    /// How much deeper each bucket is than its slice's burst.
+    fn deeper(&self) -> f64 {
+        DEEPER * self.allowance / self.doors
     }
 
     fn refilled(&mut self, tenant: &str, quota: Quota, now: At) -> &mut Bucket {
         let even = 1.0 / self.doors;
         if !self.buckets.contains_key(tenant) {
-            let most = self.depth(quota, even);
+            let most = quota.burst * even + self.deeper();
             let since = now.since(self.started).as_secs_f64() * quota.rate * even;
             let tokens = if self.full { most } else { since.min(most) };
-            let new = Bucket {
-                slice: even,
-                tokens,
-                last: now,
-                let_through: 0,
-                let_before: 0,
-                let_rate: 0.0,
-                metered: 0.0,
-            };
-            self.buckets.insert(tenant.to_owned(), new);
+            self.buckets.insert(tenant.to_owned(), Bucket::new(even, tokens, now));
         }
-        let (allowance, doors) = (self.allowance, self.doors);
+        let deeper = self.deeper();
         let bucket = self.buckets.get_mut(tenant).expect("just put there");
-        let most = quota.burst * bucket.slice + DEEPER * allowance / doors;
+        let most = quota.burst * bucket.slice + deeper;
         let gap = now.since(bucket.last).as_secs_f64();
         bucket.tokens = (bucket.tokens + quota.rate * bucket.slice * gap).min(most);
         bucket.last = now;
@@ -140,16 +134,8 @@
         }
         if let Some(part) = self.reserve {
             let (rate, started) = (quota.rate * part / self.doors, self.started);
-            let new = Bucket {
-                slice: 0.0,
-                tokens: 0.0,
-                last: started,
-                let_through: 0,
-                let_before: 0,
-                let_rate: 0.0,
-                metered: 0.0,
-            };
-            let bucket = self.buckets.entry(tenant.to_owned()).or_insert(new);
+            let new = || Bucket::new(0.0, 0.0, started);
+            let bucket = self.buckets.entry(tenant.to_owned()).or_insert_with(new);
             bucket.tokens = (bucket.tokens + rate * now.since(bucket.last).as_secs_f64()).min(1.0);
             bucket.last = now;
             if bucket.tokens < 1.0 {
@@ -158,11 +144,11 @@
             bucket.tokens -= 1.0;
             return Ok(());
         }
-        let depth = quota.burst / self.doors + DEEPER * self.allowance / self.doors;
+        let depth = quota.burst / self.doors + self.deeper();
         let bucket = self.refilled(tenant, quota, now);
         // A slice whose burst is below one request would never admit it: a fair part of a full one is enough, the rest
         // is debt.
-        let needed = depth.mul_add(ENOUGH, 0.0).min(1.0);
+        let needed = (ENOUGH * depth).min(1.0);
         if bucket.tokens < needed {
             let rate = (quota.rate * bucket.slice).max(1e-3);
             return Err(Duration::from_secs_f64(((needed - bucket.tokens) / rate).min(LONGEST)));
@@ -215,10 +201,10 @@
             bucket.slice = if reading.slices > 0.0 { grown / reading.slices.max(1.0) } else { even };
         }
         self.doors = doors;
-        let (allowance, full) = (self.allowance, self.full);
+        let (deeper, full) = (self.deeper(), self.full);
         self.buckets.retain(|name, bucket| {
             let quota = quota(name);
-            let most = quota.burst * bucket.slice + DEEPER * allowance / doors;
+            let most = quota.burst * bucket.slice + deeper;
             let idle = bucket.let_rate < 0.01 && bucket.tokens >= 0.99 * most;
             !(full && idle && (bucket.slice / even - 1.0).abs() < 0.05 && bucket.let_through == 0)
         });
@@ -270,8 +256,7 @@
         let mut doors: Vec<_> = rates.iter().map(|_| Buckets::start(20.0, true, START)).collect();
         let (mut let_in, mut credit) = (Vec::new(), vec![0.0; rates.len()]);
         let (mut before, mut reported) = (vec![0; rates.len()], Use::default());
-        for (no, door) in doors.iter_mut().enumerate() {
-            let _ = no;
+        for door in &mut doors {
             door.read(rates.len() as u32, &BTreeMap::new(), |_| QUOTA, START);
         }
         for step in 0..seconds * 100 {
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -15,7 +15,7 @@
 use vanewharf_franking::summing::{Summing, for_doors, homes};
 use vanewharf_franking::voter::wanted;
 use vanewharf_mailroom::call::{Caller, Failed};
-use vanewharf_mailroom::config::{Config, Customer};
+use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::settings::Settings;
 use vanewharf_mailroom::words::{
@@ -55,33 +55,24 @@
 pub struct Lending {
     pub buckets: Buckets,
     pub life: u64,
-    /// By the word that they were taken from.
-    pub quotas: (WordNo, BTreeMap<String, Quota>),
+}
+
+/// A tenant's quota by a configuration that knows it.
+fn quota_of(config: Option<&Config>, tenant: &str) -> Option<Quota> {
+    let customer = config?.customers.as_ref()?.get(tenant)?;
+    Some(Quota { rate: customer.rate_per_s, burst: customer.burst_allowance })
 }
 
 pub type Homes = BTreeMap<String, BTreeSet<String>>;
 
 impl Desk {
-    fn quotas_of(&self, lending: &mut Lending) {
-        let word = self.feed.store().word.clone();
-        if let Some(word) = word.filter(|word| word.no != lending.quotas.0) {
-            let config = word.config.as_ref().and_then(|config| Config::of(config.get().as_bytes()).ok());
-            let customers = config.and_then(|config| config.customers).unwrap_or_default().into_iter();
-            let quota = |(name, customer): (String, Customer)| {
-                (name, Quota { rate: customer.rate_per_s, burst: customer.burst_allowance })
-            };
-            lending.quotas = (word.no, customers.map(quota).collect());
-        }
-    }
-
     /// Tokens for a door; none of a tenant that no configuration in hand knows.
     pub fn lend(&self, wanted: Tokens) -> Tokens {
         let (mut lending, now) = (self.lending.borrow_mut(), self.feed.now());
-        self.quotas_of(&mut lending);
-        let Lending { buckets, quotas, .. } = &mut *lending;
+        let config = self.office.config();
         let lent = |(tenant, wanted): (String, u32)| {
-            let quota = quotas.1.get(&tenant)?;
-            let lent = buckets.lend(&tenant, wanted, *quota, now);
+            let quota = quota_of(config.as_deref(), &tenant)?;
+            let lent = lending.buckets.lend(&tenant, wanted, quota, now);
             Some((tenant, lent))
         };
         wanted.into_iter().filter_map(lent).collect()
@@ -91,12 +82,11 @@
     fn read_ledger(&self) {
         let ledger = self.feed.store().ledger.clone();
         let (mut lending, now) = (self.lending.borrow_mut(), self.feed.now());
-        self.quotas_of(&mut lending);
-        let Lending { buckets, quotas, .. } = &mut *lending;
+        let config = self.office.config();
         let none = Quota { rate: 0.0, burst: 0.0 };
-        let quota = |tenant: &str| quotas.1.get(tenant).copied().unwrap_or(none);
+        let quota = |tenant: &str| quota_of(config.as_deref(), tenant).unwrap_or(none);
         if let Some((ledger, lenders)) = ledger.as_ref().and_then(|ledger| Some((ledger, ledger.lenders?))) {
-            buckets.read(lenders, &ledger.tenants, quota, now);
+            lending.buckets.read(lenders, &ledger.tenants, quota, now);
         }
     }
 
@@ -120,8 +110,7 @@
     pub fn homes(&self) -> Rc<Homes> {
         let word = self.feed.store().word.clone();
         if let Some(word) = word.filter(|word| word.no != self.hosts.borrow().0) {
-            let config = word.config.as_ref().and_then(|config| Config::of(config.get().as_bytes()).ok());
-            let hosts = config.as_ref().map(homes).unwrap_or_default();
+            let hosts = self.office.config().as_deref().map(homes).unwrap_or_default();
             *self.hosts.borrow_mut() = (word.no, Rc::new(hosts));
         }
         Rc::clone(&self.hosts.borrow().1)
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -100,14 +100,13 @@
         lending: RefCell::new(Lending {
             buckets: Buckets::start(settings.bounds.rate_allowance, settings.initial_start, steady.now()),
             life: rand::random::<u64>() >> 1,
-            quotas: Default::default(),
         }),
     });
     tokio::task::spawn_local(Rc::clone(&desk).follow());
     tokio::task::spawn_local(Rc::clone(&desk).sum());
     tokio::task::spawn_local(Rc::clone(&desk).ask_platform());
     tokio::task::spawn_local(Rc::clone(&desk).attest());
-    let orders = Orders::start(Rc::clone(&office), Rc::clone(&settings));
+    let orders = Orders::start(Rc::clone(&office));
     tokio::task::spawn_local(Rc::clone(&desk).enlarge(orders.clone()));
 
     let inside = listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -15,6 +15,7 @@
 };
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::{At, Steady};
+use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::words::{Ballot, Oath, Plea, Word, WordNo};
 
@@ -61,6 +62,8 @@
     /// No number is given twice under one ballot.
     next: Cell<WordNo>,
     leaving: Cell<bool>,
+    /// The configuration of the word in hand, read once.
+    config: RefCell<(WordNo, Option<Rc<Config>>)>,
 }
 
 impl Office {
@@ -84,6 +87,7 @@
             callers: RefCell::default(),
             next: Cell::new(WordNo(0)),
             leaving: Cell::new(false),
+            config: RefCell::default(),
         });
         tokio::task::spawn_local(Rc::clone(&office).own(heard, disk));
         tokio::task::spawn_local(Rc::clone(&office).seek());
@@ -111,6 +115,17 @@
         self.term.get().is_some_and(|term| term.settled && term.until > now)
     }
 
+    /// What the word in hand says.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        let word = self.feed.store().word.clone();
+        let mut read = self.config.borrow_mut();
+        if let Some(word) = word.filter(|word| word.no != read.0) {
+            let config = word.config.as_ref().and_then(|config| Config::of(config.get().as_bytes()).ok());
+            *read = (word.no, config.map(Rc::new));
+        }
+        read.1.clone()
+    }
+
     pub fn ballot(&self) -> Ballot {
         self.term.get().map_or(Ballot(0), |term| term.ballot)
     }
--- a/postmaster/src/orders.rs
+++ b/postmaster/src/orders.rs
@@ -5,8 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
-use vanewharf_mailroom::config::{Config, Revision};
-use vanewharf_mailroom::settings::Settings;
+use vanewharf_mailroom::config::Revision;
 use vanewharf_mailroom::words::Word;
 
 #[derive(Debug)]
@@ -46,13 +45,12 @@
 const MOST_WAITING: usize = 32;
 
 impl Orders {
-    pub fn start(office: Rc<Office>, settings: Rc<Settings>) -> Orders {
+    pub fn start(office: Rc<Office>) -> Orders {
         let (queue, mut taken) = mpsc::channel::<(Order, oneshot::Sender<Done>)>(MOST_WAITING);
         tokio::task::spawn_local(async move {
             while let Some((order, reply)) = taken.recv().await {
                 let _ = reply.send(carry_out(&office, order).await);
             }
-            drop(settings);
         });
         Orders { queue }
     }
@@ -66,11 +64,6 @@
     }
 }
 
-fn revision(word: &Word) -> Option<Revision> {
-    let config = word.config.as_ref()?;
-    Config::of(config.get().as_bytes()).ok().map(|config| config.revision)
-}
-
 async fn carry_out(office: &Rc<Office>, order: Order) -> Done {
     if !office.holds() {
         return Done::NotHere;
@@ -84,7 +77,7 @@
         }
         Order::Replace { revision: newer, config } => {
             // A version that is not above the one held changes nothing.
-            if word.and_then(revision).is_some_and(|held| held >= newer) {
+            if office.config().is_some_and(|held| held.revision >= newer) {
                 return if office.holds() { Done::Acknowledged } else { Done::NotHere };
             }
             office.acknowledge(|word| Word { config: Some(config), ..word.clone() }).await
