Give the system's programs their network, disk and chance from outside

The disk's two-copies rule is a plan of deeds that one task works through; postmaster::start and carrier::Core are what run() was made of. The feed wakes its readers in the order in which they came (Notify in place of watch). Ruled out: a second implementation for the lab.

--- a/carrier/src/lend.rs
+++ b/carrier/src/lend.rs
@@ -13,6 +13,7 @@
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::settings::Settings;
 use vanewharf_mailroom::words::Tokens;
 
@@ -31,14 +32,20 @@
 pub struct Lending {
     pub feed: Feed,
     pub settings: Rc<Settings>,
+    premises: Premises,
     pub news: mpsc::UnboundedSender<News>,
     callers: RefCell<Vec<Caller>>,
     spared: RefCell<BTreeMap<IpAddr, At>>,
 }
 
 impl Lending {
-    pub fn new(feed: Feed, settings: Rc<Settings>, news: mpsc::UnboundedSender<News>) -> Lending {
-        Lending { feed, settings, news, callers: RefCell::default(), spared: RefCell::default() }
+    pub fn new(
+        feed: Feed,
+        settings: Rc<Settings>,
+        premises: Premises,
+        news: mpsc::UnboundedSender<News>,
+    ) -> Lending {
+        Lending { feed, settings, premises, news, callers: RefCell::default(), spared: RefCell::default() }
     }
 
     pub async fn run(self: Rc<Self>, mut asks: mpsc::UnboundedReceiver<Ask>) {
@@ -77,7 +84,7 @@
                 let mut callers = self.callers.borrow_mut();
                 callers.iter().position(|caller| caller.address == address).map(|at| callers.swap_remove(at))
             };
-            let mut caller = kept.unwrap_or_else(|| Caller::to(address));
+            let mut caller = kept.unwrap_or_else(|| Caller::to(address, &self.premises.net));
             match caller.ask("/lend", &wanted, WITHIN).await {
                 Ok(given) => {
                     self.callers.borrow_mut().push(caller);
--- a/carrier/src/lib.rs
+++ b/carrier/src/lib.rs
@@ -1,17 +1,16 @@
 //! The data plane's program: takes requests from clients, lets them in by route, key and the tenant's bucket, sends them to
 //! a backend that the decision module picks, and gives the answers back. The stages are the front door's own.
 
-mod gate;
+pub mod gate;
 mod lend;
 mod link;
-mod rounds;
-mod tables;
+pub mod rounds;
+pub mod tables;
 
 use gate::{Posted, Wicket};
 use lend::Lending;
-use link::{Link, Told};
-use rand::Rng;
-use rounds::{Place, Rounds};
+pub use link::{Link, Told};
+use rounds::{News, Place, Rounds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,9 +26,10 @@
 use vanewharf_door::route::Route;
 use vanewharf_door::shared::Shared;
 use vanewharf_door::take_in;
-use vanewharf_mailroom::call::{Caller, Said, listen, serve};
+use vanewharf_mailroom::call::{Caller, Said, serve};
 use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
 use vanewharf_mailroom::words::DoorRow;
@@ -42,20 +42,62 @@
 const TAKES_ON: f64 = 0.7;
 const ENDS_BY: f64 = 0.95;
 
-pub async fn run(settings: Settings, end: End) -> Result<(), String> {
+/// What decides here and what it hears through, wherever requests come from: from sockets, or from the lab.
+pub struct Core {
+    pub posted: Rc<Posted>,
+    pub told: Rc<Told>,
+    pub feed: Feed,
+    pub rounds: Rounds,
+    /// What comes from the control plane, for the rounds.
+    pub heard: mpsc::UnboundedReceiver<News>,
+}
+
+impl Core {
+    /// With the link to the sorter and the loans running.
+    pub fn start(settings: &Rc<Settings>, premises: &Premises, frontend: SocketAddr) -> Core {
+        let (steady, life) = (Steady::start(), premises.life());
+        let (feed, told) = (Feed::new(steady), Rc::<Told>::default());
+        let posted = Rc::new(Posted {
+            tables: RefCell::default(),
+            entries: RefCell::default(),
+            sure: Cell::new(None),
+            steady,
+            revocation_global: settings.bounds.revocation_global,
+            revocation: settings.bounds.revocation,
+        });
+        let place = Place {
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            zones: settings.zones.clone(),
+        };
+        let (asks, asked) = mpsc::unbounded_channel();
+        let bounds = settings.bounds.clone();
+        let start = rounds::Start { place, bounds, first: settings.initial_start, seed: life };
+        let rounds = Rounds::start(start, Rc::clone(&posted), Rc::clone(&told), asks);
+        let (news, heard) = mpsc::unbounded_channel();
+        let lending =
+            Rc::new(Lending::new(feed.clone(), Rc::clone(settings), premises.clone(), news.clone()));
+        tokio::task::spawn_local(lending.run(asked));
+        let row = DoorRow {
+            name: settings.name.clone(),
+            address: frontend,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            ready: false,
+        };
+        let sorter = Caller::to(settings.loopback(), &premises.net);
+        let (posting, telling) = (Rc::clone(&posted), Rc::clone(&told));
+        let link = Link { feed: feed.clone(), sorter, row, life, posted: posting, told: telling, news };
+        tokio::task::spawn_local(link.run());
+        Core { posted, told, feed, rounds, heard }
+    }
+}
+
+pub async fn run(settings: Settings, premises: Premises, end: End) -> Result<(), String> {
     let settings = Rc::new(settings);
     let frontend = settings.listens("frontend").map_err(|fault| fault.to_string())?;
     let readiness = settings.listens("readiness").map_err(|fault| fault.to_string())?;
-    let (steady, life) = (Steady::start(), rand::rng().random::<u64>() >> 1);
-    let (feed, told) = (Feed::new(steady), Rc::<Told>::default());
-    let posted = Rc::new(Posted {
-        tables: RefCell::default(),
-        entries: RefCell::default(),
-        sure: Cell::new(None),
-        steady,
-        revocation_global: settings.bounds.revocation_global,
-        revocation: settings.bounds.revocation,
-    });
+    let Core { posted, told, feed, rounds, heard } = Core::start(&settings, &premises, frontend);
 
     let room = Room::within(settings.descriptors.saturating_sub(256) as usize, settings.memory_mb as usize);
     let book = Rc::new(Book::new(room));
@@ -69,37 +111,9 @@
         txns: Cell::new(0),
         open: OpenIds::default(),
     });
-    let place =
-        Place { zone: settings.zone.clone(), region: settings.region.clone(), zones: settings.zones.clone() };
-    let (asks, asked) = mpsc::unbounded_channel();
-    let start =
-        rounds::Start { place, bounds: settings.bounds.clone(), first: settings.initial_start, seed: life };
-    let rounds = Rounds::start(start, Rc::clone(&posted), Rc::clone(&told), asks);
     let none = Listing { whole: false, entries: Vec::new() };
     let route = Route::new(Rc::clone(&shared), rounds, none, None, None);
-    let (news, heard) = mpsc::unbounded_channel();
     let mut routing = tokio::task::spawn_local(route.run(noted, heard));
-    let lending = Rc::new(Lending::new(feed.clone(), Rc::clone(&settings), news.clone()));
-    tokio::task::spawn_local(lending.run(asked));
-
-    let row = DoorRow {
-        name: settings.name.clone(),
-        address: frontend,
-        zone: settings.zone.clone(),
-        region: settings.region.clone(),
-        ready: false,
-    };
-    let sorter = Caller::to(settings.loopback());
-    let link = Link {
-        feed: feed.clone(),
-        sorter,
-        row,
-        life,
-        posted: Rc::clone(&posted),
-        told: Rc::clone(&told),
-        news,
-    };
-    tokio::task::spawn_local(link.run());
 
     let listening = |address: SocketAddr| {
         let socket = TcpSocket::new_v4()?;
@@ -110,7 +124,8 @@
     let listener = listening(frontend).map_err(|error| format!("cannot listen on {frontend}: {error}"))?;
     let stop = Rc::new(Notify::new());
     let accepting = tokio::task::spawn_local(take_in::accept(listener, Rc::clone(&shared), Rc::clone(&stop)));
-    let asked = listen(readiness).map_err(|error| format!("cannot listen on {readiness}: {error}"))?;
+    let asked =
+        premises.net.listen(readiness).map_err(|error| format!("cannot listen on {readiness}: {error}"))?;
     let (known, said) = (Rc::clone(&posted), Rc::clone(&told));
     tokio::task::spawn_local(serve(asked, move |request| {
         let ready = Link::ready(&known, &said, &feed);
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -3,7 +3,8 @@
 //! may go, how often it may be sent on, what a cold backend may be given.
 
 use crate::gate::{Entry, Posted};
-use crate::lend::{Ask, WITHIN};
+pub use crate::lend::Ask;
+use crate::lend::WITHIN;
 use crate::link::Told as Reported;
 use crate::tables::{Rule, Tables, Tenant};
 use rand::rngs::SmallRng;
--- a/mailroom/src/call.rs
+++ b/mailroom/src/call.rs
@@ -1,24 +1,22 @@
 //! HTTP/1.1 between processes: calls that end in time, and a server whose handler gives each request one reply.
 
+use crate::premises::{Ear, Net, Stream};
 use bytes::BytesMut;
 use futures_util::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::cell::Cell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::Framed;
 use vanewharf_frames::{Answer, Fault, Inward, Outward, Request};
 
 /// For a connection to come up: across regions it takes two ways.
 const DIAL: Duration = Duration::from_millis(400);
-const BACKLOG: u32 = 512;
 /// From a request's first byte to its last, and how long a caller may say nothing.
 const WHOLE: Duration = Duration::from_secs(3);
 const IDLE: Duration = Duration::from_secs(20);
@@ -46,12 +44,13 @@
 /// One kept connection to one address; a call that fails closes it.
 pub struct Caller {
     pub address: SocketAddr,
-    kept: Option<Framed<TcpStream, Outward>>,
+    net: Rc<dyn Net>,
+    kept: Option<Framed<Stream, Outward>>,
 }
 
 impl Caller {
-    pub fn to(address: SocketAddr) -> Caller {
-        Caller { address, kept: None }
+    pub fn to(address: SocketAddr, net: &Rc<dyn Net>) -> Caller {
+        Caller { address, net: Rc::clone(net), kept: None }
     }
 
     /// Status and body. It is tried once more on a new connection where a kept one had ended.
@@ -79,7 +78,7 @@
     async fn once(&mut self, message: &str, within: Duration) -> Result<(u16, Vec<u8>), Failed> {
         let mut framed = match self.kept.take() {
             Some(framed) => framed,
-            None => Framed::new(dial(self.address).await?, Outward::up_to(MOST_BODY)),
+            None => Framed::new(self.dial().await?, Outward::up_to(MOST_BODY)),
         };
         let sent = timeout(within.max(WHOLE), framed.get_mut().write_all(message.as_bytes())).await;
         sent.map_err(|_| Failed::Silent)?.map_err(|_| Failed::Broke)?;
@@ -110,6 +109,11 @@
         Ok((status, body))
     }
 
+    async fn dial(&self) -> Result<Stream, Failed> {
+        let stream = timeout(DIAL, self.net.dial(self.address)).await;
+        stream.map_err(|_| Failed::NoConnection)?.map_err(|_| Failed::NoConnection)
+    }
+
     /// A call of the system's own: JSON both ways.
     pub async fn ask<Q: Serialize, A: DeserializeOwned>(
         &mut self,
@@ -127,13 +131,6 @@
 
 const SMALL: usize = 16 * 1024;
 
-async fn dial(address: SocketAddr) -> Result<TcpStream, Failed> {
-    let stream = timeout(DIAL, TcpStream::connect(address)).await;
-    let stream = stream.map_err(|_| Failed::NoConnection)?.map_err(|_| Failed::NoConnection)?;
-    let _ = stream.set_nodelay(true);
-    Ok(stream)
-}
-
 /// What a handler says.
 #[derive(Debug)]
 pub struct Said {
@@ -156,23 +153,16 @@
     }
 }
 
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// Serves for as long as the program runs; each caller in a task of its own.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F>(mut ear: Box<dyn Ear>, handler: H)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Said>,
 {
     let (handler, callers) = (Rc::new(handler), Rc::new(Cell::new(0)));
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) if callers.get() < MOST_CALLERS => {
+        match ear.accept().await {
+            Ok(stream) if callers.get() < MOST_CALLERS => {
                 let (handler, callers) = (Rc::clone(&handler), Rc::clone(&callers));
                 callers.set(callers.get() + 1);
                 tokio::task::spawn_local(async move {
@@ -187,12 +177,11 @@
     }
 }
 
-async fn attend<H, F>(stream: TcpStream, handler: &H)
+async fn attend<H, F>(stream: Stream, handler: &H)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Said>,
 {
-    let _ = stream.set_nodelay(true);
     let mut framed = Framed::new(stream, Inward::up_to(MOST_BODY));
     loop {
         let begun = std::future::poll_fn(|cx| match framed.poll_next_unpin(cx) {
--- a/mailroom/src/feed.rs
+++ b/mailroom/src/feed.rs
@@ -7,8 +7,8 @@
 use std::cell::{Ref, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
-use tokio::time::sleep_until;
+use tokio::sync::Notify;
+use tokio::time::timeout_at;
 
 /// The longest that an answer is held back.
 const LONGEST: Duration = Duration::from_secs(2);
@@ -19,12 +19,13 @@
 pub struct Feed {
     pub steady: Steady,
     store: Rc<RefCell<Store>>,
-    changed: watch::Sender<()>,
+    /// Whoever waits is woken in the order in which they came.
+    changed: Rc<Notify>,
 }
 
 impl Feed {
     pub fn new(steady: Steady) -> Feed {
-        Feed { steady, store: Rc::default(), changed: watch::Sender::new(()) }
+        Feed { steady, store: Rc::default(), changed: Rc::default() }
     }
 
     pub fn now(&self) -> At {
@@ -39,27 +40,21 @@
     pub fn change(&self, change: impl FnOnce(&mut Store) -> bool) {
         let changed = change(&mut self.store.borrow_mut());
         if changed {
-            self.changed.send_replace(());
+            self.changed.notify_waiters();
         }
     }
 
-    pub fn watch(&self) -> watch::Receiver<()> {
-        self.changed.subscribe()
-    }
-
     /// The answer to a pull, as soon as there is something new or the reader would wait no longer.
     pub async fn answer(&self, pull: &Pull) -> Mail {
-        let (begun, mut changed) = (self.now(), self.watch());
+        let begun = self.now();
         let until = self.steady.instant(begun.after(Duration::from_millis(pull.wait_ms).min(LONGEST)));
         loop {
             let now = self.now();
             if self.store().has_more_than(&pull.have) || self.steady.instant(now) >= until {
                 return self.store().mail(&pull.have, now.since(begun), now);
             }
-            tokio::select! {
-                _ = changed.changed() => {}
-                () = sleep_until(until) => {}
-            }
+            // Nothing else runs between the look at the store and the first poll here.
+            let _ = timeout_at(until, self.changed.notified()).await;
         }
     }
 
--- a/mailroom/src/lib.rs
+++ b/mailroom/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod doc;
 pub mod feed;
 pub mod log;
+pub mod premises;
 pub mod program;
 pub mod settings;
 pub mod store;
--- a/mailroom/src/program.rs
+++ b/mailroom/src/program.rs
@@ -1,5 +1,6 @@
 //! What all of the system's programs do alike: their command line, their runtime, and how they are told to end.
 
+use crate::premises::Premises;
 use crate::settings::{Settings, Unread};
 use getopts::Options;
 use std::path::PathBuf;
@@ -14,7 +15,7 @@
 /// Reads what the program is called with and runs it until SIGTERM.
 pub fn main<F, R>(name: &str, version: &str, run: F) -> ExitCode
 where
-    F: FnOnce(Settings, End) -> R,
+    F: FnOnce(Settings, Premises, End) -> R,
     R: Future<Output = Result<(), String>>,
 {
     let settings = match called(name, version) {
@@ -34,7 +35,10 @@
                 term.recv().await;
                 let _ = tell.send(());
             });
-            run(settings, end).await
+            let data = settings.data.clone();
+            let premises =
+                Premises::here(data).map_err(|error| format!("the disk cannot be read: {error}"))?;
+            run(settings, premises, end).await
         }),
         Err(error) => Err(format!("no runtime: {error}")),
     };
--- a/postmaster/src/disk.rs
+++ b/postmaster/src/disk.rs
@@ -1,13 +1,12 @@
 //! What this machine has on disk: each paper in two files that are written in turn, so that one whole copy stands
-//! whatever happens to the other. A thread of its own waits for the disk.
+//! whatever happens to the other.
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
-use std::sync::mpsc;
-use tokio::sync::oneshot;
+use std::io;
+use std::rc::Rc;
+use tokio::sync::{mpsc, oneshot};
+use vanewharf_mailroom::premises::{Deed, Folder};
 
 /// A paper by its name on disk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,12 +20,12 @@
 const PAPERS: [Paper; 2] = [Paper::Sworn, Paper::Word];
 
 impl Paper {
-    fn file(self, dir: &Path, copy: u64) -> PathBuf {
+    fn file(self, copy: u64) -> String {
         let name = match self {
             Paper::Sworn => "sworn",
             Paper::Word => "word",
         };
-        dir.join(format!("{name}-{copy}.json"))
+        format!("{name}-{copy}.json")
     }
 }
 
@@ -38,15 +37,15 @@
 
 #[derive(Clone)]
 pub struct Disk {
-    jobs: mpsc::Sender<Job>,
+    jobs: mpsc::UnboundedSender<Job>,
 }
 
 /// What was found at the start.
 #[derive(Debug, Default)]
 pub struct Found {
     bodies: [Option<Vec<u8>>; PAPERS.len()],
-    /// Copies that were torn or spoilt, set aside.
-    pub spoilt: Vec<PathBuf>,
+    /// Copies that were torn or spoilt, to be set aside.
+    pub spoilt: Vec<String>,
     writes: [u64; PAPERS.len()],
 }
 
@@ -77,16 +76,13 @@
     sum.finalize()
 }
 
-pub fn find(dir: &Path) -> io::Result<Found> {
-    fs::create_dir_all(dir)?;
-    let mut found = Found::default();
+pub fn find(folder: &dyn Folder) -> io::Result<Found> {
+    let (mut found, mut files) = (Found::default(), folder.read()?);
     for paper in PAPERS {
         for copy in 0..2 {
-            let path = paper.file(dir, copy);
-            let text = match fs::read(&path) {
-                Ok(text) => text,
-                Err(error) if error.kind() == io::ErrorKind::NotFound => continue,
-                Err(error) => return Err(error),
+            let name = paper.file(copy);
+            let Some(text) = files.remove(&name) else {
+                continue;
             };
             match whole(&text) {
                 Some((write, body)) if write >= found.writes[paper as usize] => {
@@ -96,83 +92,54 @@
                 Some(_) => {}
                 // An empty one was begun and never written.
                 None if text.is_empty() => {}
-                None => {
-                    let aside = path.with_extension("spoilt");
-                    let _ = fs::rename(&path, &aside);
-                    found.spoilt.push(aside);
-                }
+                None => found.spoilt.push(name),
             }
         }
     }
     Ok(found)
 }
 
-fn write(dir: &Path, paper: Paper, write: u64, body: &[u8]) -> io::Result<()> {
-    let path = paper.file(dir, write % 2);
-    let mut file: File = OpenOptions::new().write(true).create(true).truncate(true).open(path)?;
-    let number = write.to_string();
+/// One copy, and not before it is on disk for good.
+fn copy(paper: Paper, write: u64, body: &[u8]) -> Vec<Deed> {
+    let (file, number) = (paper.file(write % 2), write.to_string());
     let head = format!("{:08x} {number} {}\n", checksum(&number, body), body.len());
-    file.write_all(&[head.as_bytes(), body].concat())?;
-    file.sync_all()
+    let bytes = [head.as_bytes(), body].concat();
+    vec![Deed::Write { file: file.clone(), bytes }, Deed::Sync { file }]
 }
 
 impl Disk {
-    pub fn start(dir: PathBuf, found: &Found) -> io::Result<Disk> {
-        let (jobs, taken) = mpsc::channel::<Job>();
+    pub fn start(folder: Rc<dyn Folder>, found: &Found) -> Disk {
+        let (jobs, mut taken) = mpsc::unbounded_channel::<Job>();
         let mut writes = found.writes;
-        std::thread::Builder::new().name("disk".to_owned()).stack_size(256 << 10).spawn(move || {
-            while let Ok(Job { paper, body, done }) = taken.recv() {
+        let aside: Vec<_> =
+            found.spoilt.iter().map(|name| (name.clone(), format!("{name}.spoilt"))).collect();
+        tokio::task::spawn_local(async move {
+            for (from, to) in aside {
+                // Left where it is, it is written over in its turn.
+                let _ = folder.carry_out(vec![Deed::Rename { from, to }, Deed::SyncFolder]).await;
+            }
+            while let Some(Job { paper, body, done }) = taken.recv().await {
                 // A write that failed is tried over the same copy, never over the one that stands.
                 let next = writes[paper as usize] + 1;
-                let written = write(&dir, paper, next, &body);
+                let written = folder.carry_out(copy(paper, next, &body)).await;
                 if written.is_ok() {
                     writes[paper as usize] = next;
                 }
                 let _ = done.send(written);
             }
-        })?;
-        Ok(Disk { jobs })
+        });
+        Disk { jobs }
     }
 
     /// Whether it is on disk for good.
     pub async fn save<T: Serialize>(&self, paper: Paper, what: &T) -> io::Result<()> {
         let body = serde_json::to_vec(what).map_err(io::Error::other)?;
         let (done, saved) = oneshot::channel();
-        let gone = || io::Error::other("the disk's thread has ended");
+        let gone = || io::Error::other("nothing is written any more");
         self.jobs.send(Job { paper, body, done }).map_err(|_| gone())?;
         saved.await.map_err(|_| gone())?
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn bodies(dir: &Path) -> (Option<String>, usize) {
-        let found = find(dir).expect("it can be read");
-        (found.paper(Paper::Word), found.spoilt.len())
-    }
-
-    #[test]
-    fn the_last_whole_copy_stands_however_the_next_was_torn() {
-        let dir = tempfile::tempdir().expect("a folder");
-        assert!(find(dir.path()).expect("it can be read").nothing());
-        write(dir.path(), Paper::Word, 1, b"\"one\"").expect("written");
-        write(dir.path(), Paper::Word, 2, b"\"two\"").expect("written");
-        assert_eq!(bodies(dir.path()), (Some("two".to_owned()), 0));
-        write(dir.path(), Paper::Word, 3, b"\"three\"").expect("written");
-        let path = Paper::Word.file(dir.path(), 1);
-        let text = fs::read(&path).expect("written");
-        // At every length that a loss of power may leave, and with any byte of it wrong.
-        for length in 0..text.len() {
-            fs::write(&path, &text[..length]).expect("torn");
-            assert_eq!(bodies(dir.path()).0.as_deref(), Some("two"), "at {length}");
-            let mut spoilt = text.clone();
-            spoilt[length] ^= 1;
-            fs::write(&path, &spoilt).expect("spoilt");
-            assert_eq!(bodies(dir.path()), (Some("two".to_owned()), 1), "byte {length}");
-        }
-        fs::write(&path, &text).expect("whole");
-        assert_eq!(bodies(dir.path()).0.as_deref(), Some("three"));
-    }
-}
+mod tests;
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -4,7 +4,6 @@
 use crate::cloud;
 use crate::office::Office;
 use crate::orders::{Order, Orders};
-use rand::seq::SliceRandom;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,6 +16,7 @@
 use vanewharf_mailroom::call::{Caller, Failed};
 use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::settings::Settings;
 use vanewharf_mailroom::words::{
     DoorRow, Lent, List, Mail, Neighbour, OfficeRow, Pull, Tokens, Version, WordNo,
@@ -43,6 +43,7 @@
 pub struct Desk {
     pub office: Rc<Office>,
     pub feed: Feed,
+    pub premises: Premises,
     pub sums: Rc<RefCell<Summing>>,
     pub row: OfficeRow,
     pub settings: Rc<Settings>,
@@ -94,7 +95,7 @@
     pub fn neighbours(&self) -> Vec<Neighbour> {
         let (now, sums) = (self.feed.now(), self.sums.borrow());
         let mut heard: Vec<_> = sums.heard(now).collect();
-        heard.shuffle(&mut rand::rng());
+        self.premises.shuffle(&mut heard);
         let of =
             |door: &DoorRow| Neighbour { ip: door.address.ip(), region: door.region.clone(), heard_ms: 0 };
         heard.into_iter().take(NEIGHBOURS).map(of).collect()
@@ -149,7 +150,7 @@
                 continue;
             };
             if !callers.iter().any(|caller| caller.address == from) {
-                callers.push(Caller::to(from));
+                callers.push(Caller::to(from, &self.premises.net));
             }
             let Some(caller) = callers.iter_mut().find(|caller| caller.address == from) else {
                 continue;
@@ -257,7 +258,7 @@
         let Some(api) = &self.settings.cloud else {
             return;
         };
-        let mut platform = Caller::to(api.address);
+        let mut platform = Caller::to(api.address, &self.premises.net);
         loop {
             if !self.office.holds() {
                 sleep(ALERT).await;
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -2,7 +2,7 @@
 //! clients ask where to go.
 
 mod cloud;
-mod disk;
+pub mod disk;
 mod duties;
 mod office;
 mod orders;
@@ -20,9 +20,10 @@
 use vanewharf_franking::quota::Buckets;
 use vanewharf_franking::summing::Summing;
 use vanewharf_franking::voter::{Sworn, Voter};
-use vanewharf_mailroom::call::{Caller, Said, listen, serve};
+use vanewharf_mailroom::call::{Caller, Said, serve};
 use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
 use vanewharf_mailroom::words::{Ballot, OfficeRow, Plea, Pull, Tokens, Word};
@@ -31,7 +32,7 @@
 const LAST_ANSWERS: Duration = Duration::from_millis(600);
 
 /// The set of voters: the three seeds of the first start, for good. One that has lost its disk asks the others.
-async fn voters(settings: &Settings, sworn: Option<&Sworn>) -> Vec<SocketAddr> {
+async fn voters(settings: &Settings, premises: &Premises, sworn: Option<&Sworn>) -> Vec<SocketAddr> {
     let seeds = || settings.seeds.iter().map(|seed| settings.office(seed.ip())).collect::<Vec<_>>();
     match sworn {
         Some(sworn) if !sworn.voters.is_empty() => return sworn.voters.clone(),
@@ -41,7 +42,7 @@
     loop {
         for seed in seeds().into_iter().filter(|seed| seed.ip() != settings.ip) {
             let within = Duration::from_millis(500);
-            let answer = Caller::to(seed).call("GET", "/voters", "", within).await;
+            let answer = Caller::to(seed, &premises.net).call("GET", "/voters", "", within).await;
             if let Ok((200, body)) = answer
                 && let Ok(voters) = serde_json::from_slice::<Vec<SocketAddr>>(&body)
                 && !voters.is_empty()
@@ -53,23 +54,47 @@
     }
 }
 
-pub async fn run(settings: Settings, end: End) -> Result<(), String> {
+/// A postmaster at work.
+pub struct Post {
+    office: Rc<Office>,
+}
+
+impl Post {
+    /// Whether it takes orders now.
+    pub fn holds(&self) -> bool {
+        self.office.holds()
+    }
+
+    pub async fn leave(&self) {
+        self.office.leave().await;
+        sleep(LAST_ANSWERS).await;
+    }
+}
+
+pub async fn run(settings: Settings, premises: Premises, end: End) -> Result<(), String> {
+    let post = start(settings, premises).await?;
+    let _ = end.await;
+    post.leave().await;
+    Ok(())
+}
+
+pub async fn start(settings: Settings, premises: Premises) -> Result<Post, String> {
     let because = |what: &str, error: std::io::Error| format!("{what}: {error}");
     let settings = Rc::new(settings);
     let (control, registry) = (settings.listens("control_plane"), settings.listens("directory_service"));
     let control = control.map_err(|fault| fault.to_string())?;
-    let dir = settings.data.clone().ok_or("data_directory is missing: a postmaster needs a disk")?;
-    let found = disk::find(&dir).map_err(|error| because("the disk cannot be read", error))?;
+    let folder = premises.folder.clone().ok_or("data_directory is missing: a postmaster needs a disk")?;
+    let found = disk::find(&*folder).map_err(|error| because("the disk cannot be read", error))?;
     for aside in &found.spoilt {
-        spdlog::warn!("a copy was torn or spoilt and is set aside: {}", aside.display());
+        spdlog::warn!("a copy was torn or spoilt and is set aside: {}", aside);
     }
-    let disk = Disk::start(dir, &found).map_err(|error| because("no thread for the disk", error))?;
+    let disk = Disk::start(folder, &found);
 
     let steady = Steady::start();
     let feed = Feed::new(steady);
     let me = settings.office(settings.ip);
     let sworn: Option<Sworn> = found.paper(Paper::Sworn);
-    let voters = voters(&settings, sworn.as_ref()).await;
+    let voters = voters(&settings, &premises, sworn.as_ref()).await;
     let first = settings.initial_start && found.nothing() || !voters.contains(&me);
     if first {
         let sworn = Sworn { ballot: Ballot(0), holder: None, voters: voters.clone() };
@@ -80,7 +105,7 @@
     let word: Option<Word> = found.paper(Paper::Word);
     let voter = Voter::start(sworn.as_ref().map(|sworn| sworn.ballot), word, first, steady.now());
     let forgetful = voter.forgetful();
-    let office = Office::start(me, voters, voter, Some(disk.clone()), feed.clone());
+    let office = Office::start(me, voters, voter, disk.clone(), feed.clone(), premises.clone());
     if let Some(sworn) = sworn {
         tokio::task::spawn_local(Rc::clone(&office).inquire(sworn));
     }
@@ -93,13 +118,14 @@
     let desk = Rc::new(Desk {
         office: Rc::clone(&office),
         feed: feed.clone(),
+        premises: premises.clone(),
         sums,
         row,
         settings: Rc::clone(&settings),
         hosts: RefCell::default(),
         lending: RefCell::new(Lending {
             buckets: Buckets::start(settings.bounds.rate_allowance, settings.initial_start, steady.now()),
-            life: rand::random::<u64>() >> 1,
+            life: premises.life(),
         }),
     });
     tokio::task::spawn_local(Rc::clone(&desk).follow());
@@ -109,25 +135,25 @@
     let orders = Orders::start(Rc::clone(&office));
     tokio::task::spawn_local(Rc::clone(&desk).enlarge(orders.clone()));
 
-    let inside = listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
+    let inside =
+        premises.net.listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
     let within = Rc::clone(&desk);
     tokio::task::spawn_local(serve(inside, move |request| {
         let desk = Rc::clone(&within);
         async move { internal(&desk, &request).await }
     }));
     for address in [Some(control), registry.ok()].into_iter().flatten() {
-        let outside =
-            listen(address).map_err(|error| because(&format!("cannot listen on {address}"), error))?;
+        let outside = premises
+            .net
+            .listen(address)
+            .map_err(|error| because(&format!("cannot listen on {address}"), error))?;
         let (desk, orders) = (Rc::clone(&desk), orders.clone());
         tokio::task::spawn_local(serve(outside, move |request| {
             let (desk, orders) = (Rc::clone(&desk), orders.clone());
             async move { public::dispatch(&desk, &orders, &request).await }
         }));
     }
-    let _ = end.await;
-    office.leave().await;
-    sleep(LAST_ANSWERS).await;
-    Ok(())
+    Ok(Post { office })
 }
 
 /// The system's own calls.
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -2,7 +2,6 @@
 //! for its list. One task owns the voter and works through a queue; one tries for the lease and holds it.
 
 use crate::disk::{Disk, Paper};
-use rand::Rng;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,6 +16,7 @@
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::words::{Ballot, Oath, Plea, Word, WordNo};
 
 /// For an oath that needs no disk.
@@ -52,6 +52,7 @@
 pub struct Office {
     pub me: SocketAddr,
     pub feed: Feed,
+    premises: Premises,
     steady: Steady,
     voter: RefCell<Voter>,
     /// The voters of the first start.
@@ -71,14 +72,16 @@
         me: SocketAddr,
         voters: Vec<SocketAddr>,
         voter: Voter,
-        disk: Option<Disk>,
+        disk: Disk,
         feed: Feed,
+        premises: Premises,
     ) -> Rc<Office> {
         let (pleas, heard) = mpsc::unbounded_channel();
         let steady = feed.steady;
         let office = Rc::new(Office {
             me,
             feed,
+            premises,
             steady,
             voter: RefCell::new(voter),
             founders: voters,
@@ -144,7 +147,7 @@
     async fn own(
         self: Rc<Self>,
         mut heard: mpsc::UnboundedReceiver<(Plea, oneshot::Sender<Oath>)>,
-        disk: Option<Disk>,
+        disk: Disk,
     ) {
         while let Some((plea, reply)) = heard.recv().await {
             let step = self.voter.borrow_mut().hear(plea, self.now());
@@ -162,10 +165,7 @@
         }
     }
 
-    async fn save(&self, disk: &Option<Disk>, save: &Save) -> std::io::Result<()> {
-        let Some(disk) = disk else {
-            return Err(std::io::Error::other("there is no disk here"));
-        };
+    async fn save(&self, disk: &Disk, save: &Save) -> std::io::Result<()> {
         match save {
             Save::Ballot(ballot, holder) => {
                 let sworn = Sworn { ballot: *ballot, holder: Some(*holder), voters: self.founders.clone() };
@@ -189,7 +189,7 @@
             return timeout(within, self.plead(plea.clone())).await.ok();
         }
         let kept = self.callers.borrow_mut().get_mut(&voter).and_then(Vec::pop);
-        let mut caller = kept.unwrap_or_else(|| Caller::to(voter));
+        let mut caller = kept.unwrap_or_else(|| Caller::to(voter, &self.premises.net));
         let oath = caller.ask("/plea", plea, within).await.ok();
         if oath.is_some() {
             self.callers.borrow_mut().entry(voter).or_default().push(caller);
@@ -227,7 +227,7 @@
         let mut seen = Ballot(0);
         loop {
             let place = self.voters().iter().position(|voter| *voter == self.me);
-            let (chance, place) = (rand::rng().random_range(0..60), place);
+            let chance = self.premises.draw(60);
             let Some(place) = place else {
                 sleep(WATCH * 5).await;
                 continue;
@@ -271,7 +271,7 @@
             seen = refused.max().unwrap_or_default().max(seen);
             if !carries(&set, assents(&oaths)) {
                 self.poll(&set, Plea::Release { ballot }, QUICK).await;
-                sleep(Duration::from_millis(rand::rng().random_range(50..250))).await;
+                sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
                 continue;
             }
             self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled: false }));
@@ -447,7 +447,7 @@
             let held = if holder == self.me {
                 Some(self.holds_by(sworn.ballot))
             } else {
-                Caller::to(holder).ask("/holds", &sworn.ballot, QUICK / 3).await.ok()
+                Caller::to(holder, &self.premises.net).ask("/holds", &sworn.ballot, QUICK / 3).await.ok()
             };
             match held {
                 Some(false) => return self.voter.borrow_mut().disowned(sworn.ballot, self.now()),
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -1,7 +1,6 @@
 //! The agent beside a carrier, on its machine: keeps the link to the control plane, pulls what is new and feeds the
 //! carrier over loopback; carries the carrier's reports the other way. Where no postmaster answers it hears through neighbours.
 
-use rand::Rng;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -10,9 +9,10 @@
 use tokio::time::sleep;
 use vanewharf_frames::Request;
 use vanewharf_franking::view::View;
-use vanewharf_mailroom::call::{Caller, Said, listen, serve};
+use vanewharf_mailroom::call::{Caller, Said, serve};
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::feed::Feed;
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
 use vanewharf_mailroom::words::{Neighbour, Pull, Report};
@@ -40,10 +40,10 @@
 /// Reports of doors that reach no postmaster, by name.
 type Relayed = Rc<RefCell<BTreeMap<String, (Report, At)>>>;
 
-pub async fn run(settings: Settings, end: End) -> Result<(), String> {
+pub async fn run(settings: Settings, premises: Premises, end: End) -> Result<(), String> {
     let (feed, last) = (Feed::new(Steady::start()), Last::default());
     let at = settings.loopback();
-    let listener = listen(at).map_err(|error| format!("cannot listen on {at}: {error}"))?;
+    let listener = premises.net.listen(at).map_err(|error| format!("cannot listen on {at}: {error}"))?;
     let (fed, reported) = (feed.clone(), Rc::clone(&last));
     tokio::task::spawn_local(serve(listener, move |request| {
         let (feed, last) = (fed.clone(), Rc::clone(&reported));
@@ -66,29 +66,37 @@
     }));
     let view = Rc::new(RefCell::new(View::of(settings.ip, &settings.region)));
     let beside = settings.neighbour(settings.ip);
-    let listener = listen(beside).map_err(|error| format!("cannot listen on {beside}: {error}"))?;
+    let listener =
+        premises.net.listen(beside).map_err(|error| format!("cannot listen on {beside}: {error}"))?;
     let relayed = Relayed::default();
-    let (fed, known, kept) = (feed.clone(), Rc::clone(&view), Rc::clone(&relayed));
+    let (fed, known, kept, here) = (feed.clone(), Rc::clone(&view), Rc::clone(&relayed), premises.clone());
     tokio::task::spawn_local(serve(listener, move |request| {
         let (feed, view, relayed) = (fed.clone(), Rc::clone(&known), Rc::clone(&kept));
-        async move { beside_calls(&feed, &view, &relayed, &request).await }
+        let draw = here.draw(1 << 16) as usize;
+        async move { beside_calls(&feed, &view, &relayed, draw, &request).await }
     }));
     let grace = settings.bounds.grace;
     let settings = Rc::new(settings);
-    tokio::task::spawn_local(shuffle(Rc::clone(&settings), feed.clone(), Rc::clone(&view)));
-    tokio::task::spawn_local(keep_pulling(settings, feed, last, view, relayed));
+    tokio::task::spawn_local(shuffle(Rc::clone(&settings), premises.clone(), feed.clone(), Rc::clone(&view)));
+    tokio::task::spawn_local(keep_pulling(settings, premises, feed, last, view, relayed));
     let _ = end.await;
     sleep(grace.mul_f64(FEEDS_ON)).await;
     Ok(())
 }
 
 /// Calls of other doors.
-async fn beside_calls(feed: &Feed, view: &RefCell<View>, relayed: &Relayed, request: &Request) -> Said {
+async fn beside_calls(
+    feed: &Feed,
+    view: &RefCell<View>,
+    relayed: &Relayed,
+    draw: usize,
+    request: &Request,
+) -> Said {
     match (request.method(), request.target()) {
         ("POST", "/shuffle") => match serde_json::from_slice::<Vec<Neighbour>>(request.body()) {
             Ok(told) => {
                 let now = feed.now();
-                let mine = view.borrow().told(rand::rng().random_range(0..1 << 16), now);
+                let mine = view.borrow().told(draw, now);
                 view.borrow_mut().merge(&told, now);
                 Said::json(&mine)
             }
@@ -114,16 +122,16 @@
 }
 
 /// Now and then the view is told to one of the doors in it, and that one's view heard.
-async fn shuffle(settings: Rc<Settings>, feed: Feed, view: Rc<RefCell<View>>) {
+async fn shuffle(settings: Rc<Settings>, premises: Premises, feed: Feed, view: Rc<RefCell<View>>) {
     loop {
-        let draw: usize = rand::rng().random_range(0..1 << 16);
+        let draw = premises.draw(1 << 16) as usize;
         sleep(SHUFFLED + Duration::from_millis(draw as u64 % 400)).await;
         let first = view.borrow().order(draw).first().copied();
         let now = feed.now();
         match first {
             Some(ip) => {
                 let told = view.borrow().told(draw, now);
-                let mut there = Caller::to(settings.neighbour(ip));
+                let mut there = Caller::to(settings.neighbour(ip), &premises.net);
                 match there.ask::<_, Vec<Neighbour>>("/shuffle", &told, BESIDE).await {
                     Ok(heard) => view.borrow_mut().merge(&heard, feed.now()),
                     Err(_) => view.borrow_mut().lost(ip),
@@ -132,7 +140,8 @@
             // It knows no door: a postmaster names some.
             None => {
                 for ip in known(&settings, &feed) {
-                    let called = Caller::to(settings.office(ip)).call("GET", "/neighbours", "", BESIDE).await;
+                    let mut there = Caller::to(settings.office(ip), &premises.net);
+                    let called = there.call("GET", "/neighbours", "", BESIDE).await;
                     if let Ok((200, body)) = called
                         && let Ok(heard) = serde_json::from_slice::<Vec<Neighbour>>(&body)
                     {
@@ -149,6 +158,7 @@
 /// a postmaster that is behind: clients hear of this door through it.
 async fn keep_pulling(
     settings: Rc<Settings>,
+    premises: Premises,
     feed: Feed,
     last: Last,
     view: Rc<RefCell<View>>,
@@ -178,7 +188,7 @@
             continue;
         };
         if from.as_ref().is_none_or(|caller| caller.address != best) {
-            from = Some(Caller::to(best));
+            from = Some(Caller::to(best, &premises.net));
         }
         let Some(caller) = &mut from else {
             continue;
--- a/testletter/src/town.rs
+++ b/testletter/src/town.rs
@@ -12,6 +12,7 @@
 use tempfile::TempDir;
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::sync::oneshot;
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
 
@@ -74,10 +75,11 @@
 }
 
 async fn run(program: Program, settings: Settings, end: End) -> Result<(), String> {
+    let premises = Premises::here(settings.data.clone()).map_err(|error| error.to_string())?;
     match program {
-        Program::Carrier => vanewharf_carrier::run(settings, end).await,
-        Program::Sorter => vanewharf_sorter::run(settings, end).await,
-        Program::Postmaster => vanewharf_postmaster::run(settings, end).await,
+        Program::Carrier => vanewharf_carrier::run(settings, premises, end).await,
+        Program::Sorter => vanewharf_sorter::run(settings, premises, end).await,
+        Program::Postmaster => vanewharf_postmaster::run(settings, premises, end).await,
     }
 }
 
