--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,8 @@
 use vanewharf_lab::arrivals::traced;
 use vanewharf_lab::experiment::Experiment;
 use vanewharf_lab::run::{Outcome, run, run_with};
+use vanewharf_lab::system::many::days;
+use vanewharf_lab::system::world::Shape;
 use vanewharf_lab::{plots, report, sweep};
 use vanewharf_told::Options;
 use vanewharf_traces as traces;
@@ -60,6 +62,34 @@
         #[arg(long)]
         strict: bool,
     },
+    /// Play short days of the whole system, with troubles drawn by seed, and judge what was seen.
+    System {
+        /// How many days.
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        /// The first day's seed; the others follow it.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=9))]
+        offices: u64,
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=2000))]
+        doors: u64,
+        /// Seconds in which troubles may begin.
+        #[arg(long, default_value_t = 14)]
+        seconds: u64,
+        /// Requests a second over all doors.
+        #[arg(long, default_value_t = 60, value_parser = clap::value_parser!(u64).range(1..))]
+        rate: u64,
+        /// The most troubles of one day.
+        #[arg(long, default_value_t = 4)]
+        troubles: u64,
+        /// Threads; each plays a day of its own.
+        #[arg(long, default_value_t = std::thread::available_parallelism().map_or(1, usize::from))]
+        jobs: usize,
+        /// Tell each day's troubles, not only those of days on which a rule broke.
+        #[arg(long)]
+        verbose: bool,
+    },
     /// Run an experiment at each value of its swept keys.
     Sweep {
         experiment: PathBuf,
@@ -95,6 +125,10 @@
         What::Lab(Lab::Run { experiment, out, seed, strict }) => {
             lab_run(&experiment, out.as_deref(), &seed, strict)
         }
+        What::Lab(Lab::System { seeds, from, offices, doors, seconds, rate, troubles, jobs, verbose }) => {
+            let shape = Shape { offices: offices as usize, doors: doors as usize, seconds, rate, troubles };
+            lab_system(shape, from, seeds, jobs, verbose)
+        }
         What::Lab(Lab::Sweep { experiment, out, seed }) => lab_sweep(&experiment, out.as_deref(), &seed),
         What::Trace(Trace::Import { experiment, trace, out }) => import(&experiment, &trace, Some(&out)),
         What::Trace(Trace::Inspect { experiment, trace }) => import(&experiment, &trace, None),
@@ -183,6 +217,44 @@
     }
 }
 
+fn lab_system(shape: Shape, from: u64, seeds: u64, jobs: usize, verbose: bool) -> Result<(), String> {
+    let begun = std::time::Instant::now();
+    let (mut broken, mut asked, mut served, mut refused, mut ordered, mut acknowledged) = (0, 0, 0, 0, 0, 0);
+    let (mut seconds, mut late, mut door, mut office) = (0.0, 1.0f64, 0, 0);
+    days(shape, from, seeds, jobs, |day| {
+        if verbose || !day.broken.is_empty() {
+            println!("seed {}", day.seed);
+            day.told.iter().for_each(|told| println!("    {told}"));
+        }
+        for one in day.broken.iter().take(6) {
+            println!("  {} broken at {:.2} s: {}", one.rule, one.at, one.what);
+        }
+        if verbose {
+            println!("  asked {}, served {}, refused {}, late {:.3}", day.asked, day.served, day.refused, day.late_served);
+        }
+        broken += u64::from(!day.broken.is_empty());
+        (asked, served, refused) = (asked + day.asked, served + day.served, refused + day.refused);
+        (ordered, acknowledged) = (ordered + day.orders, acknowledged + day.acknowledged);
+        (seconds, late) = (seconds + day.seconds, late.min(day.late_served));
+        (door, office) = (door + day.door.bytes, office + day.office.bytes);
+    });
+    let took = begun.elapsed().as_secs_f64();
+    println!(
+        "{seeds} days of {} postmasters and {} doors, {seconds:.0} s of theirs in {took:.1} s: {:.0} days a minute",
+        shape.offices,
+        shape.doors,
+        seeds as f64 * 60.0 / took
+    );
+    println!("requests: {asked}, served {served}, refused {refused}; least served at a day's quiet end {late:.3}");
+    println!("orders: {ordered}, acknowledged {acknowledged}");
+    println!(
+        "control traffic: {:.0} bytes a second from each door's machine, {:.0} from each postmaster's",
+        door as f64 / seconds,
+        office as f64 / seconds
+    );
+    if broken > 0 { Err(format!("rules broken on {broken} of {seeds} days")) } else { Ok(()) }
+}
+
 fn lab_sweep(path: &Path, out: Option<&Path>, seeds: &[u64]) -> Result<(), String> {
     let (text, experiment) = experiment(path)?;
     let seeds = if seeds.is_empty() { vec![experiment.seed] } else { seeds.to_vec() };
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod score;
 pub mod stores;
 pub mod sweep;
+pub mod system;
 pub mod world;
--- /dev/null
+++ b/lab/src/system/door.rs
@@ -0,0 +1,238 @@
+//! A carrier among made-up clients and backends: the real gate, tables, buckets and rounds, fed by the real link from the
+//! real sorter. Only the sockets of clients and backends are stood in for.
+
+use super::net::Network;
+use super::town::{Asked, Heard, Run, Town};
+use bytes::BytesMut;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
+use tokio_util::codec::Decoder;
+use vanewharf::interface::{Action, BackendId, Ending, Event, Outcome, SubmissionNo, Tenths, TxnId};
+use vanewharf_carrier::Core;
+use vanewharf_carrier::gate::Wicket;
+use vanewharf_carrier::rounds::News;
+use vanewharf_door::gate::{Admitted, Gate};
+use vanewharf_door::route::Decides;
+use vanewharf_frames::{Inward, Request};
+use vanewharf_mailroom::config::Config;
+use vanewharf_mailroom::premises::Premises;
+use vanewharf_mailroom::settings::Settings;
+
+/// A request that a client sends.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub attempt: u64,
+    pub once_only: bool,
+    pub path: String,
+    pub key: String,
+    pub sent: Instant,
+}
+
+/// What a client's request waits at most.
+const PATIENCE: Duration = Duration::from_millis(2000);
+/// A backend's work on one request, and what chance adds to it.
+const WORK: Duration = Duration::from_millis(40);
+const MORE_WORK: u64 = 60;
+/// A backend that is gone or cut off: the connection does not come up.
+const NO_DIAL: Duration = Duration::from_millis(300);
+
+struct Txn {
+    ask: Ask,
+    submissions: u32,
+}
+
+pub struct Door {
+    pub no: usize,
+    pub ip: IpAddr,
+    pub town: Rc<Town>,
+    pub network: Network,
+    pub premises: Premises,
+    core: Core,
+    life: u64,
+    next: u64,
+    revision: u64,
+    txns: BTreeMap<TxnId, Txn>,
+    ends: mpsc::UnboundedSender<Ending>,
+}
+
+fn request(ask: &Ask) -> Option<Request> {
+    let text = format!(
+        "GET {} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {:016x}\r\nRemaining-Milliseconds: {}\r\nX-Api-Key: {}\r\n\r\n",
+        ask.path,
+        ask.attempt,
+        PATIENCE.as_millis(),
+        ask.key
+    );
+    Inward::up_to(1024).decode(&mut BytesMut::from(text.as_bytes())).ok().flatten()
+}
+
+impl Door {
+    pub async fn run(
+        (no, town, network): (usize, Rc<Town>, Network),
+        settings: Settings,
+        premises: Premises,
+        asks: Rc<std::cell::RefCell<Option<mpsc::UnboundedSender<Ask>>>>,
+    ) -> Result<(), String> {
+        let settings = Rc::new(settings);
+        let frontend = settings.listens("frontend").map_err(|fault| fault.to_string())?;
+        let core = Core::start(&settings, &premises, frontend);
+        town.feeds.borrow_mut().insert(no, core.feed.clone());
+        let (tell, mut asked) = mpsc::unbounded_channel();
+        *asks.borrow_mut() = Some(tell);
+        let (ends, mut ended) = mpsc::unbounded_channel();
+        let (life, ip) = (premises.life(), settings.ip);
+        let (next, revision, txns) = (0, 0, BTreeMap::new());
+        let mut door = Door { no, ip, town, network, premises, core, life, next, revision, txns, ends };
+        loop {
+            let now = door.now();
+            tokio::select! {
+                biased;
+                Some(news) = door.core.heard.recv() => door.hear(news),
+                Some(ending) = ended.recv() => {
+                    let settled = ending.outcome == Outcome::Settled;
+                    let txn = ending.txn;
+                    let now = door.now();
+                    let actions = door.core.rounds.decide(now, vec![Event::Ended(ending)]);
+                    if settled {
+                        door.over(txn, 200);
+                    }
+                    door.carry_out(actions);
+                }
+                Some(ask) = asked.recv() => door.take(ask),
+                else => return Err(format!("a door's queues have ended at {now:?}")),
+            }
+        }
+    }
+
+    fn now(&self) -> Tenths {
+        Tenths(self.core.posted.steady.now().0 as i64)
+    }
+
+    fn hear(&mut self, news: News) {
+        if let News::Word(word) = &news {
+            let config = word.config.as_ref().and_then(|config| Config::of(config.get().as_bytes()).ok());
+            self.revision = config.map_or(0, |config| config.revision.0);
+            let mut hasher = DefaultHasher::new();
+            (word.config.as_ref().map(|config| config.get()), &word.evacuated, &word.voters).hash(&mut hasher);
+            self.town.history.borrow_mut().heard.push(Heard {
+                door: self.no,
+                life: self.life,
+                at: Instant::now(),
+                no: word.no.0,
+                revision: self.revision,
+                body: hasher.finish(),
+            });
+        }
+        let now = self.now();
+        self.core.rounds.news(now, news);
+        let actions = self.core.rounds.decide(now, Vec::new());
+        self.carry_out(actions);
+    }
+
+    fn take(&mut self, ask: Ask) {
+        self.next += 1;
+        let (txn, now) = (TxnId(self.next), self.now());
+        let asked = Asked {
+            sent: ask.sent,
+            door: self.no,
+            revision: self.revision,
+            attempt: ask.attempt,
+            status: None,
+            took: Duration::ZERO,
+        };
+        self.town.history.borrow_mut().asked.insert(ask.attempt, asked);
+        let gate = Wicket(Rc::clone(&self.core.posted));
+        let admitted = request(&ask).map(|request| gate.admit(&request, now, txn));
+        self.txns.insert(txn, Txn { ask, submissions: 0 });
+        match admitted {
+            Some(Admitted::Txn(arrival)) => {
+                let actions = self.core.rounds.decide(now, vec![Event::Arrived(arrival)]);
+                self.carry_out(actions);
+            }
+            Some(Admitted::Bad(status, _)) => self.over(txn, status),
+            Some(Admitted::Later(_)) => self.over(txn, 503),
+            Some(Admitted::Health) | None => self.over(txn, 500),
+        }
+    }
+
+    fn over(&mut self, txn: TxnId, status: u16) {
+        if let Some(known) = self.txns.get(&txn)
+            && let Some(asked) = self.town.history.borrow_mut().asked.get_mut(&known.ask.attempt)
+            && asked.status.is_none()
+        {
+            asked.status = Some(status);
+            asked.took = asked.sent.elapsed();
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Submit { txn, backend, .. } => self.submit(txn, backend),
+                Action::Decline { txn, retry_after } => {
+                    self.over(txn, if retry_after.is_some() { 429 } else { 503 });
+                }
+                Action::Void { txn } => self.over(txn, 502),
+                // The stand-in's submissions always end by themselves.
+                Action::Cancel { .. } | Action::Wake { .. } | Action::Count { .. } | Action::Tell { .. } => {}
+            }
+        }
+    }
+
+    fn submit(&mut self, txn: TxnId, backend: BackendId) {
+        let fields = self.core.rounds.anew(txn, backend);
+        let field = |name: &str| {
+            let found = fields.iter().find(|(known, _)| *known == name);
+            found.map(|(_, value)| value.clone()).unwrap_or_default()
+        };
+        let (instance, tenant) = (field("Expected-Instance"), field("Customer-Name"));
+        let Some(known) = self.txns.get_mut(&txn) else {
+            return;
+        };
+        let no = SubmissionNo(known.submissions);
+        known.submissions += 1;
+        let left = PATIENCE.saturating_sub(known.ask.sent.elapsed());
+        let ask = known.ask.clone();
+        let there = self.town.backends.borrow().get(&instance).cloned();
+        let way = there.as_ref().map_or(Duration::ZERO, |there| self.network.delay(self.ip, there.address.ip()));
+        let work = WORK + Duration::from_millis(self.premises.draw(MORE_WORK));
+        let (town, network, ends) = (Rc::clone(&self.town), self.network.clone(), self.ends.clone());
+        let (ip, door, revision) = (self.ip, self.no, self.revision);
+        tokio::task::spawn_local(async move {
+            let begun = Instant::now();
+            let address = there.map(|there| there.address.ip());
+            if address.is_none_or(|address| !network.open(ip, address)) {
+                sleep(NO_DIAL).await;
+                end(&ends, txn, no, Outcome::NoConnection, begun);
+                return;
+            }
+            sleep(way).await;
+            // It may have ended on the way.
+            let lives = town.backends.borrow().get(&instance).is_some_and(|one| one.gone.is_none());
+            if !lives {
+                end(&ends, txn, no, Outcome::NoConnection, begun);
+                return;
+            }
+            let Ask { attempt, once_only, key, sent, .. } = ask;
+            let at = Instant::now();
+            let run = Run { at, sent, attempt, once_only, backend: instance, tenant, key, door, revision };
+            town.history.borrow_mut().runs.push(run);
+            let whole = work + way;
+            let outcome = if begun.elapsed() + whole <= left { Outcome::Settled } else { Outcome::TimedOut };
+            sleep(whole.min(left)).await;
+            end(&ends, txn, no, outcome, begun);
+        });
+    }
+}
+
+fn end(ends: &mpsc::UnboundedSender<Ending>, txn: TxnId, no: SubmissionNo, outcome: Outcome, begun: Instant) {
+    let took = Tenths((begun.elapsed().as_micros() / 100) as i64);
+    let complete = outcome == Outcome::Settled;
+    // The door that waited for it may be gone.
+    let _ = ends.send(Ending { txn, no, outcome, took, complete, metered: None, true_cost: None });
+}
--- /dev/null
+++ b/lab/src/system/world.rs
@@ -0,0 +1,337 @@
+//! The machines of a made-up system and the real programs on them, each in a cage of its own: it can be killed with all
+//! that it has open, frozen, lose power, lose its disk or be cut off.
+
+use super::disk::{Disk, Left};
+use super::door::{Ask, Door};
+use super::net::{Network, Place};
+use super::town::{Town, ip};
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+use vanewharf_mailroom::call::{Said, serve};
+use vanewharf_mailroom::premises::{Folder, Premises};
+use vanewharf_mailroom::settings::Settings;
+use vanewharf_postmaster::Post;
+
+const CONTROL: u16 = 8200;
+const REGISTRY: u16 = 8201;
+const FRONTEND: u16 = 8206;
+const READINESS: u16 = 8207;
+pub const ZONES: [(&str, &str); 4] =
+    [("east-a", "east"), ("west-a", "west"), ("east-b", "east"), ("west-b", "west")];
+/// The voters of the first start.
+const SEEDS: usize = 3;
+const SYNC: Duration = Duration::from_millis(2);
+
+pub const CONTACT: Duration = Duration::from_millis(4000);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Program {
+    Carrier,
+    Sorter,
+    Postmaster,
+}
+
+struct Cage {
+    set: Option<LocalSet>,
+    frozen: bool,
+    waker: Option<Waker>,
+}
+
+struct Caged(Rc<RefCell<Cage>>);
+
+impl Future for Caged {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        let mut cage = self.0.borrow_mut();
+        cage.waker = Some(cx.waker().clone());
+        if cage.frozen {
+            return Poll::Pending;
+        }
+        match &mut cage.set {
+            Some(set) => Pin::new(set).poll(cx),
+            None => Poll::Ready(()),
+        }
+    }
+}
+
+/// What happened to a machine or among the core, and for how long.
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub begun: Instant,
+    pub ended: Option<Instant>,
+    pub whom: Whom,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Whom {
+    /// Its processes did not run, or not all of them.
+    Down(usize),
+    /// Its disk was in trouble, or it was cut off from some of the core.
+    Ailing(usize),
+    /// These of the core were cut off from the rest of it.
+    Parted(BTreeSet<usize>),
+}
+
+pub struct Machine {
+    pub name: String,
+    pub ip: IpAddr,
+    pub zone: &'static str,
+    pub disk: Option<Disk>,
+    cages: RefCell<BTreeMap<Program, Rc<RefCell<Cage>>>>,
+    starts: Cell<u64>,
+    pub asks: Rc<RefCell<Option<mpsc::UnboundedSender<Ask>>>>,
+    post: Rc<RefCell<Option<Post>>>,
+}
+
+/// How large a system is, and how long a day.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub offices: usize,
+    pub doors: usize,
+    pub seconds: u64,
+    /// Requests a second over all doors, and how many troubles at most.
+    pub rate: u64,
+    pub troubles: u64,
+}
+
+pub struct World {
+    pub shape: Shape,
+    pub town: Rc<Town>,
+    pub network: Network,
+    pub machines: Vec<Machine>,
+    pub troubles: RefCell<Vec<Trouble>>,
+    first: Cell<bool>,
+    seed: u64,
+}
+
+pub fn operator(no: u8) -> IpAddr {
+    IpAddr::from([10, 9, 0, no + 1])
+}
+
+impl World {
+    pub fn new(shape: Shape, seed: u64) -> Rc<World> {
+        let network = Network::new(seed);
+        let platform = SocketAddr::new(IpAddr::from([10, 9, 0, 100]), 80);
+        let mut machines = Vec::new();
+        for no in 0..shape.offices + shape.doors {
+            let office = no < shape.offices;
+            let (zone, region) = ZONES[if office { no } else { no - shape.offices } % ZONES.len()];
+            let (name, ip) = if office {
+                (format!("central-{no}"), ip(no as u8 + 1))
+            } else {
+                let door = no - shape.offices;
+                (format!("frontend-{door}"), IpAddr::from([10, 1, (door / 250) as u8, (door % 250) as u8 + 1]))
+            };
+            network.stand(ip, Place { zone: zone.to_owned(), region: region.to_owned() });
+            machines.push(Machine {
+                name,
+                ip,
+                zone,
+                disk: office.then(|| Disk::new(SYNC)),
+                cages: RefCell::default(),
+                starts: Cell::new(0),
+                asks: Rc::default(),
+                post: Rc::default(),
+            });
+        }
+        let town = Rc::new(Town::new(platform));
+        Rc::new(World {
+            shape,
+            town,
+            network,
+            machines,
+            troubles: RefCell::default(),
+            first: Cell::new(true),
+            seed,
+        })
+    }
+
+    pub fn office(&self, no: usize) -> SocketAddr {
+        SocketAddr::new(self.machines[no].ip, CONTROL)
+    }
+
+    /// The first start of all.
+    pub fn begin(&self) {
+        self.serve_list();
+        (0..self.machines.len()).for_each(|no| self.boot(no));
+        self.first.set(false);
+    }
+
+    fn serve_list(&self) {
+        let town = Rc::clone(&self.town);
+        let ear = self.network.at(town.platform.ip()).listen(town.platform);
+        let ear = ear.expect("nothing else listens there");
+        tokio::task::spawn_local(serve(ear, move |request| {
+            let page = (request.target().starts_with("/instances")).then(|| town.page());
+            async move { page.map_or(Said::status(404, "no such call"), |page| Said::json(&page)) }
+        }));
+    }
+
+    fn settings(&self, no: usize) -> Settings {
+        let machine = &self.machines[no];
+        let zones: serde_json::Map<_, _> =
+            ZONES.iter().map(|(zone, region)| (zone.to_string(), json!(region))).collect();
+        let at = |port: u16| SocketAddr::new(machine.ip, port).to_string();
+        let office = machine.disk.is_some();
+        let listen = if office {
+            json!({"control_plane": at(CONTROL), "directory_service": at(REGISTRY)})
+        } else {
+            json!({"frontend": at(FRONTEND), "readiness": at(READINESS)})
+        };
+        let seeds: Vec<_> = (0..SEEDS.min(self.shape.offices)).map(|no| self.office(no).to_string()).collect();
+        let text = json!({"node_name": machine.name, "ip_address": machine.ip.to_string(), "zone": machine.zone,
+            "region": zones[machine.zone], "zones": zones, "listen_addresses": listen,
+            "internal_ports": [7600, 7615], "seed_nodes": seeds, "initial_start": self.first.get(),
+            "limits": {"memory_mb": 200, "file_descriptors": 1024},
+            "data_directory": office.then_some("/data"),
+            "limits_table": {"revocation_global": true, "revocation": "5000ms", "grace_period": "6s", "ttl_max": "5s",
+                "rate_allowance": 20, "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 56,
+                "warmup_overshoot": 1.5, "warmup_allowance": 5},
+            "fault_tolerance": {"machine_losses": (self.shape.offices - 1) / 2, "zones": 1, "region_losses": 0},
+            "cloud_api": {"address": self.town.platform.to_string(), "rate_per_s": 44.0, "allowed_lag": "800ms"}});
+        Settings::of(text.to_string().as_bytes()).expect("settings that can be read")
+    }
+
+    /// Starts what does not run on a machine.
+    pub fn boot(&self, no: usize) {
+        let machine = &self.machines[no];
+        self.network.lit(machine.ip);
+        let programs: &[Program] =
+            if machine.disk.is_some() { &[Program::Postmaster] } else { &[Program::Sorter, Program::Carrier] };
+        for &program in programs {
+            if !machine.cages.borrow().contains_key(&program) {
+                self.start(no, program);
+            }
+        }
+        self.over(&Whom::Down(no));
+    }
+
+    fn start(&self, no: usize, program: Program) {
+        let machine = &self.machines[no];
+        machine.starts.set(machine.starts.get() + 1);
+        let folder = machine.disk.clone().map(|disk| Rc::new(disk) as Rc<dyn Folder>);
+        let mixed = self.seed.wrapping_mul(0x9e37_79b9).wrapping_add((no as u64) << 16 | machine.starts.get());
+        let premises = Premises::new(self.network.at(machine.ip), folder, mixed);
+        let (settings, set) = (self.settings(no), LocalSet::new());
+        let (town, name) = (Rc::clone(&self.town), machine.name.clone());
+        let said = move |ended: Result<(), String>| {
+            let why = ended.err().unwrap_or_else(|| "it ended by itself".to_owned());
+            town.history.borrow_mut().ended.push(format!("{name} {program:?}: {why}"));
+        };
+        match program {
+            Program::Postmaster => {
+                let post = Rc::clone(&machine.post);
+                set.spawn_local(async move {
+                    match vanewharf_postmaster::start(settings, premises).await {
+                        Ok(started) => {
+                            *post.borrow_mut() = Some(started);
+                            std::future::pending::<()>().await;
+                        }
+                        Err(why) => said(Err(why)),
+                    }
+                });
+            }
+            Program::Sorter => {
+                set.spawn_local(async move {
+                    let (keep, end) = oneshot::channel();
+                    said(vanewharf_sorter::run(settings, premises, end).await);
+                    drop(keep);
+                });
+            }
+            Program::Carrier => {
+                let (door, town) = (no - self.shape.offices, Rc::clone(&self.town));
+                let (network, asks) = (self.network.clone(), Rc::clone(&machine.asks));
+                set.spawn_local(async move {
+                    said(Door::run((door, town, network), settings, premises, asks).await);
+                });
+            }
+        }
+        let cage = Rc::new(RefCell::new(Cage { set: Some(set), frozen: false, waker: None }));
+        machine.cages.borrow_mut().insert(program, Rc::clone(&cage));
+        tokio::task::spawn_local(Caged(cage));
+    }
+
+    /// These of a machine's processes, at once.
+    pub fn kill(&self, no: usize, which: impl Fn(Program) -> bool) {
+        self.befalls(Whom::Down(no));
+        let machine = &self.machines[no];
+        if which(Program::Postmaster) {
+            machine.post.borrow_mut().take();
+        }
+        if which(Program::Carrier) {
+            machine.asks.borrow_mut().take();
+            let door = no.wrapping_sub(self.shape.offices);
+            self.town.feeds.borrow_mut().remove(&door);
+        }
+        let mut cages = machine.cages.borrow_mut();
+        let gone: Vec<_> = cages.extract_if(.., |program, _| which(*program)).collect();
+        for (_, cage) in gone {
+            let set = cage.borrow_mut().set.take();
+            drop(set);
+            let waker = cage.borrow_mut().waker.take();
+            waker.into_iter().for_each(Waker::wake);
+        }
+    }
+
+    /// With whatever its disk has not synced.
+    pub fn lose_power(&self, no: usize, left: Left) {
+        self.network.dark(self.machines[no].ip);
+        self.kill(no, |_| true);
+        self.machines[no].disk.iter().for_each(|disk| disk.lose_power(left));
+    }
+
+    pub fn freeze(&self, no: usize, frozen: bool) {
+        if frozen {
+            self.befalls(Whom::Down(no));
+        } else {
+            self.over(&Whom::Down(no));
+        }
+        for cage in self.machines[no].cages.borrow().values() {
+            let waker = {
+                let mut cage = cage.borrow_mut();
+                cage.frozen = frozen;
+                cage.waker.clone()
+            };
+            waker.into_iter().filter(|_| !frozen).for_each(Waker::wake);
+        }
+    }
+
+    /// Cuts some machines off from some others, or heals that.
+    pub fn part(&self, one: &BTreeSet<usize>, other: &BTreeSet<usize>, cut: bool) {
+        for &a in one {
+            for &b in other.iter().filter(|b| **b != a) {
+                let (a, b) = (self.machines[a].ip, self.machines[b].ip);
+                if cut { self.network.cut(a, b) } else { self.network.heal(a, b) }
+            }
+        }
+    }
+
+    pub fn befalls(&self, whom: Whom) {
+        let mut troubles = self.troubles.borrow_mut();
+        if !troubles.iter().any(|trouble| trouble.whom == whom && trouble.ended.is_none()) {
+            troubles.push(Trouble { begun: Instant::now(), ended: None, whom });
+        }
+    }
+
+    pub fn over(&self, whom: &Whom) {
+        let now = Instant::now();
+        let mut troubles = self.troubles.borrow_mut();
+        let open = troubles.iter_mut().filter(|trouble| trouble.whom == *whom && trouble.ended.is_none());
+        open.for_each(|trouble| trouble.ended = Some(now));
+    }
+
+    pub fn holders(&self) -> usize {
+        let holds = |machine: &&Machine| machine.post.borrow().as_ref().is_some_and(Post::holds);
+        self.machines.iter().filter(holds).count()
+    }
+}
--- a/mailroom/src/log.rs
+++ b/mailroom/src/log.rs
@@ -59,3 +59,8 @@
         spdlog::set_default_logger(Arc::new(logger));
     }
 }
+
+/// Nothing is logged: for many systems in one process, whose lines would tell nobody whose they are.
+pub fn silence() {
+    spdlog::default_logger().set_level_filter(LevelFilter::Off);
+}
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -54,7 +54,8 @@
     };
     let there = SocketAddr::new(holder.ip(), control.port());
     let location = format!("http://{there}{}", request.target());
-    Said { status: 307, fields: vec![("Location", location)], body: "{}".to_owned() }
+    let body = json!({ "location": location }).to_string();
+    Said { status: 307, fields: vec![("Location", location)], body }
 }
 
 fn replace(body: &[u8]) -> Result<Order, Said> {
