--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -660,10 +660,11 @@
                 self.lent(lent, now);
                 return None;
             }
+            News::Ledger(ledger) if ledger.counted == 0 => return None,
             News::Ledger(ledger) => {
                 self.lenders = ledger.lenders;
                 self.buckets.keep_reserve(ledger.lenders.is_some());
-                self.doors = f64::from(ledger.counted.max(1));
+                self.doors = f64::from(ledger.counted);
                 let tables = self.tables.clone();
                 let quota = |tenant: &str| {
                     let none = vanewharf_franking::quota::Quota { rate: 0.0, burst: 0.0 };
--- a/franking/src/quota.rs
+++ b/franking/src/quota.rs
@@ -168,7 +168,11 @@
 
     /// A new ledger: how many doors there are, and each tenant's use and the slices that the doors hold together.
     pub fn read(&mut self, doors: u32, uses: &BTreeMap<String, Use>, quota: impl Fn(&str) -> Quota, now: At) {
-        let doors = f64::from(doors.max(1));
+        // Nobody is counted: whoever says so has heard of nobody yet.
+        if doors == 0 {
+            return;
+        }
+        let doors = f64::from(doors);
         self.told = true;
         if self.reserve.is_some() {
             (self.doors, self.read_at) = (doors, now);
@@ -185,7 +189,11 @@
             let let_now = bucket.let_through.saturating_sub(bucket.let_before) as f64 / gap;
             bucket.let_before = bucket.let_through;
             bucket.let_rate += weight * (let_now - bucket.let_rate);
-            let reading = uses.get(&name).copied().unwrap_or_default();
+            // A ledger that does not know the tenant yet says nothing of what others hold.
+            let Some(reading) = uses.get(&name).copied() else {
+                bucket.slice += weight * (even - bucket.slice).min(0.0);
+                continue;
+            };
             bucket.metered += weight * (reading.per_s - bucket.metered);
             let target = if reading.per_s > 0.0 && bucket.metered > 0.0 {
                 let prior = PRIOR / SPAN;
@@ -198,7 +206,7 @@
             // into what the others left, and where they sum past it each gives its part back.
             let left = (1.0 - reading.slices).max(0.0) * TAKEN * target;
             let grown = target.min(bucket.slice + left);
-            bucket.slice = if reading.slices > 0.0 { grown / reading.slices.max(1.0) } else { even };
+            bucket.slice = grown / reading.slices.max(1.0);
         }
         self.doors = doors;
         let (deeper, full) = (self.deeper(), self.full);
--- a/franking/src/summing.rs
+++ b/franking/src/summing.rs
@@ -17,8 +17,8 @@
 const MOSTLY: f64 = 0.6;
 /// Requests beyond quotas that a door may let in by itself: below this, postmasters lend.
 const NARROW: f64 = 1.5;
-/// By then all doors that are there have come by.
-const GATHERING: Duration = Duration::from_secs(4);
+/// Doors that know no count either may come by for so long before the first of them is told one.
+const GATHERING: Duration = Duration::from_millis(250);
 /// A reading is averaged over at least this.
 const READING: Duration = Duration::from_millis(900);
 
@@ -30,6 +30,9 @@
     hosts: BTreeMap<String, (u64, u64)>,
 }
 
+/// The life of one that is only known by what the holder before said.
+const UNHEARD: u64 = 0;
+
 /// What one door or lender let through, and by which slices.
 #[derive(Clone, Debug)]
 struct Counts {
@@ -72,6 +75,8 @@
 
 /// Each tenant's use and slices, summed.
 fn summed<'a>(all: impl Iterator<Item = &'a Counts> + Clone, counted: usize) -> BTreeMap<String, Use> {
+    // Who has not told what it holds may hold all that the others don't.
+    let unheard = counted > all.clone().filter(|counts| counts.life != UNHEARD).count();
     let mut tenants: BTreeMap<String, Use> = BTreeMap::new();
     for counts in all.clone() {
         for (name, slice) in &counts.slices {
@@ -84,6 +89,9 @@
         // One that has no bucket for a tenant may have one at any moment, at the even slice.
         let with = all.clone().filter(|counts| counts.slices.contains_key(name)).count();
         sum.slices += counted.saturating_sub(with) as f64 / counted as f64;
+        if unheard {
+            sum.slices = sum.slices.max(1.0);
+        }
         // Rounded: it is sent to all doors.
         sum.per_s = (sum.per_s * 100.0).round() / 100.0;
         sum.slices = (sum.slices * 1000.0).round() / 1000.0;
@@ -97,12 +105,15 @@
     lenders: BTreeMap<IpAddr, Counts>,
     /// When this process began to sum for all.
     begun: Option<At>,
+    /// When the first door came by.
+    first: Option<At>,
     offices: BTreeMap<OfficeRow, At>,
 }
 
 impl Summing {
     pub fn report(&mut self, report: Report, now: At) {
         let made = now.before(Duration::from_millis(report.age_ms));
+        self.first.get_or_insert(now);
         let Report { door: row, life, let_through, slices, hosts, counted, .. } = report;
         match self.doors.get_mut(&row.name) {
             Some(heard) => {
@@ -135,17 +146,30 @@
     pub fn inherit(&mut self, ledger: &Ledger, now: At) {
         for row in &ledger.doors {
             let row = DoorRow { ready: false, ..row.clone() };
-            let counts = Counts::new(0, BTreeMap::new(), BTreeMap::new(), now);
+            let counts = Counts::new(UNHEARD, BTreeMap::new(), BTreeMap::new(), now);
             let heard = Heard { row, counted: 0, counts, hosts: BTreeMap::new() };
             self.doors.entry(heard.row.name.clone()).or_insert(heard);
         }
         // Their slices are even until they say otherwise.
         for office in ledger.offices.iter().filter(|_| ledger.lenders.is_some()) {
-            let counts = Counts::new(0, BTreeMap::new(), BTreeMap::new(), now);
+            let counts = Counts::new(UNHEARD, BTreeMap::new(), BTreeMap::new(), now);
             self.lenders.entry(office.ip).or_insert(counts);
         }
     }
 
+    /// By how many doors the others were told, at most, that quotas are divided.
+    fn told(&self) -> usize {
+        self.doors.values().map(|heard| heard.counted).max().unwrap_or(0) as usize
+    }
+
+    /// Whether there is anything to divide by: with no door heard there is not, and the first of doors that have
+    /// all forgotten must not be told that it is the only one.
+    pub fn ready(&self, now: At) -> bool {
+        let gathered = self.first.is_some_and(|first| now.since(first) >= GATHERING);
+        let inherited = self.doors.values().any(|heard| heard.counts.life == UNHEARD);
+        !self.doors.is_empty() && (gathered || inherited || self.told() > 0)
+    }
+
     /// The doors that this process itself hears of, as they are now.
     pub fn heard(&self, now: At) -> impl Iterator<Item = &DoorRow> {
         self.doors.values().filter(move |heard| now.since(heard.counts.made) < NAMED).map(|heard| &heard.row)
@@ -177,10 +201,10 @@
         // Where a door's part of what the rules leave is about a request, its slice lets in none, or by debts of all
         // doors together too many.
         let heard = self.doors.len();
-        // Doors that have not come by yet are as many as others were told before this process began.
-        let recent = self.begun.is_some_and(|begun| now.since(begun) < GATHERING);
-        let told = self.doors.values().map(|heard| heard.counted).max().unwrap_or(0) as usize;
-        let counted = if recent { heard.max(told) } else { heard };
+        // Doors that have not come by yet are as many as others were told before this process began; they may be cut
+        // off and let in by what they hold, for as long as any silent one is counted.
+        let recent = self.begun.is_some_and(|begun| now.since(begun) < COUNTED);
+        let counted = if recent { heard.max(self.told()) } else { heard };
         let narrow = allowance / (counted as f64) < NARROW && !self.lenders.is_empty();
         let lenders = narrow.then_some(self.lenders.len() as u32);
         let tenants = match lenders {
@@ -355,11 +379,42 @@
             (9, 1.389),
             "eight are to come, at the even slice"
         );
-        let later = START.after(GATHERING);
+        let later = START.after(COUNTED);
         sums.report(Report { counted: 9, ..report("a", 1, 0, 10) }, later);
         assert_eq!(sums.ledger(Version::default(), 20.0, later).counted, 1, "nobody else came");
     }
 
+    /// Found by `vanewharf lab system`, seed 46: every door took itself for the only one after the core was killed.
+    #[test]
+    fn nothing_is_divided_before_a_door_is_heard_nor_by_the_first_of_those_that_have_forgotten() {
+        let mut sums = Summing::default();
+        sums.begin(START);
+        assert!(!sums.ready(START.after(GATHERING)));
+        sums.report(report("a", 1, 0, 10), START);
+        assert!(!sums.ready(START.after(GATHERING / 2)), "the others are on their way");
+        assert!(sums.ready(START.after(GATHERING)));
+        sums.report(Report { counted: 9, ..report("b", 1, 0, 10) }, START);
+        assert!(sums.ready(START), "this one knows");
+    }
+
+    #[test]
+    fn what_an_unheard_door_holds_is_not_given_to_others() {
+        let mut sums = Summing::default();
+        sums.begin(START);
+        let before = Ledger {
+            doors: vec![report("cut", 1, 0, 0).door, report("a", 1, 0, 0).door],
+            ..Ledger::default()
+        };
+        sums.inherit(&before, START);
+        let slices = [("t".to_owned(), 0.1)];
+        sums.report(Report { slices: slices.into(), ..report("a", 7, 0, 10) }, START);
+        assert_eq!(sums.ledger(Version::default(), 20.0, START).tenants["t"].slices, 1.0);
+        let told = Report { slices: [("t".to_owned(), 0.2)].into(), ..report("cut", 8, 0, 10) };
+        sums.report(told, START);
+        let slices = sums.ledger(Version::default(), 20.0, START).tenants["t"].slices;
+        assert!((slices - 0.3).abs() < 1e-9, "{slices}");
+    }
+
     #[test]
     fn a_new_life_counts_from_nothing() {
         let mut sums = Summing::default();
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -207,7 +207,8 @@
                 before.iter().for_each(|ledger| self.sums.borrow_mut().inherit(ledger, now));
             }
             held = holds;
-            if holds {
+            let ready = self.sums.borrow().ready(self.feed.now());
+            if holds && ready {
                 let (now, last) = (self.feed.now(), self.feed.store().have().ledger);
                 let allowance = self.settings.bounds.rate_allowance;
                 let mut sums = self.sums.borrow_mut();
@@ -219,7 +220,7 @@
                 self.read_ledger();
             }
             // A new holder is waited for by all doors.
-            sleep(if holds { SUMMED } else { ALERT }).await;
+            sleep(if holds && ready { SUMMED } else { ALERT }).await;
         }
     }
 
