--- a/lab/src/system/many.rs
+++ b/lab/src/system/many.rs
@@ -2,22 +2,28 @@
 
 use super::day::{Outcome, play};
 use super::world::Shape;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 
-/// Days of consecutive seeds, each on one thread; what comes of each is told as it ends.
-pub fn days(shape: Shape, from: u64, count: u64, jobs: usize, mut told: impl FnMut(Outcome)) {
+/// Plays each on one of so many threads; what comes of each is told as it ends.
+pub fn each<W: Send, O: Send>(
+    what: Vec<W>,
+    jobs: usize,
+    play: impl Fn(W) -> O + Sync,
+    mut told: impl FnMut(O),
+) {
     vanewharf_mailroom::log::silence();
-    let next = AtomicU64::new(from);
+    let left = Mutex::new(what.into_iter());
     let (done, ended) = mpsc::channel();
     thread::scope(|scope| {
         for _ in 0..jobs.max(1) {
-            let (next, done) = (&next, done.clone());
+            let (left, done, play) = (&left, done.clone(), &play);
             scope.spawn(move || {
                 loop {
-                    let seed = next.fetch_add(1, Ordering::Relaxed);
-                    if seed >= from + count || done.send(play(shape, seed)).is_err() {
+                    let next = left.lock().unwrap_or_else(PoisonError::into_inner).next();
+                    let told = next.is_some_and(|one| done.send(play(one)).is_ok());
+                    if !told {
                         return;
                     }
                 }
@@ -27,3 +33,8 @@
         ended.iter().for_each(&mut told);
     });
 }
+
+/// Days of consecutive seeds.
+pub fn days(shape: Shape, from: u64, count: u64, jobs: usize, told: impl FnMut(Outcome)) {
+    each((from..from + count).collect(), jobs, |seed| play(shape, seed), told);
+}
