Begin again where the power went before anything was sworn

Cause: the crash points at the very first deeds (struck only since the watch is set before the start) left all voters forgetful for good: each waited for somebody who remembers. One that has forgotten now also goes by all others having been heard with no word among them, and a set of voters is founded again where all seeds know none and were told the same seeds. Ruled out: founding by a majority's word (two sets could be founded).

--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -203,6 +203,13 @@
     (sworn.max(word.ballot), word)
 }
 
+/// Whether one that has forgotten may go by what the others told: a majority remembers; or all were heard and none has
+/// any word, so that none was ever acknowledged: the power went in the first moments of all.
+pub fn enough(told: &[(Ballot, Word)], unable: usize, others: usize, voters: usize) -> bool {
+    let blank = told.iter().all(|(_, word)| word.no.0 == 0);
+    told.len() >= majority(voters) || blank && told.len() + unable == others
+}
+
 /// How many of so many voters are a majority.
 pub fn majority(voters: usize) -> usize {
     voters / 2 + 1
@@ -331,6 +338,15 @@
         assert!(keep(&mut voter, self::word(5 << 8, 9), START));
     }
 
+    #[test]
+    fn one_that_forgot_goes_by_a_majority_or_by_all_where_nothing_was_ever_kept() {
+        let told = |no| (Ballot(1 << 8), word(1 << 8, no));
+        assert!(enough(&[told(3), told(3)], 0, 2, 3));
+        assert!(!enough(&[told(3)], 1, 2, 3), "the other may remember more");
+        assert!(enough(&[told(0)], 1, 2, 3) && enough(&[], 2, 2, 3), "nobody has anything");
+        assert!(!enough(&[], 1, 2, 3) && !enough(&[told(0)], 0, 2, 3), "one was not heard");
+    }
+
     /// All histories of three voters and two holders of a fixed length, by a seeded walk: no two words are ever kept by
     /// majorities under one number, and none that was is lost to a later holder.
     #[test]
--- a/lab/src/system/day.rs
+++ b/lab/src/system/day.rs
@@ -507,6 +507,9 @@
         }
     }
     world.town.show();
+    if let Some(strike) = strike {
+        world.machines[strike.office].disk.iter().for_each(|disk| disk.watch(strike.deed));
+    }
     world.begin();
 
     // What the operators will order.
@@ -642,7 +645,6 @@
     let Some(disk) = world.machines[strike.office].disk.clone() else {
         return;
     };
-    disk.watch(strike.deed);
     disk.reached.notified().await;
     for no in 0..world.shape.offices {
         if strike.all || no == strike.office {
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -31,27 +31,56 @@
 /// Calls that are under way at the end are answered.
 const LAST_ANSWERS: Duration = Duration::from_millis(600);
 
-/// The set of voters: the three seeds of the first start, for good. One that has lost its disk asks the others.
+/// The set of voters: the three seeds of the first start, for good. One that has lost its disk asks the others. Where none
+/// of the seeds knows either, the power went before anything was written down, and they are the voters again; only
+/// where all were told the same seeds, as two sets must not be founded.
 async fn voters(settings: &Settings, premises: &Premises, sworn: Option<&Sworn>) -> Vec<SocketAddr> {
-    let seeds = || settings.seeds.iter().map(|seed| settings.office(seed.ip())).collect::<Vec<_>>();
+    let seeds: Vec<_> = settings.seeds.iter().map(|seed| settings.office(seed.ip())).collect();
     match sworn {
         Some(sworn) if !sworn.voters.is_empty() => return sworn.voters.clone(),
-        _ if settings.initial_start => return seeds(),
+        _ if settings.initial_start => return seeds,
         _ => {}
     }
-    loop {
-        for seed in seeds().into_iter().filter(|seed| seed.ip() != settings.ip) {
-            let within = Duration::from_millis(500);
-            let answer = Caller::to(seed, &premises.net).call("GET", "/voters", "", within).await;
-            if let Ok((200, body)) = answer
-                && let Ok(voters) = serde_json::from_slice::<Vec<SocketAddr>>(&body)
-                && !voters.is_empty()
-            {
-                return voters;
+    // Meanwhile others are told that it does not know.
+    let (told, me) = (seeds.clone(), settings.office(settings.ip));
+    let answering = premises.net.listen(me).map(|ear| {
+        tokio::task::spawn_local(serve(ear, move |request| {
+            let said = match (request.method(), request.target()) {
+                ("GET", "/voters") => Said::json(&[(); 0]),
+                ("GET", "/seeds") => Said::json(&told),
+                _ => Said::status(503, "its voters are not known here yet"),
+            };
+            async move { said }
+        }))
+    });
+    let found = 'found: loop {
+        let mut alike = seeds.contains(&me);
+        for seed in seeds.iter().filter(|seed| **seed != me) {
+            let mut there = Caller::to(*seed, &premises.net);
+            match asked::<Vec<SocketAddr>>(&mut there, "/voters").await {
+                Some(voters) if !voters.is_empty() => break 'found voters,
+                Some(_) => {
+                    alike &= asked::<Vec<SocketAddr>>(&mut there, "/seeds").await.as_ref() == Some(&seeds)
+                }
+                None => alike = false,
             }
         }
+        if alike {
+            break seeds;
+        }
         sleep(Duration::from_millis(200)).await;
+    };
+    if let Ok(answering) = answering {
+        answering.abort();
+        // The address is free once it has ended.
+        let _ = answering.await;
     }
+    found
+}
+
+async fn asked<T: serde::de::DeserializeOwned>(there: &mut Caller, path: &str) -> Option<T> {
+    let (status, body) = there.call("GET", path, "", Duration::from_millis(500)).await.ok()?;
+    (status == 200).then(|| serde_json::from_slice(&body).ok())?
 }
 
 /// A postmaster at work.
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use vanewharf_franking::voter::{
-    MARGIN, RENEWED, Save, Sworn, TERM, Voter, above, carries, majority, recalled,
+    MARGIN, RENEWED, Save, Sworn, TERM, Voter, above, carries, enough, majority, recalled,
 };
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::{At, Steady};
@@ -497,13 +497,15 @@
     pub async fn recall(self: Rc<Self>, disk: Disk) {
         while self.voter.borrow().forgetful() {
             let others: Vec<_> = self.voters().into_iter().filter(|voter| *voter != self.me).collect();
-            let mut told = Vec::new();
+            let (mut told, mut unable) = (Vec::new(), 0);
             for other in &others {
-                if let Some(Oath::Told { sworn, word }) = self.ask(*other, &Plea::Recall, QUICK).await {
-                    told.push((sworn, word));
+                match self.ask(*other, &Plea::Recall, QUICK).await {
+                    Some(Oath::Told { sworn, word }) => told.push((sworn, word)),
+                    Some(Oath::Unable) => unable += 1,
+                    _ => {}
                 }
             }
-            if told.len() >= majority(self.voters().len()) {
+            if enough(&told, unable, others.len(), self.voters().len()) {
                 let (ballot, word) = recalled(told);
                 let sworn = Sworn { ballot, holder: None, voters: self.founders.clone(), doors: 0 };
                 while !(disk.save(Paper::Word, &word).await.is_ok()
