--- /dev/null
+++ b/mailroom/src/changes.rs
@@ -0,0 +1,455 @@
+//! What changed from one version to the next: a reader that is little behind is told that alone and follows it; one that
+//! is far behind, or whose result is not the teller's, takes a snapshot.
+
+use crate::clock::At;
+use crate::words::{Ballot, List, Server, Version, Word, WordNo};
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Changes that are kept to be told, and their size altogether, in bytes about.
+const MOST_KEPT: usize = 48;
+const MOST_BYTES: usize = 256 * 1024;
+
+/// A configuration in two levels: parts that are tables by name, and other parts. Its text has one form.
+#[derive(Clone, Debug, Default)]
+pub struct Document {
+    parts: BTreeMap<String, Part>,
+}
+
+#[derive(Clone, Debug)]
+enum Part {
+    Table(BTreeMap<String, Box<RawValue>>),
+    Plain(Box<RawValue>),
+}
+
+/// One entry of a table, or a whole part where no entry is named; without a value it is gone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Edit {
+    pub part: String,
+    #[serde(default)]
+    pub entry: Option<String>,
+    #[serde(default)]
+    pub value: Option<Box<RawValue>>,
+}
+
+impl Document {
+    pub fn of(config: &RawValue) -> Option<Document> {
+        let raw: BTreeMap<String, Box<RawValue>> = serde_json::from_str(config.get()).ok()?;
+        let part = |(name, value): (String, Box<RawValue>)| {
+            let table = serde_json::from_str(value.get()).ok().filter(|_| value.get().starts_with('{'));
+            (name, table.map_or(Part::Plain(value), Part::Table))
+        };
+        Some(Document { parts: raw.into_iter().map(part).collect() })
+    }
+
+    pub fn text(&self) -> Option<Box<RawValue>> {
+        let mut text = String::from("{");
+        let quoted = |name: &String| serde_json::to_string(name).ok();
+        for (no, (name, part)) in self.parts.iter().enumerate() {
+            text.push_str(if no > 0 { "," } else { "" });
+            text.push_str(&quoted(name)?);
+            text.push(':');
+            match part {
+                Part::Plain(value) => text.push_str(value.get()),
+                Part::Table(table) => {
+                    text.push('{');
+                    for (no, (name, value)) in table.iter().enumerate() {
+                        text.push_str(if no > 0 { "," } else { "" });
+                        text.push_str(&quoted(name)?);
+                        text.push(':');
+                        text.push_str(value.get());
+                    }
+                    text.push('}');
+                }
+            }
+        }
+        text.push('}');
+        RawValue::from_string(text).ok()
+    }
+
+    /// What makes this one into the other.
+    fn edits(&self, newer: &Document) -> Vec<Edit> {
+        let mut edits = Vec::new();
+        let names: BTreeSet<_> = self.parts.keys().chain(newer.parts.keys()).collect();
+        for name in names {
+            let whole = |value: Option<Box<RawValue>>| Edit { part: name.clone(), entry: None, value };
+            match (self.parts.get(name), newer.parts.get(name)) {
+                (Some(Part::Table(old)), Some(Part::Table(new))) => {
+                    let entry = |entry: &String, value: Option<&Box<RawValue>>| Edit {
+                        part: name.clone(),
+                        entry: Some(entry.clone()),
+                        value: value.cloned(),
+                    };
+                    let gone = old.keys().filter(|key| !new.contains_key(*key)).map(|key| entry(key, None));
+                    edits.extend(gone);
+                    for (key, value) in new {
+                        if old.get(key).is_none_or(|known| known.get() != value.get()) {
+                            edits.push(entry(key, Some(value)));
+                        }
+                    }
+                }
+                (Some(Part::Plain(old)), Some(Part::Plain(new))) if old.get() == new.get() => {}
+                (_, Some(Part::Plain(new))) => edits.push(whole(Some(new.clone()))),
+                (_, Some(Part::Table(new))) => {
+                    let text = serde_json::value::to_raw_value(new).ok();
+                    edits.push(whole(text));
+                }
+                (Some(_), None) => edits.push(whole(None)),
+                (None, None) => {}
+            }
+        }
+        edits
+    }
+
+    fn apply(&mut self, edits: &[Edit]) {
+        for Edit { part, entry, value } in edits {
+            match (entry, value) {
+                (None, None) => drop(self.parts.remove(part)),
+                (None, Some(value)) => {
+                    let table =
+                        serde_json::from_str(value.get()).ok().filter(|_| value.get().starts_with('{'));
+                    let whole = table.map_or_else(|| Part::Plain(value.clone()), Part::Table);
+                    self.parts.insert(part.clone(), whole);
+                }
+                (Some(entry), value) => {
+                    if let Some(Part::Table(table)) = self.parts.get_mut(part) {
+                        match value {
+                            Some(value) => drop(table.insert(entry.clone(), value.clone())),
+                            None => drop(table.remove(entry)),
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// From one word to the next.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WordChange {
+    pub from: WordNo,
+    pub no: WordNo,
+    pub ballot: Ballot,
+    pub evacuated: BTreeSet<String>,
+    pub voters: Vec<SocketAddr>,
+    pub edits: Vec<Edit>,
+    /// Of the text that the configuration has afterwards.
+    pub sum: u32,
+}
+
+/// From one list to the next.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListChange {
+    pub from: Version,
+    pub version: Version,
+    /// How long ago the newer one was taken.
+    pub age_ms: u64,
+    pub set: Vec<Server>,
+    pub gone: Vec<String>,
+}
+
+fn checksum(text: &RawValue) -> u32 {
+    crc32fast::hash(text.get().as_bytes())
+}
+
+impl WordChange {
+    /// None where one of them has no configuration, or it would be no shorter than the whole.
+    fn between(from: &Word, to: &Word, old: &Document, new: &Document) -> Option<(WordChange, usize)> {
+        let edits = old.edits(new);
+        let size: usize =
+            edits.iter().map(|edit| 60 + edit.value.as_ref().map_or(0, |value| value.get().len())).sum();
+        let whole = to.config.as_ref()?.get().len();
+        let change = WordChange {
+            from: from.no,
+            no: to.no,
+            ballot: to.ballot,
+            evacuated: to.evacuated.clone(),
+            voters: to.voters.clone(),
+            edits,
+            sum: checksum(&new.text()?),
+        };
+        (size * 2 < whole).then_some((change, size))
+    }
+}
+
+/// The words' changes that can be told, and what the next one is taken against.
+#[derive(Clone, Debug, Default)]
+pub struct WordChanges {
+    document: Option<Document>,
+    kept: VecDeque<(WordChange, usize)>,
+}
+
+impl WordChanges {
+    /// The word in hand is replaced by a newer one.
+    pub fn moved(&mut self, from: Option<&Word>, to: &Word) {
+        let newer = to.config.as_ref().and_then(|config| Document::of(config));
+        let change = match (from, &self.document, &newer) {
+            (Some(from), Some(old), Some(new)) => WordChange::between(from, to, old, new),
+            _ => None,
+        };
+        self.document = newer;
+        self.keep(change);
+    }
+
+    fn keep(&mut self, change: Option<(WordChange, usize)>) {
+        match change {
+            Some(change) => self.kept.push_back(change),
+            // What came before leads nowhere any more.
+            None => self.kept.clear(),
+        }
+        while self.kept.len() > MOST_KEPT
+            || self.kept.iter().map(|(_, size)| size).sum::<usize>() > MOST_BYTES
+        {
+            self.kept.pop_front();
+        }
+    }
+
+    /// What leads from that word to the newest.
+    pub fn since(&self, have: WordNo) -> Option<Vec<WordChange>> {
+        let first = self.kept.iter().position(|(change, _)| change.from == have)?;
+        Some(self.kept.iter().skip(first).map(|(change, _)| change.clone()).collect())
+    }
+
+    /// The word after these changes; none where they do not start from the one in hand or lead elsewhere than they say.
+    pub fn follow(&mut self, from: &Word, changes: Vec<WordChange>) -> Option<Word> {
+        let mut document = self.document.clone()?;
+        let mut no = from.no;
+        for change in &changes {
+            if change.from != no {
+                return None;
+            }
+            document.apply(&change.edits);
+            no = change.no;
+        }
+        let last = changes.last()?;
+        let text = document.text()?;
+        if checksum(&text) != last.sum {
+            return None;
+        }
+        let (ballot, evacuated, voters) = (last.ballot, last.evacuated.clone(), last.voters.clone());
+        self.document = Some(document);
+        for change in changes {
+            let size =
+                change.edits.iter().map(|edit| 60 + edit.value.as_ref().map_or(0, |value| value.get().len()));
+            let size = size.sum();
+            self.keep(Some((change, size)));
+        }
+        Some(Word { ballot, no, config: Some(text), evacuated, voters })
+    }
+}
+
+/// The lists' changes that can be told.
+#[derive(Clone, Debug, Default)]
+pub struct ListChanges {
+    /// With the time at which the newer list was taken: what a change says of warmth counts from then.
+    kept: VecDeque<(ListChange, At)>,
+}
+
+fn warmed(server: &mut Server, since: Duration) {
+    server.cold_ms = server.cold_ms.saturating_sub(since.as_millis() as u64);
+}
+
+/// What merely grew warm in that time is no change.
+fn same(old: &Server, new: &Server, since: Duration) -> bool {
+    const SLACK_MS: u64 = 200;
+    let expected = old.cold_ms.saturating_sub(since.as_millis() as u64);
+    Server { cold_ms: old.cold_ms, ..new.clone() } == *old && new.cold_ms <= expected + SLACK_MS
+}
+
+impl ListChanges {
+    /// The list in hand is replaced by a newer one; with the times at which they were taken.
+    pub fn moved(&mut self, from: Option<&List>, to: &List, (before, taken): (At, At)) {
+        let later = taken.since(before);
+        let Some(from) = from else {
+            return self.kept.clear();
+        };
+        let old: BTreeMap<&str, &Server> =
+            from.servers.iter().map(|server| (server.id.as_str(), server)).collect();
+        let new: BTreeSet<&str> = to.servers.iter().map(|server| server.id.as_str()).collect();
+        let known =
+            |server: &&Server| !old.get(server.id.as_str()).is_some_and(|one| same(one, server, later));
+        let set: Vec<_> = to.servers.iter().filter(known).cloned().collect();
+        let gone: Vec<_> = old.keys().filter(|id| !new.contains(*id)).map(|id| (*id).to_owned()).collect();
+        if set.len() * 2 >= to.servers.len() {
+            return self.kept.clear();
+        }
+        self.keep(ListChange { from: from.version, version: to.version, age_ms: 0, set, gone }, taken);
+    }
+
+    fn keep(&mut self, change: ListChange, taken: At) {
+        self.kept.push_back((change, taken));
+        if self.kept.len() > MOST_KEPT {
+            self.kept.pop_front();
+        }
+    }
+
+    /// What leads from that list to the newest, with its age; what it says of warmth counts from when that was taken.
+    pub fn since(&self, have: Version, listed: At, now: At) -> Option<Vec<ListChange>> {
+        let first = self.kept.iter().position(|(change, _)| change.from == have)?;
+        let age_ms = now.since(listed).as_millis() as u64;
+        let told = |(change, taken): &(ListChange, At)| {
+            let mut change = ListChange { age_ms, ..change.clone() };
+            change.set.iter_mut().for_each(|server| warmed(server, listed.since(*taken)));
+            change
+        };
+        Some(self.kept.iter().skip(first).map(told).collect())
+    }
+
+    /// The list after these changes; with the times at which the one in hand and the newest were taken.
+    pub fn follow(
+        &mut self,
+        from: &List,
+        changes: Vec<ListChange>,
+        (before, taken): (At, At),
+    ) -> Option<List> {
+        let mut servers: BTreeMap<String, Server> = BTreeMap::new();
+        for server in &from.servers {
+            let mut server = server.clone();
+            warmed(&mut server, taken.since(before));
+            servers.insert(server.id.clone(), server);
+        }
+        let mut version = from.version;
+        for change in &changes {
+            if change.from != version {
+                return None;
+            }
+            change.gone.iter().for_each(|id| drop(servers.remove(id)));
+            servers.extend(change.set.iter().map(|server| (server.id.clone(), server.clone())));
+            version = change.version;
+        }
+        let age_ms = changes.last()?.age_ms;
+        changes.into_iter().for_each(|change| self.keep(change, taken));
+        Some(List { version, age_ms, servers: servers.into_values().collect() })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::store::Store;
+    use crate::words::{Mail, Vector};
+    use rand::rngs::SmallRng;
+    use rand::{Rng, SeedableRng};
+    use serde_json::{Value, json};
+    use std::rc::Rc;
+
+    const START: At = At(1_000_000_000);
+
+    fn word(no: u64, routes: &BTreeMap<String, u64>, odd: u64) -> Word {
+        let route = |(name, no): (&String, &u64)| {
+            (
+                name.clone(),
+                json!({"hostname": "a host of about the usual length", "path_prefix": "/of/it/", "no": no}),
+            )
+        };
+        let routes: serde_json::Map<_, _> = routes.iter().map(route).collect();
+        let config = json!({"revision": format!("r{no}"), "routes": routes, "services": {"s": {"a": odd}},
+            "limits": {"b": 1}, "odd": odd, "list": [odd, 2]});
+        let config = RawValue::from_string(config.to_string()).ok();
+        Word { no: WordNo(no), ballot: Ballot(no / 5), config, ..Word::none() }
+    }
+
+    fn value(word: &Word) -> Value {
+        serde_json::from_str(word.config.as_ref().expect("there is one").get()).expect("JSON")
+    }
+
+    fn server(id: u64, cold_ms: u64, draining: bool) -> Server {
+        let address = "10.0.0.9:80".parse().expect("an address");
+        let (service, zone) = ("s".to_owned(), "z".to_owned());
+        Server { id: format!("i{id}"), service, address, zone, capacity: 3, draining, cold_ms }
+    }
+
+    /// Readers that fall behind by chance, some through another reader, have what the teller has each time they come.
+    #[test]
+    fn readers_that_follow_changes_have_what_the_teller_has() {
+        for seed in 0..8 {
+            let mut chance = SmallRng::seed_from_u64(seed);
+            let (mut teller, mut now) = (Store::default(), START);
+            let mut readers = vec![Store::default(); 3];
+            let mut routes: BTreeMap<String, u64> = (0..40).map(|no| (format!("r{no}"), no)).collect();
+            let mut cold: BTreeMap<u64, (At, bool)> = (0..30).map(|no| (no, (START, false))).collect();
+            let (mut changed, mut snapshots) = (0, 0);
+            for no in 1..60u64 {
+                now = now.after(Duration::from_millis(700));
+                for _ in 0..chance.random_range(0..4) {
+                    let name = format!("r{}", chance.random_range(0..50));
+                    if chance.random_bool(0.3) {
+                        routes.remove(&name);
+                    } else {
+                        routes.insert(name, chance.random_range(0..1000));
+                    }
+                }
+                teller.set_word(Rc::new(word(no, &routes, no / 20)));
+                let one = chance.random_range(0..40);
+                match chance.random_range(0..3) {
+                    0 => drop(cold.remove(&one)),
+                    1 => drop(cold.insert(one, (now.after(Duration::from_secs(3)), false))),
+                    _ => cold.values_mut().take(1).for_each(|(_, draining)| *draining ^= true),
+                }
+                let left = |until: &At| until.since(now).as_millis() as u64;
+                let servers = cold.iter().map(|(id, (until, draining))| server(*id, left(until), *draining));
+                let mut servers: Vec<_> = servers.collect();
+                servers.sort_by(|one, other| one.id.cmp(&other.id));
+                let version = Version { ballot: Ballot(no / 5), no };
+                teller.set_list(List { version, age_ms: 0, servers }, now);
+                for reader in 0..readers.len() {
+                    if chance.random_bool(0.4) {
+                        continue;
+                    }
+                    // The last one hears through the first.
+                    let have = readers[reader].have();
+                    let from = if reader == 2 { &readers[0] } else { &teller };
+                    let mail: Mail = serde_json::to_string(&from.mail(&have, false, Duration::ZERO, now))
+                        .and_then(|text| serde_json::from_str(&text))
+                        .expect("JSON there and back");
+                    changed += mail.word_changes.len();
+                    snapshots += usize::from(mail.word.is_some());
+                    let expected = (from.word.clone(), from.list.clone(), from.listed);
+                    readers[reader].absorb(mail, now, now);
+                    let (mine, theirs) = (readers[reader].word.as_deref(), expected.0.as_deref());
+                    assert_eq!(mine.map(value), theirs.map(value), "seed {seed} word {no}");
+                    let ids = |list: &List| {
+                        list.servers.iter().map(|one| (one.id.clone(), one.draining)).collect::<Vec<_>>()
+                    };
+                    let lists = (readers[reader].list.as_deref(), expected.1.as_deref());
+                    assert_eq!(lists.0.map(ids), lists.1.map(ids), "seed {seed} list {no}");
+                    let warm = |list: &List| list.servers.iter().map(|one| one.cold_ms).collect::<Vec<_>>();
+                    let both = lists
+                        .0
+                        .map(warm)
+                        .unwrap_or_default()
+                        .into_iter()
+                        .zip(lists.1.map(warm).unwrap_or_default());
+                    both.for_each(|(mine, theirs)| {
+                        assert!(mine.abs_diff(theirs) <= 250, "seed {seed}: {mine} {theirs}")
+                    });
+                }
+            }
+            assert!(changed > 60 && snapshots <= 8, "{changed} changes, {snapshots} snapshots");
+        }
+    }
+
+    #[test]
+    fn what_leads_elsewhere_than_it_says_is_not_followed_and_a_snapshot_is_asked_for() {
+        let (mut teller, mut reader) = (Store::default(), Store::default());
+        let routes =
+            |no: u64| (0..40u64).map(|one| (format!("r{one}"), one * no)).collect::<BTreeMap<_, _>>();
+        let changed = |no: u64| [(format!("r{no}"), 7)];
+        let tell = |teller: &Store, reader: &Store| teller.mail(&reader.have(), false, Duration::ZERO, START);
+        teller.set_word(Rc::new(word(1, &routes(1), 0)));
+        reader.absorb(tell(&teller, &reader), START, START);
+        teller.set_word(Rc::new(word(2, &routes(1).into_iter().chain(changed(2)).collect(), 0)));
+        let mut mail = tell(&teller, &reader);
+        mail.word_changes[0].edits.pop();
+        mail.sure_ms = Some(1);
+        assert!(!reader.absorb(mail, START, START).word);
+        assert_eq!((reader.word.as_ref().map(|word| word.no), reader.sure), (Some(WordNo(1)), None));
+        assert_eq!(reader.have(), Vector::default(), "as one that has nothing");
+        let snapshot = tell(&teller, &reader);
+        assert!(snapshot.word.is_some() && reader.absorb(snapshot, START, START).word);
+        assert_eq!(reader.have().word, WordNo(2));
+    }
+}
--- a/mailroom/src/feed.rs
+++ b/mailroom/src/feed.rs
@@ -51,7 +51,8 @@
         loop {
             let now = self.now();
             if self.store().has_more_than(&pull.have) || self.steady.instant(now) >= until {
-                return self.store().mail(&pull.have, now.since(begun), now);
+                // A postmaster keeps the word as it was sent.
+                return self.store().mail(&pull.have, pull.office.is_some(), now.since(begun), now);
             }
             // Nothing else runs between the look at the store and the first poll here.
             let _ = timeout_at(until, self.changed.notified()).await;
--- a/mailroom/src/lib.rs
+++ b/mailroom/src/lib.rs
@@ -2,6 +2,7 @@
 //! they tell each other, HTTP calls between them and the log ring. docs/system.md has the whole.
 
 pub mod call;
+pub mod changes;
 pub mod clock;
 pub mod config;
 pub mod doc;
--- a/mailroom/src/words.rs
+++ b/mailroom/src/words.rs
@@ -1,6 +1,7 @@
 //! What the system's programs tell each other, as JSON. A reader pulls: it says what it has of each source, and gets what
 //! it lacks. Spans are whole milliseconds; an instant never travels, only how long ago it was.
 
+use crate::changes::{ListChange, WordChange};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet};
@@ -173,7 +174,12 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Mail {
     pub word: Option<Word>,
+    /// In place of the word, where the reader is little behind.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub word_changes: Vec<WordChange>,
     pub list: Option<List>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub list_changes: Vec<ListChange>,
     pub ledger: Option<Ledger>,
     /// How long ago the word that the reader now has was certainly the newest acknowledged; null: never known.
     pub sure_ms: Option<u64>,
