--- a/frames/src/write.rs
+++ b/frames/src/write.rs
@@ -25,7 +25,7 @@
 pub struct Answer<'a> {
     pub status: u16,
     pub fields: &'a [(&'a str, &'a str)],
-    pub body: &'a str,
+    pub body: &'a [u8],
     pub last: bool,
 }
 
@@ -160,7 +160,7 @@
         for (name, value) in item.fields {
             put_field(dst, name.as_bytes(), value.as_bytes());
         }
-        put_body(dst, item.body.as_bytes(), true);
+        put_body(dst, item.body, true);
         Ok(())
     }
 }
--- a/frontdoor/src/relay.rs
+++ b/frontdoor/src/relay.rs
@@ -59,10 +59,10 @@
     let seconds = wait.map(|wait| (Tenths::SECOND.0, wait.0.max(0)));
     let seconds = seconds.map(|(second, wait)| format!("{}.{:04}", wait / second, wait % second));
     let fields: Vec<_> = seconds.iter().map(|seconds| ("Retry-After", seconds.as_str())).collect();
-    written(client.send(Answer { status, fields: &fields, body, last })).await
+    written(client.send(Answer { status, fields: &fields, body: body.as_bytes(), last })).await
 }
 
 /// An answer that no backend and no decision had a part in.
 pub async fn say(client: &mut Framed<TcpStream, Inward>, status: u16, body: &str, last: bool) -> bool {
-    written(client.send(Answer { status, fields: &[], body, last })).await
+    written(client.send(Answer { status, fields: &[], body: body.as_bytes(), last })).await
 }
--- a/mailroom/src/call.rs
+++ b/mailroom/src/call.rs
@@ -2,10 +2,14 @@
 
 use crate::premises::{Ear, Net, Stream};
 use bytes::BytesMut;
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use futures_util::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::cell::Cell;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,9 +64,18 @@
         path: &str,
         body: &str,
         within: Duration,
+    ) -> Result<(u16, Vec<u8>), Failed> {
+        self.request((method, path, ""), body, within).await
+    }
+
+    async fn request(
+        &mut self,
+        (method, path, reads): (&str, &str, &str),
+        body: &str,
+        within: Duration,
     ) -> Result<(u16, Vec<u8>), Failed> {
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{reads}Content-Length: {}\r\n\r\n",
             self.address,
             body.len()
         );
@@ -99,7 +112,12 @@
             None | Some(Err(Fault::Io(_) | Fault::Cut)) => return Err(Failed::Broke),
             Some(Err(_)) => return Err(Failed::Unread),
         };
-        let (status, body) = (reply.status(), reply.body().to_vec());
+        let status = reply.status();
+        let body = match reply.field("Content-Encoding") {
+            None => reply.body().to_vec(),
+            Some(PACKED) => unpacked(reply.body()).ok_or(Failed::Unread)?,
+            Some(_) => return Err(Failed::Unread),
+        };
         if !reply.last() && framed.read_buffer().is_empty() {
             if framed.read_buffer().capacity() > SMALL {
                 *framed.read_buffer_mut() = BytesMut::new();
@@ -122,7 +140,8 @@
         within: Duration,
     ) -> Result<A, Failed> {
         let body = serde_json::to_string(question).map_err(|_| Failed::Unread)?;
-        match self.call("POST", path, &body, within).await? {
+        let reads = format!("Accept-Encoding: {PACKED}\r\n");
+        match self.request(("POST", path, &reads), &body, within).await? {
             (200, answer) => serde_json::from_slice(&answer).map_err(|_| Failed::Unread),
             (status, _) => Err(Failed::Status(status)),
         }
@@ -131,22 +150,57 @@
 
 const SMALL: usize = 16 * 1024;
 
+/// How bodies between the system's own processes are made smaller, where links are narrow.
+const PACKED: &str = "deflate";
+/// Below this it is not worth the work.
+const WORTH_PACKING: usize = 2048;
+
+fn unpacked(body: &[u8]) -> Option<Vec<u8>> {
+    let mut whole = Vec::new();
+    let most = MOST_BODY as u64 + 1;
+    DeflateDecoder::new(body).take(most).read_to_end(&mut whole).ok()?;
+    (whole.len() <= MOST_BODY).then_some(whole)
+}
+
+fn packed(body: &[u8]) -> Option<Vec<u8>> {
+    let mut packing = DeflateEncoder::new(Vec::with_capacity(body.len() / 4), Compression::fast());
+    packing.write_all(body).ok()?;
+    packing.finish().ok()
+}
+
 /// What a handler says.
 #[derive(Debug)]
 pub struct Said {
     pub status: u16,
     pub fields: Vec<(&'static str, String)>,
-    pub body: String,
+    pub body: Vec<u8>,
 }
 
 impl Said {
+    /// Made smaller where it is long and the caller can read it so.
+    pub fn packed(self, request: &Request) -> Said {
+        let reads = request.field("Accept-Encoding") == Some(PACKED);
+        if !reads || self.body.len() < WORTH_PACKING {
+            return self;
+        }
+        match packed(&self.body) {
+            Some(body) => {
+                let mut fields = self.fields;
+                fields.push(("Content-Encoding", PACKED.to_owned()));
+                Said { status: self.status, fields, body }
+            }
+            None => self,
+        }
+    }
+
     pub fn status(status: u16, why: &str) -> Said {
-        let body = serde_json::json!({ "error": why }).to_string();
-        Said { status, fields: Vec::new(), body: if status < 300 { "{}".to_owned() } else { body } }
+        let body =
+            if status < 300 { "{}".to_owned() } else { serde_json::json!({ "error": why }).to_string() };
+        Said { status, fields: Vec::new(), body: body.into_bytes() }
     }
 
     pub fn json<T: Serialize>(said: &T) -> Said {
-        match serde_json::to_string(said) {
+        match serde_json::to_vec(said) {
             Ok(body) => Said { status: 200, fields: Vec::new(), body },
             Err(_) => Said::status(500, "the answer cannot be written"),
         }
@@ -224,3 +278,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_packed_is_unpacked_whole_and_what_is_no_packing_is_refused() {
+        let body: Vec<u8> =
+            (0..20_000u32).flat_map(|no| format!("\"r{}\":1,", no % 700).into_bytes()).collect();
+        let small = packed(&body).expect("it can be packed");
+        assert!(small.len() * 4 < body.len(), "{} of {}", small.len(), body.len());
+        assert_eq!(unpacked(&small).expect("whole"), body);
+        assert!(unpacked(&small[..small.len() / 2]).is_none() && unpacked(b"no such thing").is_none());
+    }
+}
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -190,7 +190,7 @@
     let unread = |error: serde_json::Error| Said::status(400, &error.to_string());
     match (request.method(), request.target()) {
         ("POST", "/pull") => match serde_json::from_slice::<Pull>(request.body()) {
-            Ok(pull) => Said::json(&desk.pulled(pull).await),
+            Ok(pull) => Said::json(&desk.pulled(pull).await).packed(request),
             Err(error) => unread(error),
         },
         ("POST", "/lend") => match serde_json::from_slice::<Tokens>(request.body()) {
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -37,7 +37,7 @@
     match done {
         Done::Acknowledged => Said::json(&json!({})),
         Done::Configuration(Some(config)) => {
-            Said { status: 200, fields: Vec::new(), body: config.get().to_owned() }
+            Said { status: 200, fields: Vec::new(), body: config.get().as_bytes().to_vec() }
         }
         Done::Configuration(None) => Said::status(404, "no configuration was sent yet"),
         Done::Uncertain => Said::status(503, "not certain to hold; send it again"),
@@ -54,7 +54,7 @@
     };
     let there = SocketAddr::new(holder.ip(), control.port());
     let location = format!("http://{there}{}", request.target());
-    let body = json!({ "location": location }).to_string();
+    let body = json!({ "location": location }).to_string().into_bytes();
     Said { status: 307, fields: vec![("Location", location)], body }
 }
 
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -113,7 +113,7 @@
                         relayed.insert(report.door.name.clone(), (report.clone(), made));
                     }
                 }
-                Said::json(&feed.answer(&pull).await)
+                Said::json(&feed.answer(&pull).await).packed(request)
             }
             Err(error) => Said::status(400, &error.to_string()),
         },
