--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -12,6 +12,8 @@
 use vanewharf_lab::system::many::days;
 use vanewharf_lab::system::world::Shape;
 use vanewharf_lab::{plots, report, sweep};
+use vanewharf_mailroom::config::Config as SystemConfig;
+use vanewharf_mailroom::settings::Settings;
 use vanewharf_told::Options;
 use vanewharf_traces as traces;
 
@@ -110,7 +112,7 @@
 
 #[derive(Subcommand)]
 enum Config {
-    /// Check a door's file (.json) or an experiment (.toml).
+    /// Check a door's file, a system's settings or an operator's configuration (.json), or an experiment (.toml).
     Check { file: PathBuf },
 }
 
@@ -327,6 +329,24 @@
     }
     let whole: serde_json::Value = serde_json::from_str(&text(file)?)
         .map_err(|error| named(format!("line {}: {error}", error.line())))?;
+    // What it is shows by what only it has.
+    if whole.get("node_name").is_some() {
+        let settings = Settings::of(text(file)?.as_bytes()).map_err(|fault| named(fault.to_string()))?;
+        println!("{}: {} of {} would start by these settings", file.display(), settings.name, settings.zone);
+        return Ok(());
+    }
+    if whole.get("routes").is_some() || whole.get("revision").is_some() {
+        let config = SystemConfig::of(text(file)?.as_bytes()).map_err(|fault| named(fault.to_string()))?;
+        let customers = config.customers.as_ref().map_or(0, |customers| customers.len());
+        println!(
+            "{}: r{} with {} routes to {} services and {customers} tenants would be taken",
+            file.display(),
+            config.revision.0,
+            config.routes.len(),
+            config.services.len()
+        );
+        return Ok(());
+    }
     let settings = whole.get("settings").unwrap_or(&whole);
     let options = Options::nested(settings);
     vanewharf_told::check(&options, None).map_err(|refused| named(refused.to_string()))?;
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -221,7 +221,14 @@
     let door = r#"{"settings": {"balancers": 2, "classes": [{"name": "look", "aim": 400.0}],
         "tiers_of_service": [{"name": "basic", "rate": 2.0}]}}"#;
     assert!(vanewharf(&["config", "check", path(&folder.file("door.json", door))]).status.success());
+    let config = r#"{"revision": "r1", "routes": {"a": {"hostname": "h", "path_prefix": "/a/", "route_kind": "read_only",
+        "deadline": "1s", "target": "1s", "service": "s", "tries": 1}}, "services": {"s": {"health_path": "/h",
+        "connection_limit": 9}}, "limits": {"max_header_bytes": 1, "max_body_bytes": 1, "header_deadline": "1s",
+        "idle_timeout": "1s"}}"#;
+    assert!(vanewharf(&["config", "check", path(&folder.file("config.json", config))]).status.success());
     let cases = [
+        ("f.json", config.replace("\"tries\": 1", "\"tries\": 0"), "routes.a.tries"),
+        ("g.json", r#"{"node_name": "central-1"}"#.to_owned(), "ip_address"),
         ("a.toml", SMALL.replace("doors = 4", "doors = \"few\""), "line 6"),
         ("b.toml", SMALL.replace("doors = 4", "doors = 0"), "fleet.doors"),
         ("c.toml", SMALL.replace("rate = 4", "rate = -4"), "plan.0.rate"),
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -449,6 +449,16 @@
         enlarged
     }
 
+    /// One voter less; it must not be this process, which could not renew its own lease then.
+    pub async fn dismiss(self: &Rc<Self>, one: SocketAddr) -> bool {
+        let voters: Vec<_> = self.voters().into_iter().filter(|voter| *voter != one).collect();
+        let dismissed = one != self.me && self.acknowledge(|word| Word { voters, ..word.clone() }).await;
+        if dismissed {
+            spdlog::info!("{} is no voter any more", one);
+        }
+        dismissed
+    }
+
     /// What the holder made known is kept here too, where it is newer than what this disk has.
     pub async fn adopt(&self) {
         let word = self.feed.store().word.clone();
--- a/postmaster/src/orders.rs
+++ b/postmaster/src/orders.rs
@@ -14,6 +14,11 @@
     Enlarge {
         voter: SocketAddr,
     },
+    /// One voter leaves the set, and another one takes its place.
+    Voters {
+        out: SocketAddr,
+        into: SocketAddr,
+    },
     Replace {
         revision: Revision,
         config: Box<RawValue>,
@@ -82,6 +87,12 @@
             }
             office.acknowledge(|word| Word { config: Some(config), ..word.clone() }).await
         }
+        Order::Voters { out, into } => {
+            // First one more, then one less: at each step a majority of both sets keeps the word.
+            let voters = office.voters();
+            (voters.contains(&into) || office.enlarge(into).await)
+                && (!office.voters().contains(&out) || office.dismiss(out).await)
+        }
         Order::Enlarge { voter } => office.voters().contains(&voter) || office.enlarge(voter).await,
         Order::Evacuate { zone, begin } => {
             if word.is_some_and(|word| word.evacuated.contains(&zone)) == begin {
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -27,6 +27,7 @@
         ("GET", ["-", "Configuration.Read"]) => Ok(Order::Read),
         ("POST", ["-", "Evacuation.Begin", zone]) => evacuate(desk, zone, true),
         ("POST", ["-", "Evacuation.Finish", zone]) => evacuate(desk, zone, false),
+        ("POST", ["-", "Voters.Replace", out, into]) => replace_voter(desk, out, into),
         (_, ["-", ..]) => Err(Said::status(404, "there is no such call")),
         _ => Err(Said::status(404, "calls begin with /-/")),
     };
@@ -72,6 +73,29 @@
     Ok(Order::Evacuate { zone: zone.to_owned(), begin })
 }
 
+/// By the addresses of machines.
+fn replace_voter(desk: &Desk, out: &str, into: &str) -> Result<Order, Said> {
+    let office = |text: &str| {
+        let ip =
+            text.parse().map_err(|_| Said::status(400, &format!("{text} is no address of a machine")))?;
+        Ok(desk.settings.office(ip))
+    };
+    let (out, into) = (office(out)?, office(into)?);
+    let store = desk.feed.store();
+    let rows = store.ledger.iter().flat_map(|ledger| &ledger.offices);
+    let voters = desk.office.voters();
+    let here = rows.map(|row| desk.settings.office(row.ip)).any(|office| office == into);
+    let why = match () {
+        () if voters.contains(&into) && !voters.contains(&out) => return Ok(Order::Voters { out, into }),
+        () if !voters.contains(&out) => format!("{out} is no voter; they are {voters:?}"),
+        () if out == into => format!("{out} cannot take its own place"),
+        () if desk.office.me == out => format!("{out} holds the lease; stop it first"),
+        () if !here => format!("no postmaster is heard of at {into}"),
+        () => return Ok(Order::Voters { out, into }),
+    };
+    Err(Said::status(409, &why))
+}
+
 fn resolution(desk: &Desk, query: &str) -> Said {
     let field = |name: &str| {
         query.split('&').filter_map(|pair| pair.split_once('=')).find(|(known, _)| *known == name)
--- a/testletter/tests/whole.rs
+++ b/testletter/tests/whole.rs
@@ -179,6 +179,31 @@
     town.until("tokens refill, and the others lend them", || (served(&town) > 0).then_some(()));
 }
 
+#[test]
+fn a_machine_at_a_new_address_takes_a_lost_voters_place() {
+    let mut town = Town::sized(4, 1, |_| {});
+    assert_eq!(replace(&town, 1, |_| {}), 200);
+    town.kill(0);
+    town.wipe(0);
+    let voters = |town: &Town, out: usize, into: usize| {
+        let ip = |office: usize| town.inside(office).ip();
+        let path = format!("/-/Voters.Replace/{}/{}", ip(out), ip(into));
+        // The holder is one of the two that are left; the third hears of it.
+        town.until("the order is taken", || {
+            let answers = (1..4).filter_map(|no| call(town.office(no), "POST", &path, &[], "").ok());
+            let clear: Vec<_> =
+                answers.map(|answer| answer.status()).filter(|status| *status != 307).collect();
+            clear.into_iter().find(|status| matches!(status, 200 | 409))
+        })
+    };
+    assert_eq!(voters(&town, 3, 3), 409, "it is no voter");
+    town.until("the fourth is heard of", || (voters(&town, 0, 3) == 200).then_some(()));
+    assert_eq!(voters(&town, 0, 3), 200, "again changes nothing");
+    town.kill(1);
+    assert_eq!(replace(&town, 2, |_| {}), 200, "the fourth and the third are a majority");
+    assert_eq!(revision(&town), "r2");
+}
+
 #[test]
 fn of_five_postmasters_any_two_may_go_with_their_disks() {
     let mut town = Town::sized(5, 1, |_| {});
