--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,7 +9,7 @@
 use vanewharf_lab::arrivals::traced;
 use vanewharf_lab::experiment::Experiment;
 use vanewharf_lab::run::{Outcome, run, run_with};
-use vanewharf_lab::system::many::days;
+use vanewharf_lab::system::many::{cost, cost_plot, days};
 use vanewharf_lab::system::world::Shape;
 use vanewharf_lab::{plots, report, sweep};
 use vanewharf_mailroom::config::Config as SystemConfig;
@@ -92,6 +92,19 @@
         #[arg(long)]
         verbose: bool,
     },
+    /// What the control plane costs a door, and a postmaster, by the fleet's size.
+    SystemCost {
+        #[arg(long, value_delimiter = ',', default_values_t = [8, 32, 92, 300, 1000],
+            value_parser = clap::value_parser!(u64).range(1..=2000))]
+        doors: Vec<u64>,
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=9))]
+        offices: u64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A folder for the figures and the plot.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// Run an experiment at each value of its swept keys.
     Sweep {
         experiment: PathBuf,
@@ -131,6 +144,9 @@
             let shape = Shape { offices: offices as usize, doors: doors as usize, seconds, rate, troubles };
             lab_system(shape, from, seeds, jobs, verbose)
         }
+        What::Lab(Lab::SystemCost { doors, offices, seed, out }) => {
+            lab_cost(&doors, offices as usize, seed, out.as_deref())
+        }
         What::Lab(Lab::Sweep { experiment, out, seed }) => lab_sweep(&experiment, out.as_deref(), &seed),
         What::Trace(Trace::Import { experiment, trace, out }) => import(&experiment, &trace, Some(&out)),
         What::Trace(Trace::Inspect { experiment, trace }) => import(&experiment, &trace, None),
@@ -262,6 +278,36 @@
     if broken > 0 { Err(format!("rules broken on {broken} of {seeds} days")) } else { Ok(()) }
 }
 
+fn lab_cost(doors: &[u64], offices: usize, seed: u64, out: Option<&Path>) -> Result<(), String> {
+    vanewharf_mailroom::log::silence();
+    let mut csv = String::from(
+        "doors,door_bytes_per_s,door_messages_per_s,sorter_ms_per_s,postmaster_bytes_per_s,postmaster_messages_per_s,postmaster_ms_per_s\n",
+    );
+    let mut costs = Vec::new();
+    for &doors in doors {
+        let shape = Shape { offices, doors: doors as usize, seconds: 12, rate: 200, troubles: 0 };
+        let cost = cost(shape, seed);
+        csv.push_str(&format!(
+            "{},{:.0},{:.2},{:.3},{:.0},{:.1},{:.3}\n",
+            cost.doors,
+            cost.door_bytes,
+            cost.door_calls,
+            cost.sorter_ms,
+            cost.office_bytes,
+            cost.office_calls,
+            cost.office_ms
+        ));
+        costs.push(cost);
+    }
+    print!("{csv}");
+    let Some(folder) = out else {
+        return Ok(());
+    };
+    fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    write(folder, "cost-per-door.csv", csv)?;
+    draw(folder, "", &cost_plot(&costs))
+}
+
 fn lab_sweep(path: &Path, out: Option<&Path>, seeds: &[u64]) -> Result<(), String> {
     let (text, experiment) = experiment(path)?;
     let seeds = if seeds.is_empty() { vec![experiment.seed] } else { seeds.to_vec() };
--- a/lab/src/system/day.rs
+++ b/lab/src/system/day.rs
@@ -50,6 +50,9 @@
     pub door: Carried,
     pub office: Carried,
     pub seconds: f64,
+    /// Processor time on this machine, in milliseconds: of a door's sorter, and of a postmaster.
+    pub sorter_ms: f64,
+    pub office_ms: f64,
 }
 
 /// Where a day's core is struck, for the crash points.
@@ -698,5 +701,7 @@
         door: mean(doors),
         office: mean(offices),
         seconds: over.as_secs_f64(),
+        sorter_ms: world.spent(Program::Sorter).as_secs_f64() * 1e3 / doors.len().max(1) as f64,
+        office_ms: world.spent(Program::Postmaster).as_secs_f64() * 1e3 / offices.len().max(1) as f64,
     }
 }
--- a/lab/src/system/many.rs
+++ b/lab/src/system/many.rs
@@ -2,6 +2,7 @@
 
 use super::day::{Outcome, play};
 use super::world::Shape;
+use crate::plots::{Line, Plot};
 use std::sync::mpsc;
 use std::sync::{Mutex, PoisonError};
 use std::thread;
@@ -38,3 +39,51 @@
 pub fn days(shape: Shape, from: u64, count: u64, jobs: usize, told: impl FnMut(Outcome)) {
     each((from..from + count).collect(), jobs, |seed| play(shape, seed), told);
 }
+
+/// What a fleet of so many doors costs, a second of a day without troubles.
+#[derive(Clone, Copy, Debug)]
+pub struct Cost {
+    pub doors: usize,
+    /// Of one door's machine: bytes and messages sent for control, and its sorter's processor time in milliseconds.
+    pub door_bytes: f64,
+    pub door_calls: f64,
+    pub sorter_ms: f64,
+    /// Of one postmaster.
+    pub office_bytes: f64,
+    pub office_calls: f64,
+    pub office_ms: f64,
+}
+
+pub fn cost(shape: Shape, seed: u64) -> Cost {
+    let day = play(Shape { troubles: 0, ..shape }, seed);
+    let a_second = |of: f64| of / day.seconds;
+    Cost {
+        doors: shape.doors,
+        door_bytes: a_second(day.door.bytes as f64),
+        door_calls: a_second(day.door.calls as f64),
+        sorter_ms: a_second(day.sorter_ms),
+        office_bytes: a_second(day.office.bytes as f64),
+        office_calls: a_second(day.office.calls as f64),
+        office_ms: a_second(day.office_ms),
+    }
+}
+
+/// Against the fleet's size, each as a part of what the smallest fleet's door costs.
+pub fn cost_plot(costs: &[Cost]) -> Plot {
+    let line = |name: &str, of: fn(&Cost) -> f64| {
+        let first = costs.first().map_or(1.0, of).max(1e-9);
+        let points = costs.iter().map(|cost| ((cost.doors as f64).log10(), of(cost) / first));
+        Line { name: name.to_owned(), points: points.collect() }
+    };
+    Plot {
+        name: "cost-per-door",
+        title: "control cost of one door, of the smallest fleet's".to_owned(),
+        across: "doors, power of ten".to_owned(),
+        lines: vec![
+            line("bytes", |cost| cost.door_bytes),
+            line("messages", |cost| cost.door_calls),
+            line("sorter's processor time", |cost| cost.sorter_ms),
+        ],
+        bound: None,
+    }
+}
--- a/lab/src/system/world.rs
+++ b/lab/src/system/world.rs
@@ -40,8 +40,13 @@
     Postmaster,
 }
 
+/// Processor time of this machine, not of the day: what each kind of program took so far.
+type Spent = Rc<RefCell<BTreeMap<Program, Duration>>>;
+
 struct Cage {
     set: Option<LocalSet>,
+    program: Program,
+    spent: Spent,
     frozen: bool,
     waker: Option<Waker>,
 }
@@ -57,10 +62,13 @@
         if cage.frozen {
             return Poll::Pending;
         }
-        match &mut cage.set {
+        let begun = std::time::Instant::now();
+        let polled = match &mut cage.set {
             Some(set) => Pin::new(set).poll(cx),
             None => Poll::Ready(()),
-        }
+        };
+        *cage.spent.borrow_mut().entry(cage.program).or_default() += begun.elapsed();
+        polled
     }
 }
 
@@ -112,6 +120,7 @@
     pub troubles: RefCell<Vec<Trouble>>,
     first: Cell<bool>,
     seed: u64,
+    spent: Spent,
 }
 
 pub fn operator(no: u8) -> IpAddr {
@@ -156,6 +165,7 @@
             troubles: RefCell::default(),
             first: Cell::new(true),
             seed,
+            spent: Rc::default(),
         })
     }
 
@@ -264,7 +274,13 @@
                 });
             }
         }
-        let cage = Rc::new(RefCell::new(Cage { set: Some(set), frozen: false, waker: None }));
+        let cage = Rc::new(RefCell::new(Cage {
+            set: Some(set),
+            program,
+            spent: Rc::clone(&self.spent),
+            frozen: false,
+            waker: None,
+        }));
         machine.cages.borrow_mut().insert(program, Rc::clone(&cage));
         tokio::task::spawn_local(Caged(cage));
     }
@@ -338,6 +354,11 @@
         open.for_each(|trouble| trouble.ended = Some(now));
     }
 
+    /// Processor time that a kind of program took on this machine.
+    pub fn spent(&self, program: Program) -> Duration {
+        self.spent.borrow().get(&program).copied().unwrap_or_default()
+    }
+
     pub fn holders(&self) -> usize {
         let holds = |machine: &&Machine| machine.post.borrow().as_ref().is_some_and(Post::holds);
         self.machines.iter().filter(holds).count()
