Weigh what all doors saw of a backend: evidence lowers its odds, one door's word never does

Doors tell tries and failures of 3 s, the holder weighs them over doors (6 tries, 3 doors, a quarter), the ledger names the ill ones with the part that fails, and the module is shown them smaller; where most of a service's are ill none is spared. It fades by half in 3 s.

--- a/carrier/src/link.rs
+++ b/carrier/src/link.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::feed::Feed;
-use vanewharf_mailroom::words::{DoorRow, Pull, Report};
+use vanewharf_mailroom::words::{DoorRow, Pull, Report, Tried};
 
 const WAIT: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(50);
@@ -21,6 +21,7 @@
     pub let_through: RefCell<BTreeMap<String, u64>>,
     pub slices: RefCell<BTreeMap<String, f64>>,
     pub hosts: RefCell<BTreeMap<String, (u64, u64)>>,
+    pub tried: RefCell<BTreeMap<String, Tried>>,
     /// Told to end: clients are to go elsewhere.
     pub ending: Cell<bool>,
 }
@@ -54,6 +55,7 @@
                 let_through: self.told.let_through.borrow().clone(),
                 slices: self.told.slices.borrow().clone(),
                 hosts: self.told.hosts.borrow().clone(),
+                tried: self.told.tried.borrow().clone(),
             };
             let wait_ms = WAIT.as_millis() as u64;
             let pull = Pull {
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -21,6 +21,7 @@
 use vanewharf_door::route::Decides;
 use vanewharf_frames::Reply;
 use vanewharf_franking::allowance::{Cold, RepeatRule, Repeats, cold_part, weighted};
+use vanewharf_franking::evidence::{Seen, shared_cause, worth_of};
 use vanewharf_franking::quota::Buckets;
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::RouteKind;
@@ -61,6 +62,7 @@
 /// One submission: its round, the number it has there, and whether its end is known.
 struct Sent {
     key: RoundKey,
+    backend: BackendId,
     local: SubmissionNo,
     ended: bool,
 }
@@ -129,6 +131,9 @@
     pending: Vec<Action>,
     /// Cold from when their evacuation ended.
     thawing: BTreeMap<String, At>,
+    /// What this door saw of backends, and what all doors together did.
+    seen: Seen,
+    ill: BTreeMap<String, f64>,
 }
 
 /// Of a request's aim, the time by which the module goes. It takes a third of that for the longest that an answer may
@@ -176,6 +181,8 @@
             pocket: BTreeMap::new(),
             pending: Vec::new(),
             thawing: BTreeMap::new(),
+            seen: Seen::default(),
+            ill: BTreeMap::new(),
         }
     }
 
@@ -230,6 +237,17 @@
             }
             stays
         });
+        // How many of each round's are ill: where most are, the cause is shared.
+        let mut parts: BTreeMap<&RoundKey, (usize, usize)> = BTreeMap::new();
+        for backend in self.backends.values() {
+            let (ill, all) = parts.entry(&backend.key).or_default();
+            (*ill, *all) = (*ill + usize::from(self.ill.contains_key(&backend.server.id)), *all + 1);
+        }
+        let shared: BTreeSet<RoundKey> = parts
+            .iter()
+            .filter(|(_, (ill, all))| shared_cause(*ill, *all))
+            .map(|(key, _)| (*key).clone())
+            .collect();
         let mut entries = Vec::new();
         let ids: Vec<_> = self.backends.keys().copied().collect();
         for id in ids {
@@ -245,10 +263,11 @@
             let service = tables.services.get(&backend.server.service);
             let warmup = service.map(|service| service.warmup).unwrap_or_default();
             let booted = (!cold.is_zero()).then(|| now - tenths(warmup.saturating_sub(cold)));
+            let share = self.ill.get(&backend.server.id).filter(|_| !shared.contains(&backend.key));
             let entry = Listed {
                 backend: id,
                 standing: if shut { Standing::Draining } else { Standing::Ready },
-                size: f64::from(backend.server.capacity),
+                size: f64::from(backend.server.capacity) * share.map_or(1.0, |share| worth_of(*share)),
                 near: backend.server.zone == self.place.zone,
                 booted,
             };
@@ -536,7 +555,7 @@
         let no = SubmissionNo(*asked);
         *asked += 1;
         if may {
-            way.sent.push(Sent { key: key.clone(), local: no, ended: false });
+            way.sent.push(Sent { key: key.clone(), backend, local: no, ended: false });
             self.rounds.get_mut(key).into_iter().for_each(|round| round.out += 1);
             return actions.push(Action::Submit { txn, backend, time_out: None });
         }
@@ -584,8 +603,14 @@
         sent.ended = true;
         way.arrived |= !matches!(ending.outcome, Outcome::Moot | Outcome::NoConnection);
         way.may_have_run |= !ending.outcome.never_ran();
-        let (key, no) = (sent.key.clone(), sent.local);
+        let (key, no, backend) = (sent.key.clone(), sent.local, sent.backend);
         let id = ending.txn;
+        // One that is full or was not asked tells nothing of its health.
+        if !matches!(ending.outcome, Outcome::TurnedAway | Outcome::Cancelled | Outcome::Moot)
+            && let Some(known) = self.backends.get(&backend)
+        {
+            self.seen.ended(&known.server.id, ending.outcome != Outcome::Settled, self.steady.now());
+        }
         if way.concluded || ending.complete || ending.outcome == Outcome::Settled {
             self.conclude(id);
         }
@@ -673,7 +698,11 @@
                 self.buckets.read(ledger.counted, &ledger.tenants, quota, self.steady.now());
                 *self.reported.let_through.borrow_mut() = self.buckets.let_through();
                 *self.reported.slices.borrow_mut() = self.buckets.slices();
-                return None;
+                *self.reported.tried.borrow_mut() = self.seen.told(self.steady.now());
+                if ledger.ill == self.ill {
+                    return None;
+                }
+                self.ill = ledger.ill.clone();
             }
         }
         Some(self.arrange(now))
--- a/carrier/src/rounds/tests.rs
+++ b/carrier/src/rounds/tests.rs
@@ -259,6 +259,45 @@
     assert!(matches!(actions.as_slice(), [Action::Decline { retry_after: Some(_), .. }]), "{actions:?}");
 }
 
+#[test]
+fn what_many_doors_saw_failing_gets_less_and_where_most_fail_none_is_spared() {
+    let mut stage = Stage::set(servers(), None);
+    let ill = |ill: &[&str], no| {
+        let version = Version { ballot: Ballot(1), no };
+        let ill = ill.iter().map(|id| (id.to_string(), 0.9)).collect();
+        let tenants = [("t".to_owned(), Use { per_s: 0.0, slices: 0.5 })].into();
+        News::Ledger(Rc::new(Ledger { version, counted: 1, tenants, ill, ..Ledger::default() }))
+    };
+    let to_first = |stage: &mut Stage| {
+        stage.rounds.buckets = Buckets::start(10_000.0, true, stage.posted.steady.now());
+        stage.hears(ledger(None));
+        let mut first = 0;
+        for _ in 0..60 {
+            let (txn, actions) = stage.arrives("/read/x");
+            first += u32::from(stage.to(&actions).as_deref() == Some("e1"));
+            stage.ends(txn, 0, Outcome::Settled);
+        }
+        first
+    };
+    let even = to_first(&mut stage);
+    stage.hears(ill(&["e1"], 2));
+    stage.rounds.ill = [("e1".to_owned(), 0.9)].into();
+    stage.rounds.arrange(SECOND);
+    let size = |stage: &Stage, id: &str| {
+        let known = stage.rounds.backends.values().find(|backend| backend.server.id == id);
+        known.and_then(|known| known.shown.as_ref()).map(|shown| shown.size)
+    };
+    assert!(size(&stage, "e1").is_some_and(|size| size < 0.2) && size(&stage, "e2") == Some(4.0));
+    assert!(even >= 15, "{even} of 60 before");
+    stage.hears(ill(&["e1", "e2"], 3));
+    assert_eq!((size(&stage, "e1"), size(&stage, "e2")), (Some(4.0), Some(4.0)), "the cause is shared");
+    // What this door saw itself is told.
+    let (txn, _) = stage.arrives("/read/x");
+    stage.ends(txn, 0, Outcome::Broken);
+    stage.hears(ill(&[], 4));
+    assert_eq!(stage.rounds.reported.tried.borrow().len(), 1);
+}
+
 #[test]
 fn a_round_that_refuses_all_with_nothing_out_begins_anew() {
     let mut stage = Stage::set(vec![server("e1", "s", "east-a"), server("e2", "s", "east-b")], None);
--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -2,6 +2,7 @@
 //! is as it is.
 
 pub mod allowance;
+pub mod evidence;
 pub mod quota;
 pub mod summing;
 pub mod view;
--- a/franking/src/summing.rs
+++ b/franking/src/summing.rs
@@ -1,11 +1,12 @@
 //! The ledger: what the doors report, summed; doors that fall silent stay in the sums until their slices have lapsed.
 
+use crate::evidence::Weighed;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::time::Duration;
 use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::config::Config;
-use vanewharf_mailroom::words::{DoorRow, Ledger, Lent, OfficeRow, Report, Use, Version};
+use vanewharf_mailroom::words::{DoorRow, Ledger, Lent, OfficeRow, Report, Tried, Use, Version};
 
 /// A door is named to clients for so long after it was last heard.
 const NAMED: Duration = Duration::from_millis(1000);
@@ -30,6 +31,7 @@
     counted: u32,
     counts: Counts,
     hosts: BTreeMap<String, (u64, u64)>,
+    tried: BTreeMap<String, Tried>,
 }
 
 /// The life of one that is only known by what the holder before said.
@@ -111,6 +113,7 @@
 pub struct Summing {
     doors: BTreeMap<String, Heard>,
     lenders: BTreeMap<IpAddr, Counts>,
+    weighed: Weighed,
     /// When this process began to sum for all.
     begun: Option<At>,
     known: u32,
@@ -123,17 +126,17 @@
     pub fn report(&mut self, report: Report, now: At) {
         let made = now.before(Duration::from_millis(report.age_ms));
         self.first.get_or_insert(now);
-        let Report { door: row, life, let_through, slices, hosts, counted, .. } = report;
+        let Report { door: row, life, let_through, slices, hosts, counted, tried, .. } = report;
         match self.doors.get_mut(&row.name) {
             Some(heard) => {
                 if made > heard.counts.made || heard.counts.life != life {
-                    (heard.row, heard.hosts, heard.counted) = (row, hosts, counted);
+                    (heard.row, heard.hosts, heard.counted, heard.tried) = (row, hosts, counted, tried);
                 }
                 heard.counts.hear(life, let_through, slices, made);
             }
             None => {
                 let counts = Counts::new(life, let_through, slices, made);
-                self.doors.insert(row.name.clone(), Heard { row, counted, counts, hosts });
+                self.doors.insert(row.name.clone(), Heard { row, counted, counts, hosts, tried });
             }
         }
     }
@@ -156,9 +159,11 @@
         for row in &ledger.doors {
             let row = DoorRow { ready: false, ..row.clone() };
             let counts = Counts::new(UNHEARD, BTreeMap::new(), BTreeMap::new(), now);
-            let heard = Heard { row, counted: 0, counts, hosts: BTreeMap::new() };
+            let (hosts, tried) = Default::default();
+            let heard = Heard { row, counted: 0, counts, hosts, tried };
             self.doors.entry(heard.row.name.clone()).or_insert(heard);
         }
+        self.weighed.inherit(&ledger.ill, now);
         // Their slices are even until they say otherwise.
         for office in ledger.offices.iter().filter(|_| ledger.lenders.is_some()) {
             let counts = Counts::new(UNHEARD, BTreeMap::new(), BTreeMap::new(), now);
@@ -199,6 +204,7 @@
             let_through: heard.counts.latest.clone(),
             slices: heard.counts.slices.clone(),
             hosts: heard.hosts.clone(),
+            tried: heard.tried.clone(),
         };
         fresh.map(told).collect()
     }
@@ -227,6 +233,8 @@
         }
         let mostly = hosts.into_iter().filter(|(_, (all, homed))| *homed as f64 > MOSTLY * *all as f64);
         let homed = mostly.map(|(name, _)| name.clone()).collect();
+        let told = self.doors.values().filter(|heard| now.since(heard.counts.made) < NAMED);
+        let ill = self.weighed.weigh(told.map(|heard| &heard.tried), counted, now);
         let row = |heard: &Heard| DoorRow {
             ready: heard.row.ready && now.since(heard.counts.made) < NAMED,
             ..heard.row.clone()
@@ -239,6 +247,7 @@
             lenders,
             homed,
             offices: self.offices.keys().cloned().collect::<BTreeSet<_>>(),
+            ill,
         }
     }
 }
@@ -302,7 +311,16 @@
         };
         let tenant = || "t".to_owned();
         let (let_through, slices) = ([(tenant(), through)].into(), [(tenant(), 0.5)].into());
-        Report { door: row, life, age_ms, counted: 0, let_through, slices, hosts: BTreeMap::new() }
+        Report {
+            door: row,
+            life,
+            age_ms,
+            counted: 0,
+            let_through,
+            slices,
+            hosts: BTreeMap::new(),
+            tried: BTreeMap::new(),
+        }
     }
 
     #[test]
--- a/mailroom/src/words.rs
+++ b/mailroom/src/words.rs
@@ -118,6 +118,9 @@
     /// Hosts most of whose requests are on routes with homes.
     pub homed: BTreeSet<String>,
     pub offices: BTreeSet<OfficeRow>,
+    /// Backends that many doors saw failing, each with the part that fails.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub ill: BTreeMap<String, f64>,
 }
 
 /// What a door says of itself.
@@ -136,6 +139,16 @@
     pub slices: BTreeMap<String, f64>,
     /// For each host the requests since the start, and those on routes with homes.
     pub hosts: BTreeMap<String, (u64, u64)>,
+    /// Of the backends that failed it lately, how often.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub tried: BTreeMap<String, Tried>,
+}
+
+/// Requests that a door sent to a backend lately, and those that failed there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tried {
+    pub tried: u32,
+    pub failed: u32,
 }
 
 /// A frontend door, as another one knows it.
