--- a/carrier/src/lend.rs
+++ b/carrier/src/lend.rs
@@ -23,10 +23,20 @@
 const SPARED: Duration = Duration::from_secs(2);
 const MOST_AT_ONCE: usize = 64;
 
-/// One request's ask.
+/// One request's ask, or one for a lot ahead of requests, or both.
 pub struct Ask {
-    pub txn: TxnId,
+    pub txn: Option<TxnId>,
     pub tenant: Rc<str>,
+    pub more: u32,
+}
+
+/// What came of asks.
+#[derive(Debug, Default)]
+pub struct Loans {
+    /// For each request that waited, whether it was lent a token; none where nobody answered.
+    pub asked: Vec<(TxnId, Option<bool>)>,
+    /// The lots, as far as they were lent.
+    pub ahead: Vec<(Rc<str>, u32)>,
 }
 
 pub struct Lending {
@@ -38,6 +48,25 @@
     spared: RefCell<BTreeMap<IpAddr, At>>,
 }
 
+/// Requests that wait come first; what is left is for the lots.
+fn shared_out(asks: &[Ask], mut given: Option<Tokens>) -> Loans {
+    let mut loans = Loans::default();
+    let mut take = |tenant: &Rc<str>, most: u32| {
+        let left = given.as_mut()?.entry(tenant.to_string()).or_default();
+        let taken = most.min(*left);
+        *left -= taken;
+        Some(taken)
+    };
+    for ask in asks {
+        let lent = ask.txn.map(|txn| (txn, take(&ask.tenant, 1).map(|taken| taken > 0)));
+        loans.asked.extend(lent);
+    }
+    for ask in asks.iter().filter(|ask| ask.more > 0) {
+        loans.ahead.push((Rc::clone(&ask.tenant), take(&ask.tenant, ask.more).unwrap_or(0)));
+    }
+    loans
+}
+
 impl Lending {
     pub fn new(
         feed: Feed,
@@ -54,19 +83,8 @@
             let (lending, batch) = (Rc::clone(&self), std::mem::take(&mut batch));
             tokio::task::spawn_local(async move {
                 let given = lending.borrow(&batch).await;
-                let of = |ask: Ask, given: &mut Option<Tokens>| {
-                    let left = given.as_mut().map(|given| given.entry(ask.tenant.to_string()).or_default());
-                    let lent = left.map(|left| {
-                        let lent = *left > 0;
-                        *left -= u32::from(lent);
-                        lent
-                    });
-                    (ask.txn, lent)
-                };
-                let mut given = given;
-                let lent = batch.into_iter().map(|ask| of(ask, &mut given)).collect();
                 // Route ends with the program only.
-                let _ = lending.news.send(News::Lent(lent));
+                let _ = lending.news.send(News::Lent(shared_out(&batch, given)));
             });
         }
     }
@@ -75,7 +93,7 @@
     async fn borrow(&self, asks: &[Ask]) -> Option<Tokens> {
         let mut wanted = Tokens::new();
         for ask in asks {
-            *wanted.entry(ask.tenant.to_string()).or_default() += 1;
+            *wanted.entry(ask.tenant.to_string()).or_default() += u32::from(ask.txn.is_some()) + ask.more;
         }
         for _ in 0..2 {
             let ip = self.nearest()?;
@@ -114,3 +132,22 @@
         open.min_by_key(|row| (far(&row.zone), self.order(row.ip))).map(|row| row.ip)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn those_who_wait_come_before_lots_and_silence_is_no_refusal() {
+        let tenant: Rc<str> = Rc::from("t");
+        let ask = |txn: Option<u64>, more| Ask { txn: txn.map(TxnId), tenant: Rc::clone(&tenant), more };
+        let asks = [ask(None, 3), ask(Some(1), 2), ask(Some(2), 0)];
+        let given = |tokens| Some(Tokens::from([("t".to_owned(), tokens)]));
+        let loans = shared_out(&asks, given(4));
+        assert_eq!(loans.asked, [(TxnId(1), Some(true)), (TxnId(2), Some(true))]);
+        assert_eq!(loans.ahead.iter().map(|(_, tokens)| *tokens).collect::<Vec<_>>(), [2, 0]);
+        let loans = shared_out(&asks, given(1));
+        assert_eq!(loans.asked, [(TxnId(1), Some(true)), (TxnId(2), Some(false))]);
+        assert_eq!(shared_out(&asks, None).asked, [(TxnId(1), None), (TxnId(2), None)]);
+    }
+}
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -3,8 +3,8 @@
 //! may go, how often it may be sent on, what a cold backend may be given.
 
 use crate::gate::{Entry, Posted};
-pub use crate::lend::Ask;
 use crate::lend::WITHIN;
+pub use crate::lend::{Ask, Loans};
 use crate::link::Told as Reported;
 use crate::tables::{Rule, Tables, Tenant};
 use rand::rngs::SmallRng;
@@ -22,6 +22,7 @@
 use vanewharf_frames::Reply;
 use vanewharf_franking::allowance::{Cold, RepeatRule, Repeats, cold_part, weighted};
 use vanewharf_franking::evidence::{Seen, shared_cause, worth_of};
+use vanewharf_franking::pocket::Pocket;
 use vanewharf_franking::quota::Buckets;
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::RouteKind;
@@ -34,8 +35,7 @@
     /// With the time at which it was taken.
     List(Rc<List>, At),
     Ledger(Rc<Ledger>),
-    /// For each request that waited for a token, whether it was lent; none where nobody answered.
-    Lent(Vec<(TxnId, Option<bool>)>),
+    Lent(Loans),
 }
 
 /// One service in one region.
@@ -125,8 +125,10 @@
     asks: mpsc::UnboundedSender<Ask>,
     /// Requests that wait for a token.
     waiting: BTreeMap<TxnId, Entry>,
-    /// Tokens that were lent and not used, and until when they may be.
-    pocket: BTreeMap<Rc<str>, (u32, At)>,
+    /// Tokens that were lent and wait for their requests.
+    pocket: Pocket,
+    /// No lender is in this door's region.
+    lenders_far: bool,
     /// What came of news, to be carried out with the next batch.
     pending: Vec<Action>,
     /// Cold from when their evacuation ended.
@@ -141,8 +143,6 @@
 const PATIENT: f64 = 2.0;
 /// How long a module may refuse all with nothing out.
 const STUCK: Duration = Duration::from_millis(300);
-/// How long a token that was lent may wait in a door for its next request.
-const POCKETED: Duration = Duration::from_secs(1);
 /// The wait before a refusal by the bucket is worth another try, at least.
 const LEAST_WAIT: Duration = Duration::from_millis(50);
 
@@ -178,7 +178,8 @@
             lenders: None,
             asks,
             waiting: BTreeMap::new(),
-            pocket: BTreeMap::new(),
+            pocket: Pocket::default(),
+            lenders_far: false,
             pending: Vec::new(),
             thawing: BTreeMap::new(),
             seen: Seen::default(),
@@ -325,46 +326,36 @@
         let at = self.steady.now();
         let limited = entry.tenant.as_ref().filter(|tenant| tenant.quota.rate > 0.0).cloned();
         if let (Some(tenant), Some(_)) = (limited, self.lenders) {
+            let tenant = Rc::clone(&tenant.name);
+            self.pocket.wanted(&tenant, at);
+            let pocketed = self.pocket.take(&tenant, at);
             // One that has hardly time to wait for an answer goes by what this door has itself.
-            let pocketed = self.take_pocketed(&tenant.name, at);
+            let waits = !pocketed && arrival.expiry - now > tenths(WITHIN * 2);
+            let more = if self.lenders_far { self.pocket.ahead(&tenant, at) } else { 0 };
+            if waits || more > 0 {
+                // The asks end with the program only.
+                let _ = self.asks.send(Ask { txn: waits.then_some(id), tenant, more });
+            }
             if pocketed {
                 return self.let_in(arrival, entry, now, actions);
             }
-            if arrival.expiry - now > tenths(WITHIN * 2) {
-                let tenant = Rc::clone(&tenant.name);
+            if waits {
                 self.waiting.insert(id, Entry { expiry: arrival.expiry, ..entry });
-                // The asks end with the program only.
-                let _ = self.asks.send(Ask { txn: id, tenant });
                 return;
             }
         }
         self.by_bucket(arrival, entry, now, actions);
     }
 
-    /// A token that was lent to this door and is still good.
-    fn take_pocketed(&mut self, tenant: &Rc<str>, at: At) -> bool {
-        let Some((tokens, until)) = self.pocket.get_mut(tenant) else {
-            return false;
-        };
-        let good = *tokens > 0 && *until > at;
-        *tokens -= u32::from(good);
-        if *tokens == 0 || !good {
-            self.pocket.remove(tenant);
-        }
-        good
-    }
-
     fn pocket_one(&mut self, tenant: &Rc<str>) {
-        let until = self.steady.now().after(POCKETED);
-        let (tokens, known) = self.pocket.entry(Rc::clone(tenant)).or_insert((0, until));
-        *tokens += 1;
-        *known = until;
+        self.pocket.put(tenant, 1, self.steady.now());
     }
 
     /// What came of asks for tokens.
-    fn lent(&mut self, lent: Vec<(TxnId, Option<bool>)>, now: Tenths) {
-        let mut actions = Vec::new();
-        for (id, lent) in lent {
+    fn lent(&mut self, loans: Loans, now: Tenths) {
+        let (mut actions, at) = (Vec::new(), self.steady.now());
+        loans.ahead.iter().for_each(|(tenant, tokens)| self.pocket.came(tenant, *tokens, at));
+        for (id, lent) in loans.asked {
             let Some(entry) = self.waiting.remove(&id) else {
                 continue;
             };
@@ -688,6 +679,10 @@
             News::Ledger(ledger) if ledger.counted == 0 => return None,
             News::Ledger(ledger) => {
                 self.lenders = ledger.lenders;
+                let region = |zone: &str| self.place.zones.get(zone);
+                self.lenders_far =
+                    !ledger.offices.iter().any(|row| region(&row.zone) == Some(&self.place.region));
+                self.pocket.tidy(self.steady.now());
                 self.buckets.keep_reserve(ledger.lenders.is_some());
                 self.doors = f64::from(ledger.counted);
                 let tables = self.tables.clone();
--- a/carrier/src/rounds/tests.rs
+++ b/carrier/src/rounds/tests.rs
@@ -127,6 +127,10 @@
     }
 }
 
+fn tokens(txn: TxnId, lent: Option<bool>) -> News {
+    News::Lent(Loans { asked: vec![(txn, lent)], ahead: Vec::new() })
+}
+
 fn busy(actions: &[Action]) -> bool {
     matches!(actions, [Action::Decline { retry_after: None, .. }])
 }
@@ -239,23 +243,23 @@
     let (lent, actions) = stage.arrives("/read/x");
     assert_eq!(actions, [], "it waits");
     let asked = stage.asked.try_recv().expect("a lender is asked");
-    assert_eq!((asked.txn, &*asked.tenant), (lent, "t"));
-    let actions = stage.hears(News::Lent(vec![(lent, Some(true))]));
+    assert_eq!((asked.txn, &*asked.tenant), (Some(lent), "t"));
+    let actions = stage.hears(tokens(lent, Some(true)));
     assert!(stage.to(&actions).is_some());
     stage.ends(lent, 0, Outcome::Settled);
     let (refused, _) = stage.arrives("/read/x");
-    let actions = stage.hears(News::Lent(vec![(refused, Some(false))]));
+    let actions = stage.hears(tokens(refused, Some(false)));
     assert!(matches!(actions.as_slice(), [Action::Decline { retry_after: Some(_), .. }]), "{actions:?}");
     // Its client leaves: the token serves the next one without another ask.
     let (left, _) = stage.arrives("/read/x");
     stage.rounds.decide(SECOND, vec![Event::Left(left)]);
-    assert_eq!(stage.hears(News::Lent(vec![(left, Some(true))])), []);
+    assert_eq!(stage.hears(tokens(left, Some(true))), []);
     while stage.asked.try_recv().is_ok() {}
     let (_, actions) = stage.arrives("/read/x");
     assert!(stage.to(&actions).is_some() && stage.asked.try_recv().is_err());
     // Nobody answers: this door's own reserve has not filled yet.
     let (alone, _) = stage.arrives("/read/x");
-    let actions = stage.hears(News::Lent(vec![(alone, None)]));
+    let actions = stage.hears(tokens(alone, None));
     assert!(matches!(actions.as_slice(), [Action::Decline { retry_after: Some(_), .. }]), "{actions:?}");
 }
 
--- /dev/null
+++ b/franking/src/pocket.rs
@@ -0,0 +1,146 @@
+//! Tokens that were lent to a door and wait for their requests. Where lenders are far, a door whose tenant sends steadily
+//! asks ahead for a small lot, so that most requests need not wait for a token's way there and back.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use vanewharf_mailroom::clock::At;
+
+/// How long a token may wait: so much later than it was lent may it be used, and what the rules leave beyond quotas
+/// covers that.
+const KEPT: Duration = Duration::from_secs(1);
+/// A lot is what comes in so many seconds, and this at most.
+const LOT_SPAN: f64 = 0.5;
+const MOST_AHEAD: u32 = 8;
+/// Seconds over which a tenant's requests here are averaged.
+const SPAN: f64 = 2.0;
+/// One who sends less often than this is forgotten.
+const SELDOM: f64 = 0.02;
+
+#[derive(Clone, Debug)]
+struct Purse {
+    tokens: u32,
+    until: At,
+    /// Requests a second, as of the last one.
+    rate: f64,
+    last: At,
+    /// A lot is on its way.
+    asked: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Pocket {
+    purses: BTreeMap<Rc<str>, Purse>,
+}
+
+impl Pocket {
+    fn purse(&mut self, tenant: &Rc<str>, now: At) -> &mut Purse {
+        let new = || Purse { tokens: 0, until: now, rate: 0.0, last: now, asked: false };
+        self.purses.entry(Rc::clone(tenant)).or_insert_with(new)
+    }
+
+    /// A request came.
+    pub fn wanted(&mut self, tenant: &Rc<str>, now: At) {
+        let purse = self.purse(tenant, now);
+        purse.rate = purse.rate * (-now.since(purse.last).as_secs_f64() / SPAN).exp() + 1.0 / SPAN;
+        purse.last = now;
+    }
+
+    /// A token that is still good.
+    pub fn take(&mut self, tenant: &Rc<str>, now: At) -> bool {
+        let purse = self.purse(tenant, now);
+        if purse.until <= now {
+            purse.tokens = 0;
+        }
+        let good = purse.tokens > 0;
+        purse.tokens -= u32::from(good);
+        good
+    }
+
+    pub fn put(&mut self, tenant: &Rc<str>, tokens: u32, now: At) {
+        let purse = self.purse(tenant, now);
+        purse.tokens += tokens;
+        if tokens > 0 {
+            purse.until = now.after(KEPT);
+        }
+    }
+
+    /// How many to ask for ahead; nothing while a lot is under way, or half of one is left.
+    pub fn ahead(&mut self, tenant: &Rc<str>, now: At) -> u32 {
+        let purse = self.purse(tenant, now);
+        let lot = ((purse.rate * LOT_SPAN) as u32).min(MOST_AHEAD);
+        let tokens = if purse.until > now { purse.tokens } else { 0 };
+        if purse.asked || lot == 0 || tokens * 2 > lot {
+            return 0;
+        }
+        purse.asked = true;
+        lot - tokens
+    }
+
+    /// The lot that was asked for has come, as far as it was lent.
+    pub fn came(&mut self, tenant: &Rc<str>, tokens: u32, now: At) {
+        self.put(tenant, tokens, now);
+        self.purse(tenant, now).asked = false;
+    }
+
+    /// Those who have not sent for long are dropped.
+    pub fn tidy(&mut self, now: At) {
+        self.purses.retain(|_, purse| {
+            let rate = purse.rate * (-now.since(purse.last).as_secs_f64() / SPAN).exp();
+            purse.asked || rate > SELDOM || purse.tokens > 0 && purse.until > now
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const START: At = At(1_000_000_000);
+
+    fn at(ms: u64) -> At {
+        START.after(Duration::from_millis(ms))
+    }
+
+    #[test]
+    fn one_who_sends_steadily_waits_seldom_and_one_who_does_not_is_never_lent_ahead() {
+        let (steady, seldom): (Rc<str>, Rc<str>) = (Rc::from("steady"), Rc::from("seldom"));
+        let (mut pocket, mut under_way) = (Pocket::default(), None);
+        let (mut waited, mut lent, mut requests) = (0, 0, 0);
+        for ms in (0..10_000).step_by(10) {
+            if let Some((due, tokens)) = under_way.filter(|(due, _)| *due <= ms) {
+                let _: u64 = due;
+                pocket.came(&steady, tokens, at(ms));
+                under_way = None;
+            }
+            if ms % 3_000 == 0 {
+                pocket.wanted(&seldom, at(ms));
+                assert!(!pocket.take(&seldom, at(ms)) && pocket.ahead(&seldom, at(ms)) == 0);
+            }
+            // Eight a second.
+            if ms % 120 == 0 {
+                requests += 1;
+                pocket.wanted(&steady, at(ms));
+                if !pocket.take(&steady, at(ms)) {
+                    (waited, lent) = (waited + 1, lent + 1);
+                }
+                let more = pocket.ahead(&steady, at(ms));
+                if more > 0 {
+                    (under_way, lent) = (Some((ms + 70, more)), lent + more);
+                }
+            }
+        }
+        assert!(waited <= 8, "{waited} of {requests} waited");
+        assert!(lent <= requests + 8, "{lent} lent for {requests}");
+        pocket.tidy(at(40_000));
+        assert!(pocket.purses.is_empty());
+    }
+
+    #[test]
+    fn a_token_is_good_for_a_second() {
+        let (mut pocket, tenant): (_, Rc<str>) = (Pocket::default(), Rc::from("t"));
+        pocket.put(&tenant, 2, START);
+        assert!(pocket.take(&tenant, at(900)));
+        assert!(!pocket.take(&tenant, at(1_000)), "the other one is too old");
+    }
+}
