--- a/lab/src/system/many.rs
+++ b/lab/src/system/many.rs
@@ -82,7 +82,7 @@
         lines: vec![
             line("bytes", |cost| cost.door_bytes),
             line("messages", |cost| cost.door_calls),
-            line("sorter's processor time", |cost| cost.sorter_ms),
+            line("sorter's time", |cost| cost.sorter_ms),
         ],
         bound: None,
     }
