--- a/lab/src/system/day.rs
+++ b/lab/src/system/day.rs
@@ -162,10 +162,10 @@
         let span = self.chance.random_range(0.3..5.0);
         let all: BTreeSet<usize> = (0..self.world.machines.len()).collect();
         let core: BTreeSet<usize> = (0..offices).collect();
-        let kind = self.chance.random_range(0..15);
+        let kind = self.chance.random_range(0..18);
         let lost: BTreeSet<usize> = match kind {
-            0 | 2..=4 => [one].into(),
-            6 | 7 => core.iter().copied().filter(|_| self.chance.random_bool(0.4)).collect(),
+            0 | 2..=4 | 15 => [one].into(),
+            6 | 7 | 16 => core.iter().copied().filter(|_| self.chance.random_bool(0.4)).collect(),
             _ => BTreeSet::new(),
         };
         if !lost.is_empty() && !self.may_lose(when, span, lost.clone(), kind == 3) {
@@ -221,12 +221,21 @@
                     world.machines[one].disk.iter().for_each(|disk| disk.turn(Health::Well));
                 });
             }
-            6 | 7 => {
+            15 => {
+                self.at(when, &format!("central-{one} is told to end, back in {span:.1} s"), move |world| {
+                    world.term(one)
+                });
+                self.at(when + 0.8, "", move |world| world.kill(one, |_| true));
+                self.at(when + 0.8 + span, "", move |world| world.boot(one));
+            }
+            6 | 7 | 16 => {
+                let one_way = kind == 16;
                 // A part of the core from the rest of it, with or without its doors.
                 let some = lost;
                 let doors: BTreeSet<usize> =
                     all.difference(&core).copied().filter(|_| self.chance.random_bool(0.3)).collect();
-                let what = format!("{some:?} of the core and doors {doors:?} are cut off, for {span:.1} s");
+                let how = if one_way { "not heard" } else { "cut off" };
+                let what = format!("{some:?} of the core and doors {doors:?} are {how}, for {span:.1} s");
                 let side: BTreeSet<usize> = some.union(&doors).copied().collect();
                 let rest: BTreeSet<usize> = all.difference(&side).copied().collect();
                 let whom = Whom::Parted(some);
@@ -239,7 +248,7 @@
                         .enumerate()
                         .skip(offices)
                         .for_each(|(no, _)| world.befalls(Whom::Ailing(no)));
-                    world.part(&side, &rest, true);
+                    world.part((&side, &rest), one_way, true);
                 });
                 self.at(when + span, "", move |world| {
                     world.over(&again);
@@ -249,23 +258,25 @@
                         .enumerate()
                         .skip(offices)
                         .for_each(|(no, _)| world.over(&Whom::Ailing(no)));
-                    world.part(&sides.0, &sides.1, false);
+                    world.part((&sides.0, &sides.1), one_way, false);
                 });
             }
-            8 | 9 => {
+            8 | 9 | 17 => {
+                let one_way = kind == 17;
                 let door = self.some_door();
                 let span = self.chance.random_range(2.0..9.0);
                 let own: BTreeSet<usize> = [door].into();
                 let others: BTreeSet<usize> = if self.chance.random_bool(0.5) { core } else { all };
-                let what = format!("door {door} is cut off from {} machines, for {span:.1} s", others.len());
+                let how = if one_way { "not heard by" } else { "cut off from" };
+                let what = format!("door {door} is {how} {} machines, for {span:.1} s", others.len());
                 let again = (own.clone(), others.clone());
                 self.at(when, &what, move |world| {
                     world.befalls(Whom::Ailing(door));
-                    world.part(&own, &others, true);
+                    world.part((&own, &others), one_way, true);
                 });
                 self.at(when + span, "", move |world| {
                     world.over(&Whom::Ailing(door));
-                    world.part(&again.0, &again.1, false);
+                    world.part((&again.0, &again.1), one_way, false);
                 });
             }
             10 => {
--- a/lab/src/system/net.rs
+++ b/lab/src/system/net.rs
@@ -34,6 +34,7 @@
 struct Map {
     places: BTreeMap<IpAddr, Place>,
     dark: BTreeSet<IpAddr>,
+    /// From one to another; the way back is its own.
     cuts: BTreeSet<(IpAddr, IpAddr)>,
     ears: BTreeMap<SocketAddr, Rc<RefCell<Queue>>>,
     lanes: Vec<Weak<RefCell<Lane>>>,
@@ -71,13 +72,9 @@
     }
 }
 
-fn between(one: IpAddr, other: IpAddr) -> (IpAddr, IpAddr) {
-    (one.min(other), one.max(other))
-}
-
 impl Map {
     fn open(&self, from: IpAddr, to: IpAddr) -> bool {
-        !self.dark.contains(&to) && !self.dark.contains(&from) && !self.cuts.contains(&between(from, to))
+        !self.dark.contains(&to) && !self.dark.contains(&from) && !self.cuts.contains(&(from, to))
     }
 
     /// One way, without the little that chance adds.
@@ -130,13 +127,13 @@
         Rc::new(View { network: self.clone(), ip })
     }
 
-    pub fn cut(&self, one: IpAddr, other: IpAddr) {
-        self.map.borrow_mut().cuts.insert(between(one, other));
+    pub fn cut(&self, from: IpAddr, to: IpAddr) {
+        self.map.borrow_mut().cuts.insert((from, to));
     }
 
-    pub fn heal(&self, one: IpAddr, other: IpAddr) {
+    pub fn heal(&self, from: IpAddr, to: IpAddr) {
         let mut map = self.map.borrow_mut();
-        map.cuts.remove(&between(one, other));
+        map.cuts.remove(&(from, to));
         map.wake_all();
     }
 
@@ -192,7 +189,7 @@
                 map.dialled += 1;
                 (map.dialled, map.delay(from, to.ip()))
             };
-            if !network.open(from, to.ip()) {
+            if !network.open(from, to.ip()) || !network.open(to.ip(), from) {
                 // The caller gives up by itself.
                 std::future::pending::<()>().await;
             }
--- a/lab/src/system/world.rs
+++ b/lab/src/system/world.rs
@@ -98,7 +98,8 @@
     cages: RefCell<BTreeMap<Program, Rc<RefCell<Cage>>>>,
     starts: Cell<u64>,
     pub asks: Rc<RefCell<Option<mpsc::UnboundedSender<Ask>>>>,
-    post: Rc<RefCell<Option<Post>>>,
+    post: Rc<RefCell<Option<Rc<Post>>>>,
+    end: RefCell<Option<oneshot::Sender<()>>>,
 }
 
 /// How large a system is, and how long a day.
@@ -154,6 +155,7 @@
                 starts: Cell::new(0),
                 asks: Rc::default(),
                 post: Rc::default(),
+                end: RefCell::default(),
             });
         }
         let town = Rc::new(Town::new(platform));
@@ -249,10 +251,16 @@
         match program {
             Program::Postmaster => {
                 let post = Rc::clone(&machine.post);
+                let (tell, end) = oneshot::channel();
+                *machine.end.borrow_mut() = Some(tell);
                 set.spawn_local(async move {
                     match vanewharf_postmaster::start(settings, premises).await {
                         Ok(started) => {
-                            *post.borrow_mut() = Some(started);
+                            let started = Rc::new(started);
+                            *post.borrow_mut() = Some(Rc::clone(&started));
+                            if end.await.is_ok() {
+                                started.leave().await;
+                            }
                             std::future::pending::<()>().await;
                         }
                         Err(why) => said(Err(why)),
@@ -330,16 +338,29 @@
         }
     }
 
-    /// Cuts some machines off from some others, or heals that.
-    pub fn part(&self, one: &BTreeSet<usize>, other: &BTreeSet<usize>, cut: bool) {
+    /// Cuts some machines off from some others, or heals that; one way only the first are not heard.
+    pub fn part(&self, (one, other): (&BTreeSet<usize>, &BTreeSet<usize>), one_way: bool, cut: bool) {
         for &a in one {
             for &b in other.iter().filter(|b| **b != a) {
                 let (a, b) = (self.machines[a].ip, self.machines[b].ip);
-                if cut { self.network.cut(a, b) } else { self.network.heal(a, b) }
+                let ways = [(a, b), (b, a)];
+                for (from, to) in ways.into_iter().take(if one_way { 1 } else { 2 }) {
+                    if cut { self.network.cut(from, to) } else { self.network.heal(from, to) }
+                }
             }
         }
     }
 
+    /// A postmaster is told to end, as on a planned day.
+    pub fn term(&self, no: usize) {
+        self.befalls(Whom::Down(no));
+        let told = self.machines[no].end.borrow_mut().take();
+        if let Some(told) = told {
+            // One that has ended is told nothing.
+            let _ = told.send(());
+        }
+    }
+
     pub fn befalls(&self, whom: Whom) {
         let mut troubles = self.troubles.borrow_mut();
         if !troubles.iter().any(|trouble| trouble.whom == whom && trouble.ended.is_none()) {
@@ -360,7 +381,7 @@
     }
 
     pub fn holders(&self) -> usize {
-        let holds = |machine: &&Machine| machine.post.borrow().as_ref().is_some_and(Post::holds);
+        let holds = |machine: &&Machine| machine.post.borrow().as_ref().is_some_and(|post| post.holds());
         self.machines.iter().filter(holds).count()
     }
 }
