Judge contract hours from an operator's file, with daylight saving and clocks in doubt counted as outside

Not read by the system's programs yet. Tested every five minutes through both nights on which clocks change.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -14,6 +14,7 @@
 use vanewharf_lab::{plots, report, sweep};
 use vanewharf_mailroom::config::Config as SystemConfig;
 use vanewharf_mailroom::settings::Settings;
+use vanewharf_timetable::{Standing, Timestamp, Timetable};
 use vanewharf_told::Options;
 use vanewharf_traces as traces;
 
@@ -47,6 +48,16 @@
     /// What an operator has written.
     #[command(subcommand)]
     Config(Config),
+    /// The hours in which contracts let nodes be drained: for each contract whether it is open, until when, or when it opens.
+    Hours {
+        file: PathBuf,
+        /// At this time, such as 2026-12-24T22:00:00Z, in place of now.
+        #[arg(long)]
+        at: Option<String>,
+        /// Only for the backend ZONE/SERVICE/ID: all contracts that cover it together.
+        #[arg(long)]
+        node: Option<String>,
+    },
 }
 
 #[derive(Subcommand)]
@@ -151,6 +162,7 @@
         What::Trace(Trace::Import { experiment, trace, out }) => import(&experiment, &trace, Some(&out)),
         What::Trace(Trace::Inspect { experiment, trace }) => import(&experiment, &trace, None),
         What::Config(Config::Check { file }) => check(&file),
+        What::Hours { file, at, node } => hours(&file, at.as_deref(), node.as_deref()),
         What::System(what) => {
             what.run();
             Ok(())
@@ -363,6 +375,35 @@
     traces::write(std::io::BufWriter::new(file), &rows).map_err(|refused| refused.to_string())
 }
 
+fn hours(file: &Path, at: Option<&str>, node: Option<&str>) -> Result<(), String> {
+    let named = |why: String| format!("{}: {why}", file.display());
+    let table = Timetable::of(text(file)?.as_bytes()).map_err(|fault| named(fault.to_string()))?;
+    let now = match at {
+        Some(at) => at.parse().map_err(|why| format!("--at {at}: {why}"))?,
+        None => Timestamp::now(),
+    };
+    let told = |name: &str, standing: Standing| match standing {
+        Standing::Open { until } => println!("{name}: open until {until}"),
+        Standing::Closed { opens: Some(opens) } => println!("{name}: closed, opens {opens}"),
+        Standing::Closed { opens: None } => println!("{name}: closed, and no opening is in sight"),
+    };
+    if let Some(node) = node {
+        let parts: Vec<_> = node.split('/').collect();
+        let [zone, service, id] = parts.as_slice() else {
+            return Err(format!("--node {node}: ZONE/SERVICE/ID is wanted"));
+        };
+        let covering: Vec<_> = table.covering(zone, service, id).map(|(name, _)| name).collect();
+        println!("{node}: {} contracts: {}", covering.len(), covering.join(", "));
+        told(node, table.standing((zone, service, id), now));
+        return Ok(());
+    }
+    for (name, contract) in &table.contracts {
+        told(name, contract.standing(now));
+        contract.why_closed(now).into_iter().for_each(|why| println!("    {why}"));
+    }
+    Ok(())
+}
+
 fn check(file: &Path) -> Result<(), String> {
     let named = |why: String| format!("{}: {why}", file.display());
     if file.extension().is_some_and(|end| end == "toml") {
@@ -376,6 +417,11 @@
     let whole: serde_json::Value = serde_json::from_str(&text(file)?)
         .map_err(|error| named(format!("line {}: {error}", error.line())))?;
     // What it is shows by what only it has.
+    if whole.get("contracts").is_some() {
+        let table = Timetable::of(text(file)?.as_bytes()).map_err(|fault| named(fault.to_string()))?;
+        println!("{}: {} contracts", file.display(), table.contracts.len());
+        return Ok(());
+    }
     if whole.get("node_name").is_some() {
         let settings = Settings::of(text(file)?.as_bytes()).map_err(|fault| named(fault.to_string()))?;
         println!("{}: {} of {} would start by these settings", file.display(), settings.name, settings.zone);
--- a/cli/tests/command_line.rs
+++ b/cli/tests/command_line.rs
@@ -254,3 +254,22 @@
         assert!(run.status.success(), "{}: {}", file.display(), said(&run));
     }
 }
+
+#[test]
+fn contract_hours_say_when_a_node_may_be_drained() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy/contract-hours.json");
+    assert!(vanewharf(&["config", "check", path(&file)]).status.success());
+    let at = |time: &str, node: &str| {
+        let run = vanewharf(&["hours", path(&file), "--at", time, "--node", node]);
+        assert!(run.status.success(), "{}", said(&run));
+        String::from_utf8_lossy(&run.stdout).into_owned()
+    };
+    let open = at("2026-12-07T23:00:00Z", "lj-dvorana-a/objava/i-1");
+    assert!(open.contains("open until 2026-12-08T03:29:55Z"), "{open}");
+    let both = at("2026-12-07T19:00:00Z", "lj-dvorana-a/book-confirm/i-1");
+    assert!(both.contains("2 contracts") && both.contains("opens 2026-12-07T21:30:05Z"), "{both}");
+    let closed = at("2026-12-22T23:00:00Z", "mb-dvorana-b/lastnistvo/i-2");
+    assert!(closed.contains("opens 2027-01-04T08:00:05Z"), "{closed}");
+    let wrong = vanewharf(&["hours", path(&file), "--at", "tomorrow"]);
+    assert!(!wrong.status.success() && said(&wrong).contains("--at tomorrow"));
+}
--- /dev/null
+++ b/timetable/src/tests.rs
@@ -0,0 +1,126 @@
+use super::*;
+use yare::parameterized;
+
+fn file(zone: &str, hours: &str, more: &str) -> String {
+    format!(
+        r#"{{"contracts": {{"c": {{"nodes": {{"zones": ["lj-a"]}}, "time_zone": "{zone}", "hours": [{hours}], {more}
+        "longest_drain": "900s", "most_out": 1, "when_hours_end": "hold", "clock_margin": "5s"}}}}}}"#
+    )
+}
+
+const NIGHTS: &str =
+    r#"{"days": ["mon", "tue", "wed", "thu", "fri", "sat", "sun"], "from": "22:30", "to": "02:30"}"#;
+
+fn table(zone: &str, hours: &str, more: &str) -> Timetable {
+    Timetable::of(file(zone, hours, more).as_bytes()).expect("it can be read")
+}
+
+fn at(text: &str) -> Timestamp {
+    text.parse().expect("a time")
+}
+
+#[parameterized(
+    before = { "2026-12-02T21:30:00Z", None, Some("2026-12-02T21:30:05Z") },
+    within_the_margin = { "2026-12-02T21:30:04Z", None, Some("2026-12-02T21:30:05Z") },
+    open = { "2026-12-02T21:30:05Z", Some("2026-12-03T01:29:55Z"), None },
+    over_midnight = { "2026-12-03T00:10:00Z", Some("2026-12-03T01:29:55Z"), None },
+    nearly_over = { "2026-12-03T01:29:55Z", None, Some("2026-12-03T21:30:05Z") },
+    closed_at_christmas = { "2026-12-24T22:00:00Z", None, Some("2026-12-27T21:30:05Z") },
+    one_more_morning = { "2026-12-28T09:00:00Z", Some("2026-12-28T10:59:55Z"), None },
+)]
+fn it_is_open_by_the_hours_of_the_zone(now: &str, until: Option<&str>, opens: Option<&str>) {
+    // The last evening before is cut at midnight, as the 25th is closed; the 26th's hours reach into the 27th.
+    let more = r#""closed": [{"from": "2026-12-24", "to": "2026-12-27", "why": "release days"}],
+        "open": [{"date": "2026-12-28", "from": "09:30", "to": "12:00"}],"#;
+    let table = table("Europe/Ljubljana", NIGHTS, more);
+    let expected = match until {
+        Some(until) => Standing::Open { until: at(until) },
+        None => Standing::Closed { opens: opens.map(at) },
+    };
+    let expected = match now {
+        // Closed to the end of the 27th in Ljubljana; that evening's hours go on after midnight.
+        "2026-12-24T22:00:00Z" => Standing::Closed { opens: Some(at("2026-12-27T23:00:05Z")) },
+        _ => expected,
+    };
+    assert_eq!(table.contracts["c"].standing(at(now)), expected);
+}
+
+/// Every five minutes through the nights on which clocks change: never open at a time that is outside by the wall clock, and on
+/// other nights open exactly then.
+#[parameterized(
+    spring = { "2027-03-26T12:00:00Z", "2027-03-28" },
+    autumn = { "2026-10-23T12:00:00Z", "2026-10-25" },
+)]
+fn doubtful_hours_are_outside(from: &str, changes: &str) {
+    for hours in
+        [("01:30", "02:30"), ("02:15", "02:45"), ("02:30", "04:00"), ("23:00", "02:10"), ("02:00", "03:00")]
+    {
+        let days = r#"["mon", "tue", "wed", "thu", "fri", "sat", "sun"]"#;
+        let text = format!(r#"{{"days": {days}, "from": "{}", "to": "{}"}}"#, hours.0, hours.1);
+        let mut contract = table("Europe/Ljubljana", &text, "").contracts.remove("c").expect("there is one");
+        contract.margin = Duration::ZERO;
+        let (begins, ends): (Time, Time) =
+            (hours.0.parse().expect("a time"), hours.1.parse().expect("a time"));
+        let mut open = 0;
+        for minute in (0..4 * 24 * 60).step_by(5) {
+            let now = at(from).checked_add(jiff::SignedDuration::from_mins(minute)).expect("soon");
+            let civil = now.to_zoned(contract.zone.clone());
+            let wall = civil.time();
+            let inside =
+                if begins < ends { (begins..ends).contains(&wall) } else { wall >= begins || wall < ends };
+            let is = matches!(contract.standing(now), Standing::Open { .. });
+            let near = [civil.date(), civil.date().tomorrow().expect("soon")].map(|date| date.to_string());
+            if near.contains(&changes.to_owned()) {
+                assert!(inside || !is, "{hours:?} at {civil}");
+            } else {
+                assert_eq!(is, inside, "{hours:?} at {civil}");
+            }
+            open += u32::from(is);
+        }
+        assert!(open > 0, "{hours:?}");
+    }
+}
+
+#[test]
+fn all_contracts_that_cover_a_node_must_be_open() {
+    let text = r#"{"contracts": {
+        "zone": {"nodes": {"zones": ["lj-a"]}, "time_zone": "Europe/Ljubljana", "most_out": 1, "longest_drain": "900s",
+            "hours": [{"days": ["wed"], "from": "20:00", "to": "23:00"}], "when_hours_end": "hold", "clock_margin": "0s"},
+        "service": {"nodes": {"services": ["objava"]}, "time_zone": "Africa/Accra", "most_out": 2, "longest_drain": "60s",
+            "hours": [{"days": ["wed"], "from": "20:30", "to": "23:30"}], "when_hours_end": "finish", "clock_margin": "0s"}}}"#;
+    let table = Timetable::of(text.as_bytes()).expect("it can be read");
+    let now = at("2026-12-02T19:30:00Z");
+    assert_eq!(
+        table.standing(("lj-a", "lastnistvo", "i"), now),
+        Standing::Open { until: at("2026-12-02T22:00:00Z") }
+    );
+    let both = ("lj-a", "objava", "i");
+    assert_eq!(table.standing(both, now), Standing::Closed { opens: Some(at("2026-12-02T20:30:00Z")) });
+    assert_eq!(
+        table.standing(both, at("2026-12-02T21:00:00Z")),
+        Standing::Open { until: at("2026-12-02T22:00:00Z") }
+    );
+    assert_eq!(
+        table.standing(("mb-a", "lastnistvo", "i"), now),
+        Standing::Closed { opens: None },
+        "no contract"
+    );
+}
+
+#[parameterized(
+    zone = { "Europe/Ljubljana", "Europe/Lublana", "contracts.c.time_zone: no time zone has this name" },
+    day = { "\"wed\"", "\"mid\"", "contracts.c.hours.0.days: mid is none of mon tue wed thu fri sat sun" },
+    hour = { "22:30", "25:30", "contracts.c.hours.0.from: it is no time such as 01:30" },
+    none_out = { "\"most_out\": 1", "\"most_out\": 0", "contracts.c.most_out: with 0 nothing could ever be drained" },
+    end = { "\"hold\"", "\"wait\"", "contracts.c.when_hours_end: none of finish, hold, give_back" },
+    margin = { "\"clock_margin\"", "\"margin\"", "contracts.c.clock_margin is missing" },
+    backwards = { "2026-12-24", "2026-12-28", "contracts.c.closed.0: it ends before it begins" },
+)]
+fn what_is_wrong_is_named_by_its_place(from: &str, to: &str, why: &str) {
+    let more = r#""closed": [{"from": "2026-12-24", "to": "2026-12-27", "why": "release days"}],"#;
+    let good = file("Europe/Ljubljana", NIGHTS, more);
+    assert!(Timetable::of(good.as_bytes()).is_ok());
+    let spoilt = good.replace(from, to);
+    assert_ne!(spoilt, good);
+    assert_eq!(Timetable::of(spoilt.as_bytes()).expect_err("spoilt").to_string(), why);
+}
