--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -354,6 +354,10 @@
     /// What came of asks for tokens.
     fn lent(&mut self, loans: Loans, now: Tenths) {
         let (mut actions, at) = (Vec::new(), self.steady.now());
+        if loans.asked.iter().any(|(_, lent)| lent.is_some()) || loans.ahead.iter().any(|(_, lent)| *lent > 0)
+        {
+            self.buckets.answered(at);
+        }
         loans.ahead.iter().for_each(|(tenant, tokens)| self.pocket.came(tenant, *tokens, at));
         for (id, lent) in loans.asked {
             let Some(entry) = self.waiting.remove(&id) else {
--- a/franking/src/quota.rs
+++ b/franking/src/quota.rs
@@ -60,6 +60,9 @@
 pub struct Buckets {
     /// Where postmasters lend, a door's own buckets are for when none answers: so much of the quota is left to them.
     reserve: Option<f64>,
+    /// When a lender last answered: what doors have of their own for when none does fills from then on. Filled before, a
+    /// token in each of many doors would come on top of all that was lent just before.
+    answered: At,
     /// By how many doors what all may do together is divided; the system supplies it.
     doors: f64,
     /// The whole allowance beyond a quota that the rules make, once.
@@ -78,6 +81,7 @@
         let buckets = BTreeMap::new();
         Buckets {
             reserve: None,
+            answered: now,
             doors: 1.0,
             allowance,
             started: now,
@@ -119,6 +123,11 @@
         }
     }
 
+    /// A lender answered, whatever it said.
+    pub fn answered(&mut self, now: At) {
+        self.answered = now;
+    }
+
     /// Tokens for another, as far as they go.
     pub fn lend(&mut self, tenant: &str, wanted: u32, quota: Quota, now: At) -> u32 {
         (0..wanted).take_while(|_| self.ask(tenant, quota, now).is_ok()).count() as u32
@@ -133,9 +142,12 @@
             return Err(UNTOLD);
         }
         if let Some(part) = self.reserve {
-            let (rate, started) = (quota.rate * part / self.doors, self.started);
-            let new = || Bucket::new(0.0, 0.0, started);
+            let (rate, since) = (quota.rate * part / self.doors, self.started.max(self.answered));
+            let new = || Bucket::new(0.0, 0.0, since);
             let bucket = self.buckets.entry(tenant.to_owned()).or_insert_with(new);
+            if bucket.last < since {
+                (bucket.tokens, bucket.last) = (0.0, since);
+            }
             bucket.tokens = (bucket.tokens + rate * now.since(bucket.last).as_secs_f64()).min(1.0);
             bucket.last = now;
             if bucket.tokens < 1.0 {
@@ -341,6 +353,39 @@
         assert!(door.ask("free", Quota { rate: 0.0, burst: 0.0 }, START).is_ok(), "no limit");
     }
 
+    /// A hot tenant, ninety doors, a lender that dies: what it lent in the five seconds before and what the doors let in by
+    /// themselves after stay within the rule together.
+    #[test]
+    fn doors_own_reserves_add_little_to_what_a_dead_lender_had_lent() {
+        let quota = Quota { rate: 60.0, burst: 60.0 };
+        let mut lender = Buckets::start(20.0, true, START);
+        lender.read(1, &BTreeMap::new(), |_| quota, START);
+        let mut doors = vec![Buckets::start(20.0, false, START); 90];
+        for door in &mut doors {
+            door.keep_reserve(true);
+            door.read(90, &BTreeMap::new(), |_| quota, START);
+        }
+        let mut let_in = Vec::new();
+        for step in 0..6000usize {
+            let (now, seconds) = (at(step as f64 / 100.0), step as f64 / 100.0);
+            let door = step * 7 % 90;
+            // Calm for long, then hot for five seconds; dead from the fiftieth on.
+            if step % 10 == 0 || seconds >= 45.0 {
+                let lent = if seconds < 50.0 {
+                    doors[door].answered(now);
+                    lender.lend("t", 2, quota, now)
+                } else {
+                    u32::from(doors[door].ask("t", quota, now).is_ok())
+                };
+                (0..lent).for_each(|_| let_in.push((seconds, door)));
+            }
+        }
+        let bound = ((60.0 * 5.0 + 60.0) * 1.1 + 20.0) as usize;
+        assert!(most(&let_in) <= bound, "{} of {bound}", most(&let_in));
+        let alone = let_in.iter().filter(|(at, _)| *at >= 50.0).count();
+        assert!(alone <= 70, "{alone} in ten seconds alone, a tenth of the quota");
+    }
+
     #[test]
     fn what_was_never_sent_on_costs_nothing() {
         let mut door = Buckets::start(0.0, true, START);
