--- a/lab/src/system/day.rs
+++ b/lab/src/system/day.rs
@@ -102,7 +102,7 @@
     chance: SmallRng,
     told: Vec<String>,
     /// What is done when, from the beginning of the day.
-    script: Vec<(Duration, Deed)>,
+    script: Vec<(Duration, Act)>,
     lost: Vec<Lost>,
 }
 
@@ -115,7 +115,7 @@
     wiped: bool,
 }
 
-type Deed = Box<dyn FnOnce(&Rc<World>)>;
+type Act = Box<dyn FnOnce(&Rc<World>)>;
 
 impl Day {
     fn at(&mut self, when: f64, what: &str, deed: impl FnOnce(&Rc<World>) + 'static) {
