--- a/franking/src/summing.rs
+++ b/franking/src/summing.rs
@@ -338,6 +338,8 @@
         sums.report(report("a", 1, 0, 100), at(7000));
         let ledger = sums.ledger(Version::default(), 20.0, at(7000));
         assert_eq!((ledger.counted, ledger.doors[1].ready), (2, false), "b is counted and not named");
+        let part = Use { per_s: 17.5, slices: 1.0 };
+        assert_eq!(ledger.tenants["t"], part, "b's slice is counted, and what it let in at last is not");
         let doors: Vec<_> = ledger.doors.iter().collect();
         assert_eq!(resolved(&doors, "r", None, 64).len(), 1);
         assert_eq!(sums.reports(at(7000)).len(), 1);
