--- a/carrier/src/lib.rs
+++ b/carrier/src/lib.rs
@@ -27,7 +27,6 @@
 use vanewharf_door::shared::Shared;
 use vanewharf_door::take_in;
 use vanewharf_mailroom::call::{Caller, Said, serve};
-use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::DoorRow;
 use vanewharf_mailroom::premises::Premises;
@@ -55,7 +54,7 @@
 impl Core {
     /// With the link to the sorter and the loans running.
     pub fn start(settings: &Rc<Settings>, premises: &Premises, frontend: SocketAddr) -> Core {
-        let (steady, life) = (Steady::start(), premises.life());
+        let (steady, life) = (premises.steady(), premises.life());
         let (feed, told) = (Feed::new(steady), Rc::<Told>::default());
         let posted = Rc::new(Posted {
             tables: RefCell::default(),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,7 +9,9 @@
 use vanewharf_lab::arrivals::traced;
 use vanewharf_lab::experiment::Experiment;
 use vanewharf_lab::run::{Outcome, run, run_with};
-use vanewharf_lab::system::many::{cost, cost_plot, days};
+use vanewharf_lab::system::day::Outcome as Played;
+use vanewharf_lab::system::many::{cost, cost_plot, days, planned, worst};
+use vanewharf_lab::system::plan::Plan;
 use vanewharf_lab::system::world::Shape;
 use vanewharf_lab::{plots, report, sweep};
 use vanewharf_mailroom::config::Config as SystemConfig;
@@ -99,6 +101,13 @@
         /// Threads; each plays a day of its own.
         #[arg(long, default_value_t = std::thread::available_parallelism().map_or(1, usize::from))]
         jobs: usize,
+        /// The worst days: races, orders that come again, changes of the voters, machines replaced, wiped and told other
+        /// seeds, hundreds of changes, long cuts, clocks that run apart.
+        #[arg(long)]
+        worst: bool,
+        /// Days that are written down, in place of drawn ones (lab/days/*.toml).
+        #[arg(long)]
+        day: Vec<PathBuf>,
         /// Tell each day's troubles, not only those of days on which a rule broke.
         #[arg(long)]
         verbose: bool,
@@ -151,9 +160,25 @@
         What::Lab(Lab::Run { experiment, out, seed, strict }) => {
             lab_run(&experiment, out.as_deref(), &seed, strict)
         }
-        What::Lab(Lab::System { seeds, from, offices, doors, seconds, rate, troubles, jobs, verbose }) => {
+        What::Lab(Lab::System {
+            seeds,
+            from,
+            offices,
+            doors,
+            seconds,
+            rate,
+            troubles,
+            jobs,
+            worst,
+            day,
+            verbose,
+        }) => {
             let shape = Shape { offices: offices as usize, doors: doors as usize, seconds, rate, troubles };
-            lab_system(shape, from, seeds, jobs, verbose)
+            let which = match (day.is_empty(), worst) {
+                (false, _) => Days::Planned(&day),
+                (true, worst) => Days::Drawn { from, seeds, worst },
+            };
+            lab_system(shape, &which, jobs, verbose)
         }
         What::Lab(Lab::SystemCost { doors, offices, seed, out }) => {
             lab_cost(&doors, offices as usize, seed, out.as_deref())
@@ -247,13 +272,20 @@
     }
 }
 
-fn lab_system(shape: Shape, from: u64, seeds: u64, jobs: usize, verbose: bool) -> Result<(), String> {
+enum Days<'a> {
+    Drawn { from: u64, seeds: u64, worst: bool },
+    Planned(&'a [PathBuf]),
+}
+
+fn lab_system(shape: Shape, which: &Days, jobs: usize, verbose: bool) -> Result<(), String> {
     let begun = std::time::Instant::now();
     let (mut broken, mut asked, mut served, mut refused, mut ordered, mut acknowledged) = (0, 0, 0, 0, 0, 0);
     let (mut seconds, mut late, mut door, mut office) = (0.0, 1.0f64, 0, 0);
-    days(shape, from, seeds, jobs, |day| {
+    let mut count = 0u64;
+    let mut tell = |name: &str, day: Played| {
+        count += 1;
         if verbose || !day.broken.is_empty() {
-            println!("seed {}", day.seed);
+            println!("{name} seed {}", day.seed);
             day.told.iter().for_each(|told| println!("    {told}"));
         }
         for one in day.broken.iter().take(6) {
@@ -270,13 +302,27 @@
         (ordered, acknowledged) = (ordered + day.orders, acknowledged + day.acknowledged);
         (seconds, late) = (seconds + day.seconds, late.min(day.late_served));
         (door, office) = (door + day.door.bytes, office + day.office.bytes);
-    });
+    };
+    match which {
+        Days::Drawn { from, seeds, worst: true } => {
+            worst(shape, *from, *seeds, jobs, |day| tell("worst", day))
+        }
+        Days::Drawn { from, seeds, worst: false } => {
+            days(shape, *from, *seeds, jobs, |day| tell("short", day))
+        }
+        Days::Planned(files) => {
+            let plans = files.iter().map(|file| Plan::read(file)).collect::<Result<Vec<_>, _>>()?;
+            planned(plans, jobs, tell);
+        }
+    }
     let took = begun.elapsed().as_secs_f64();
     println!(
-        "{seeds} days of {} postmasters and {} doors, {seconds:.0} s of theirs in {took:.1} s: {:.0} days a minute",
-        shape.offices,
-        shape.doors,
-        seeds as f64 * 60.0 / took
+        "{count} days{}, {seconds:.0} s of theirs in {took:.1} s: {:.0} days a minute",
+        match which {
+            Days::Drawn { .. } => format!(" of {} postmasters and {} doors", shape.offices, shape.doors),
+            Days::Planned(_) => String::new(),
+        },
+        count as f64 * 60.0 / took
     );
     println!(
         "requests: {asked}, served {served}, refused {refused}; least served at a day's quiet end {late:.3}"
@@ -287,7 +333,7 @@
         door as f64 / seconds,
         office as f64 / seconds
     );
-    if broken > 0 { Err(format!("rules broken on {broken} of {seeds} days")) } else { Ok(()) }
+    if broken > 0 { Err(format!("rules broken on {broken} of {count} days")) } else { Ok(()) }
 }
 
 fn lab_cost(doors: &[u64], offices: usize, seed: u64, out: Option<&Path>) -> Result<(), String> {
--- a/lab/src/system/many.rs
+++ b/lab/src/system/many.rs
@@ -1,6 +1,9 @@
 //! Many days on all cores, and what they came to.
 
 use super::day::{Outcome, play};
+use super::hard::drawn;
+use super::plan::Plan;
+use super::play::enact;
 use super::world::Shape;
 use crate::plots::{Line, Plot};
 use std::sync::mpsc;
@@ -40,6 +43,17 @@
     each((from..from + count).collect(), jobs, |seed| play(shape, seed), told);
 }
 
+/// The worst days of consecutive seeds.
+pub fn worst(shape: Shape, from: u64, count: u64, jobs: usize, told: impl FnMut(Outcome)) {
+    each((from..from + count).collect(), jobs, |seed| enact(&drawn(shape, seed)), told);
+}
+
+/// Days that were planned.
+pub fn planned(plans: Vec<Plan>, jobs: usize, mut told: impl FnMut(&str, Outcome)) {
+    let day = |plan: Plan| (plan.name.clone(), enact(&plan));
+    each(plans, jobs, day, |(name, day)| told(&name, day));
+}
+
 /// What a fleet of so many doors costs, a second of a day without troubles.
 #[derive(Clone, Copy, Debug)]
 pub struct Cost {
--- a/lab/src/system/mod.rs
+++ b/lab/src/system/mod.rs
@@ -4,8 +4,11 @@
 pub mod day;
 pub mod disk;
 pub mod door;
+pub mod hard;
 pub mod judge;
 pub mod many;
 pub mod net;
+pub mod plan;
+pub mod play;
 pub mod town;
 pub mod world;
--- a/lab/src/system/net.rs
+++ b/lab/src/system/net.rs
@@ -34,6 +34,8 @@
 struct Map {
     places: BTreeMap<IpAddr, Place>,
     dark: BTreeSet<IpAddr>,
+    /// Bytes a second that a machine sends at most, and when it has sent what it was given so far.
+    narrow: BTreeMap<IpAddr, (u64, Instant)>,
     /// From one to another; the way back is its own.
     cuts: BTreeSet<(IpAddr, IpAddr)>,
     ears: BTreeMap<SocketAddr, Rc<RefCell<Queue>>>,
@@ -91,6 +93,16 @@
         }
     }
 
+    /// When the last of so many bytes leaves the machine.
+    fn sent(&mut self, from: IpAddr, bytes: usize) -> Instant {
+        let now = Instant::now();
+        let Some((rate, free)) = self.narrow.get_mut(&from) else {
+            return now;
+        };
+        *free = now.max(*free) + Duration::from_secs_f64(bytes as f64 / *rate as f64);
+        *free
+    }
+
     fn wake_all(&mut self) {
         self.lanes.retain(|lane| lane.upgrade().is_some());
         for lane in self.lanes.iter().filter_map(Weak::upgrade) {
@@ -137,6 +149,15 @@
         map.wake_all();
     }
 
+    /// What a machine sends goes no faster than so many bytes a second; none: as fast as it likes.
+    pub fn narrow(&self, ip: IpAddr, rate: Option<u64>) {
+        let mut map = self.map.borrow_mut();
+        match rate {
+            Some(rate) => drop(map.narrow.insert(ip, (rate.max(1), Instant::now()))),
+            None => drop(map.narrow.remove(&ip)),
+        }
+    }
+
     pub fn open(&self, from: IpAddr, to: IpAddr) -> bool {
         self.map.borrow().open(from, to)
     }
@@ -338,7 +359,8 @@
         let mut map = self.network.map.borrow_mut();
         lane.jitter = scatter(lane.jitter, 1);
         let way = map.delay(lane.from, lane.to) + Duration::from_micros(lane.jitter % 400);
-        let due = Instant::now() + way;
+        let sent = map.sent(lane.from, buf.len());
+        let due = sent + way;
         let due = lane.chunks.back().map_or(due, |(last, _)| due.max(*last));
         lane.chunks.push_back((due, buf.to_vec()));
         lane.held += buf.len();
--- a/lab/src/system/town.rs
+++ b/lab/src/system/town.rs
@@ -55,6 +55,22 @@
     Replace { revision: u64, body: String },
     Evacuate { zone: String, begin: bool },
     Invalid { revision: u64 },
+    Voters { out: usize, into: usize },
+}
+
+/// What an operator read back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReadBack {
+    pub sent: Instant,
+    pub came: Instant,
+    pub text: String,
+}
+
+/// What a postmaster had at the end of the day; nothing where it did not say.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AtEnd {
+    pub name: String,
+    pub had: Option<(u64, u64)>,
 }
 
 #[derive(Clone, Debug)]
@@ -62,6 +78,8 @@
     pub what: What,
     pub sent: Instant,
     pub acked: Option<Instant>,
+    /// An acknowledgement was lost on its way to the operator, and the order was sent again.
+    pub taken: Option<Instant>,
     pub refused: Option<u16>,
 }
 
@@ -93,6 +111,10 @@
     /// What the operator read back at the end.
     pub read_back: Option<String>,
     pub evacuated: Option<BTreeSet<String>>,
+    /// Those in the midst of the day.
+    pub read_backs: Vec<ReadBack>,
+    /// Number of the register and revision at each postmaster that ran.
+    pub at_end: Vec<AtEnd>,
 }
 
 pub struct Town {
--- a/mailroom/src/clock.rs
+++ b/mailroom/src/clock.rs
@@ -28,21 +28,33 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-pub struct Steady(Instant);
+pub struct Steady {
+    begun: Instant,
+    /// Seconds of this clock in one of time; 1 on a machine, another in the lab.
+    rate: f64,
+}
 
 /// So that spans before the start can be told apart from it.
 const ORIGIN: u64 = 1_000_000_000;
 
 impl Steady {
     pub fn start() -> Steady {
-        Steady(Instant::now())
+        Steady::at_rate(1.0)
+    }
+
+    /// One that runs fast or slow.
+    pub fn at_rate(rate: f64) -> Steady {
+        Steady { begun: Instant::now(), rate }
     }
 
     pub fn now(&self) -> At {
-        At(ORIGIN + tenths(self.0.elapsed()))
+        At(ORIGIN + tenths(self.begun.elapsed().mul_f64(self.rate)))
     }
 
     pub fn instant(&self, at: At) -> Instant {
-        self.0 + Duration::from_micros(at.0.saturating_sub(ORIGIN) * 100)
+        let span = Duration::from_micros(at.0.saturating_sub(ORIGIN) * 100);
+        // Not before this clock shows it, whatever rounding leaves: whoever waits until then would wait again.
+        let rounding = if self.rate == 1.0 { Duration::ZERO } else { Duration::from_micros(1) };
+        self.begun + span.div_f64(self.rate) + rounding
     }
 }
--- a/mailroom/src/premises.rs
+++ b/mailroom/src/premises.rs
@@ -1,6 +1,7 @@
 //! What a program finds where it runs: the network, a disk and chance. On a machine these are the system's own; the lab
 //! stands in for all three, so that the same programs run there on a network, a clock and disks that it makes up.
 
+use crate::clock::Steady;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
@@ -71,11 +72,23 @@
     /// None where the machine has no disk.
     pub folder: Option<Rc<dyn Folder>>,
     chance: Rc<RefCell<SmallRng>>,
+    /// How fast its steady clock runs.
+    rate: f64,
 }
 
 impl Premises {
     pub fn new(net: Rc<dyn Net>, folder: Option<Rc<dyn Folder>>, seed: u64) -> Premises {
-        Premises { net, folder, chance: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))) }
+        Premises { net, folder, chance: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))), rate: 1.0 }
+    }
+
+    /// The same with a steady clock that is fast or slow.
+    pub fn at_rate(self, rate: f64) -> Premises {
+        Premises { rate, ..self }
+    }
+
+    /// The process' clock, from now on.
+    pub fn steady(&self) -> Steady {
+        Steady::at_rate(self.rate)
     }
 
     /// The machine's own.
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -21,7 +21,6 @@
 use vanewharf_franking::summing::Summing;
 use vanewharf_franking::voter::{Promise, Voter};
 use vanewharf_mailroom::call::{Caller, Said, serve};
-use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{Ballot, OfficeRow, Pull, Register, Tokens, VoteRequest};
 use vanewharf_mailroom::premises::Premises;
@@ -119,7 +118,7 @@
     }
     let disk = Disk::start(folder, &found);
 
-    let steady = Steady::start();
+    let steady = premises.steady();
     let feed = Feed::new(steady);
     let me = settings.office(settings.ip);
     let promised: Option<Promise> = found.record(Record::Promise);
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -10,7 +10,7 @@
 use vanewharf_frames::Request;
 use vanewharf_franking::view::View;
 use vanewharf_mailroom::call::{Caller, Said, serve};
-use vanewharf_mailroom::clock::{At, Steady};
+use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{Neighbour, Pull, Report};
 use vanewharf_mailroom::premises::Premises;
@@ -41,7 +41,7 @@
 type Relayed = Rc<RefCell<BTreeMap<String, (Report, At)>>>;
 
 pub async fn run(settings: Settings, premises: Premises, end: End) -> Result<(), String> {
-    let (feed, last) = (Feed::new(Steady::start()), Last::default());
+    let (feed, last) = (Feed::new(premises.steady()), Last::default());
     let at = settings.loopback();
     let listener = premises.net.listen(at).map_err(|error| format!("cannot listen on {at}: {error}"))?;
     let (fed, reported) = (feed.clone(), Rc::clone(&last));
