--- /dev/null
+++ b/franking/src/membership.rs
@@ -0,0 +1,310 @@
+//! Who grants the lease and keeps the register: which votes count and when they carry, what one that lost its disk has to
+//! hear before it votes again, and which change of the set comes next.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+use vanewharf_mailroom::clock::At;
+use vanewharf_mailroom::messages::{Ballot, Cast, Follower, Membership, Register, RegisterNo, Vote};
+
+/// A voter that was not heard of, or did not keep up, for so long is lost, as long as one that keeps up stands by.
+pub const LOST: Duration = Duration::from_secs(3);
+/// So long must a machine have kept up before it takes a voter's place.
+pub const TRUSTED: Duration = Duration::from_millis(1000);
+/// Voters are moved between zones only when all have kept up for so long.
+const CALM: Duration = Duration::from_secs(10);
+
+/// How many of so many voters are a majority.
+pub fn majority(voters: usize) -> usize {
+    voters / 2 + 1
+}
+
+/// How many voters there are to be, where so many may be lost at once: enough that the rest is a majority.
+pub fn wanted(losses: u64) -> usize {
+    2 * losses.clamp(1, 4) as usize + 1
+}
+
+/// Those of the first start.
+pub fn founded(mut voters: Vec<SocketAddr>) -> Membership {
+    voters.sort_unstable();
+    voters.dedup();
+    Membership { epoch: 1, voters, outgoing: Vec::new() }
+}
+
+/// All who have a say, incoming and outgoing.
+pub fn everyone(membership: &Membership) -> BTreeSet<SocketAddr> {
+    membership.voters.iter().chain(&membership.outgoing).copied().collect()
+}
+
+/// Whether those who assent carry it: a majority of the voters, and during a change one of the outgoing voters, too.
+pub fn carries(membership: &Membership, assents: &BTreeSet<SocketAddr>) -> bool {
+    let by =
+        |set: &[SocketAddr]| set.iter().filter(|one| assents.contains(one)).count() >= majority(set.len());
+    by(&membership.voters) && (membership.outgoing.is_empty() || by(&membership.outgoing))
+}
+
+/// Whether nobody can carry it any more, as too many are against.
+pub fn hopeless(membership: &Membership, against: &BTreeSet<SocketAddr>) -> bool {
+    let all = everyone(membership);
+    !carries(membership, &all.difference(against).copied().collect())
+}
+
+/// The change that begins a new set: both sets decide until it is concluded.
+pub fn begun(membership: &Membership, voters: &BTreeSet<SocketAddr>) -> Membership {
+    let outgoing = membership.voters.clone();
+    Membership { epoch: membership.epoch + 1, voters: voters.iter().copied().collect(), outgoing }
+}
+
+/// The one that concludes it, once the change that began it is kept by both.
+pub fn concluded(membership: &Membership) -> Membership {
+    Membership { epoch: membership.epoch + 1, voters: membership.voters.clone(), outgoing: Vec::new() }
+}
+
+/// What each machine is known to have come back as, by all of these votes.
+pub fn incarnations<'a>(votes: impl Iterator<Item = (SocketAddr, &'a Cast)>) -> BTreeMap<SocketAddr, u64> {
+    let mut newest = BTreeMap::new();
+    let mut note = |member: SocketAddr, incarnation: u64| {
+        let known: &mut u64 = newest.entry(member).or_default();
+        *known = incarnation.max(*known);
+    };
+    for (voter, cast) in votes {
+        note(voter, cast.incarnation);
+        cast.incarnations.iter().for_each(|(member, incarnation)| note(*member, *incarnation));
+    }
+    newest
+}
+
+/// Who assents: without those whose vote was cast before they lost their disk, as far as another voter knows of that.
+pub fn assents(votes: &[(SocketAddr, Cast)]) -> BTreeSet<SocketAddr> {
+    let newest = incarnations(votes.iter().map(|(voter, cast)| (*voter, cast)));
+    let yes = |cast: &Cast| matches!(cast.vote, Vote::Granted { .. } | Vote::Accepted);
+    let counts =
+        |(voter, cast): &&(SocketAddr, Cast)| yes(cast) && newest.get(voter) == Some(&cast.incarnation);
+    votes.iter().filter(counts).map(|(voter, _)| *voter).collect()
+}
+
+/// The newest register of those granted, or of none.
+pub fn newest(votes: &[(SocketAddr, Cast)]) -> Register {
+    let registers = votes.iter().filter_map(|(_, cast)| match &cast.vote {
+        Vote::Granted { register, .. } => Some(register),
+        _ => None,
+    });
+    let by = |register: &&Register| (register.rank(), register.membership.epoch);
+    registers.max_by_key(by).cloned().unwrap_or_else(Register::none)
+}
+
+/// What a machine with amnesia may go by, or whom it has to hear besides.
+#[derive(Debug)]
+pub enum Recovery {
+    /// These have to be heard; empty where those that are known have to be heard again.
+    Hear(BTreeSet<SocketAddr>),
+    /// To be on disk before it votes.
+    Done { promised: Ballot, register: Box<Register> },
+}
+
+/// What those told who were asked to recover it, at the seeds and at all whom their answers name.
+///
+/// A seed may be stale: one that was away while the set changed tells an old set. So the newest register that is told
+/// says whose majority has to have told. A change is kept by a majority of the set before it, too, so that a majority of
+/// an old set cannot all be unaware of the next one. Where no register was ever kept (the power went in the first moments)
+/// there is no majority that remembers; then all have to be heard, and all must be blank.
+pub fn recovery(me: SocketAddr, seeds: &[SocketAddr], told: &BTreeMap<SocketAddr, Cast>) -> Recovery {
+    let mut known = BTreeMap::new();
+    for (member, cast) in told.iter().filter(|(member, _)| **member != me) {
+        if let Vote::Known { promised, register } = &cast.vote {
+            known.insert(*member, (*promised, register));
+        }
+    }
+    let heard: BTreeSet<_> = known.keys().copied().collect();
+    let promised = known.values().map(|(promised, _)| *promised).max().unwrap_or_default();
+    let by = |register: &&Register| (register.rank(), register.membership.epoch);
+    let amnesic = |member: &SocketAddr| match told.get(member).map(|cast| &cast.vote) {
+        Some(Vote::Amnesic { seeds }) => Some(seeds),
+        _ => None,
+    };
+    let Some(newest) = known.values().map(|(_, register)| *register).max_by_key(by) else {
+        let founders = founded(seeds.to_vec());
+        let alike = |seed: &SocketAddr| amnesic(seed).is_some_and(|told| founded(told.clone()) == founders);
+        let all = seeds.contains(&me) && seeds.iter().all(|seed| *seed == me || alike(seed));
+        let register = Register { membership: founders, ..Register::none() };
+        return match all {
+            true => Recovery::Done { promised, register: Box::new(register) },
+            false => Recovery::Hear(seeds.iter().copied().filter(|seed| *seed != me).collect()),
+        };
+    };
+    let everyone: BTreeSet<_> = everyone(&newest.membership).into_iter().filter(|one| *one != me).collect();
+    let blank = newest.no.0 == 0 && everyone.iter().all(|one| heard.contains(one) || amnesic(one).is_some());
+    if carries(&newest.membership, &heard) || blank {
+        let promised = promised.max(newest.ballot);
+        return Recovery::Done { promised, register: Box::new(newest.clone()) };
+    }
+    Recovery::Hear(everyone.into_iter().filter(|one| !heard.contains(one)).collect())
+}
+
+/// A machine that may vote, as the holder sees it.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    pub office: SocketAddr,
+    pub zone: String,
+    /// How long it has not been heard of, or has not kept up.
+    pub missing: Duration,
+    /// How long it has been heard of and has kept up.
+    pub keeping_up: Duration,
+}
+
+/// The set that should follow, one step at a time, or nothing. Never an even number: a set of four bears no more losses
+/// than one of three. A lost voter gives way only to one that keeps up, so that what can be borne does not lessen on the
+/// way: by joint consensus the old set's majority is needed meanwhile, which is there already, and never the newcomer.
+pub fn next(
+    membership: &Membership,
+    candidates: &[Candidate],
+    wanted: usize,
+) -> Option<BTreeSet<SocketAddr>> {
+    let voters: BTreeSet<_> = membership.voters.iter().copied().collect();
+    let zone = |office: &SocketAddr| {
+        let known = candidates.iter().find(|one| one.office == *office);
+        known.map_or("", |one| one.zone.as_str())
+    };
+    // How many of a set the worst zone holds.
+    let crowded = |set: &BTreeSet<SocketAddr>| {
+        let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+        set.iter().for_each(|office| *zones.entry(zone(office)).or_default() += 1);
+        zones.into_values().max().unwrap_or(0)
+    };
+    let lost =
+        |office: &SocketAddr| candidates.iter().any(|one| one.office == *office && one.missing >= LOST);
+    let mut spare: Vec<_> = candidates
+        .iter()
+        .filter(|one| !voters.contains(&one.office) && one.keeping_up >= TRUSTED)
+        .map(|one| one.office)
+        .collect();
+    spare.sort_unstable();
+    let with = |base: &BTreeSet<SocketAddr>, spare: &[SocketAddr]| {
+        let wider = |one: &SocketAddr| {
+            let mut set = base.clone();
+            set.insert(*one);
+            (crowded(&set), *one)
+        };
+        spare.iter().copied().min_by_key(wider)
+    };
+    // As many as are wanted, or the odd number below that there are.
+    if voters.len() < wanted {
+        let (mut set, mut spare) = (voters.clone(), spare.clone());
+        while set.len() < wanted
+            && let Some(one) = with(&set, &spare)
+        {
+            set.insert(one);
+            spare.retain(|other| *other != one);
+        }
+        if set.len().is_multiple_of(2) {
+            let last = set.iter().copied().filter(|one| !voters.contains(one)).max();
+            set.retain(|one| Some(*one) != last);
+        }
+        if set.len() > voters.len() {
+            return Some(set);
+        }
+    }
+    if let Some(gone) = voters.iter().copied().find(|office| lost(office)) {
+        let rest: BTreeSet<_> = voters.iter().copied().filter(|office| *office != gone).collect();
+        let one = with(&rest, &spare)?;
+        return Some(rest.into_iter().chain([one]).collect());
+    }
+    // Where all is calm, no zone is to hold more voters than it must.
+    let calm =
+        |office: &SocketAddr| candidates.iter().any(|one| one.office == *office && one.keeping_up >= CALM);
+    if !voters.iter().all(calm) {
+        return None;
+    }
+    let moved = |one: &SocketAddr, out: &SocketAddr| {
+        let rest = voters.iter().copied().filter(|office| office != out);
+        rest.chain([*one]).collect::<BTreeSet<_>>()
+    };
+    let moves = spare.iter().filter(|one| calm(one)).flat_map(|one| voters.iter().map(|out| moved(one, out)));
+    moves.filter(|set| crowded(set) < crowded(&voters)).min_by_key(|set| crowded(set))
+}
+
+/// What the holder knows of those that follow it. It knows nothing of before it took the lease.
+#[derive(Debug, Default)]
+pub struct Following {
+    began: At,
+    heard: BTreeMap<IpAddr, Heard>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    zone: String,
+    /// When it was last heard of with all on its disk that it had to have by then.
+    sound: Option<At>,
+    /// Since when it has been sound without a break.
+    since: At,
+    /// What it has to have on its disk, and since when.
+    goal: RegisterNo,
+    set: At,
+}
+
+impl Following {
+    pub fn begin(&mut self, now: At) {
+        self.began = now;
+        self.heard.clear();
+    }
+
+    /// It pulls, and says what is on its disk; `settled` is what it should have soon.
+    pub fn hear(&mut self, follower: &Follower, settled: RegisterNo, now: At) {
+        let zone = follower.row.zone.clone();
+        let fresh = || Heard { zone, sound: None, since: now, goal: settled, set: now };
+        let heard = self.heard.entry(follower.row.ip).or_insert_with(fresh);
+        let reached = follower.kept.is_some_and(|(_, no)| no >= heard.goal);
+        // What was settled a moment ago is on its way to one that had all before.
+        let on_its_way = heard.sound.is_some() && follower.kept.is_some() && now.since(heard.set) < UNHEARD;
+        if reached {
+            (heard.goal, heard.set) = (settled, now);
+        }
+        if reached || on_its_way {
+            if heard.sound.is_none_or(|sound| now.since(sound) >= UNHEARD) {
+                heard.since = now;
+            }
+            heard.sound = Some(now);
+        }
+        let known = |heard: &Heard| heard.sound.unwrap_or(heard.set);
+        self.heard.retain(|_, heard| now.since(known(heard)) < FORGOTTEN);
+    }
+
+    /// All that may vote: voters, heard of or not, the holder itself, and whoever follows it. Nobody is missed for longer
+    /// than the holder has held the lease.
+    pub fn candidates(
+        &self,
+        voters: &[SocketAddr],
+        (me, zone): (SocketAddr, &str),
+        office: impl Fn(IpAddr) -> SocketAddr,
+        now: At,
+    ) -> Vec<Candidate> {
+        let held = now.since(self.began);
+        let mut all: Vec<_> = self
+            .heard
+            .iter()
+            .map(|(ip, heard)| {
+                let missing = heard.sound.map_or(held, |sound| now.since(sound.max(self.began)));
+                let sound = heard.sound.is_some() && missing < UNHEARD;
+                let keeping_up = if sound { now.since(heard.since) } else { Duration::ZERO };
+                Candidate { office: office(*ip), zone: heard.zone.clone(), missing, keeping_up }
+            })
+            .filter(|one| one.office != me)
+            .collect();
+        let zone = zone.to_owned();
+        all.push(Candidate { office: me, zone, missing: Duration::ZERO, keeping_up: held });
+        for &office in voters {
+            if !all.iter().any(|one| one.office == office) {
+                let (zone, keeping_up) = (String::new(), Duration::ZERO);
+                all.push(Candidate { office, zone, missing: held, keeping_up });
+            }
+        }
+        all
+    }
+}
+
+/// A follower pulls more often than this.
+const UNHEARD: Duration = Duration::from_millis(1200);
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/franking/src/membership/tests.rs
@@ -0,0 +1,169 @@
+use super::*;
+use std::net::IpAddr;
+use vanewharf_mailroom::messages::OfficeRow;
+use yare::parameterized;
+
+const START: At = At(1_000_000_000);
+
+fn addr(no: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, no], 7600))
+}
+
+fn set(of: &[u8]) -> BTreeSet<SocketAddr> {
+    of.iter().copied().map(addr).collect()
+}
+
+fn list(of: &[u8]) -> Vec<SocketAddr> {
+    of.iter().copied().map(addr).collect()
+}
+
+fn members(epoch: u64, voters: &[u8], outgoing: &[u8]) -> Membership {
+    Membership { epoch, voters: list(voters), outgoing: list(outgoing) }
+}
+
+fn register(no: u64, membership: Membership) -> Register {
+    Register { ballot: Ballot(no << 8), no: RegisterNo(no), membership, ..Register::none() }
+}
+
+fn cast(vote: Vote) -> Cast {
+    Cast { incarnation: 0, incarnations: BTreeMap::new(), vote }
+}
+
+fn known(no: u64, membership: &Membership) -> Cast {
+    cast(Vote::Known { promised: Ballot(no << 8), register: register(no, membership.clone()) })
+}
+
+fn amnesic(seeds: &[u8]) -> Cast {
+    cast(Vote::Amnesic { seeds: list(seeds) })
+}
+
+#[test]
+fn during_a_change_both_sets_decide_and_after_it_the_new_one() {
+    let now = members(4, &[1, 2, 3], &[]);
+    let change = begun(&now, &set(&[2, 3, 4]));
+    assert_eq!(change, members(5, &[2, 3, 4], &[1, 2, 3]));
+    assert!(carries(&change, &set(&[2, 3])), "the newcomer need not be there on the way");
+    assert!(!carries(&change, &set(&[1, 2])) && !carries(&change, &set(&[3, 4])));
+    let after = concluded(&change);
+    assert_eq!(after, members(6, &[2, 3, 4], &[]));
+    assert!(carries(&after, &set(&[3, 4])) && !carries(&after, &set(&[1, 2])));
+    assert!(!carries(&Membership::default(), &set(&[1, 2, 3])), "a set that is not known carries nothing");
+    assert!(hopeless(&change, &set(&[1, 2])) && !hopeless(&change, &set(&[1])));
+}
+
+#[test]
+fn a_vote_cast_before_a_disk_was_lost_counts_for_nothing_beside_one_that_knows() {
+    let old = (addr(1), cast(Vote::Accepted));
+    let unaware = (addr(2), cast(Vote::Accepted));
+    let aware = (addr(2), Cast { incarnations: [(addr(1), 1)].into(), ..cast(Vote::Accepted) });
+    let again = (addr(1), Cast { incarnation: 1, ..cast(Vote::Accepted) });
+    assert_eq!(assents(&[old.clone(), unaware.clone()]), set(&[1, 2]));
+    assert_eq!(assents(&[old, aware.clone()]), set(&[2]));
+    assert_eq!(assents(&[again.clone(), aware]), set(&[1, 2]));
+    assert_eq!(assents(&[again, unaware]), set(&[1, 2]), "one that was not asked knows nothing of it");
+}
+
+/// Each case: who told what, and what it may go by, as the number of a register; or whom it has to hear.
+#[test]
+fn one_with_amnesia_goes_by_a_majority_of_the_newest_set_that_is_told() {
+    let (first, later) = (members(1, &[1, 2, 3], &[]), members(3, &[1, 3, 4], &[]));
+    let change = members(2, &[1, 3, 4], &[1, 2, 3]);
+    type Case<'a> = (&'a str, Vec<(u8, Cast)>, Result<u64, &'a [u8]>);
+    let cases: [Case<'_>; 10] = [
+        ("both others", vec![(2, known(3, &first)), (3, known(3, &first))], Ok(3)),
+        ("one of two may remember less", vec![(2, known(3, &first)), (3, amnesic(&[1, 2, 3]))], Err(&[3])),
+        ("nothing was ever kept", vec![(2, known(0, &first)), (3, amnesic(&[1, 2, 3]))], Ok(0)),
+        ("nobody remembers anything", vec![(2, amnesic(&[3, 2, 1])), (3, amnesic(&[1, 2, 3]))], Ok(0)),
+        (
+            "other seeds were told there",
+            vec![(2, amnesic(&[1, 2, 3])), (3, amnesic(&[1, 3, 4]))],
+            Err(&[2, 3]),
+        ),
+        ("one was not heard", vec![(2, known(0, &first))], Err(&[3])),
+        ("nobody was heard", vec![], Err(&[2, 3])),
+        (
+            "a seed that has left tells an old set, and one of the new",
+            vec![(2, known(3, &first)), (3, known(5, &later))],
+            Err(&[4]),
+        ),
+        ("the new set's", vec![(2, known(3, &first)), (3, known(5, &later)), (4, known(4, &change))], Ok(5)),
+        (
+            "a change that was begun wants both sets",
+            vec![(3, known(4, &change)), (4, known(4, &change))],
+            Err(&[2]),
+        ),
+    ];
+    for (what, told, expected) in cases {
+        let told = told.into_iter().map(|(no, cast)| (addr(no), cast)).collect();
+        match (recovery(addr(1), &list(&[1, 2, 3]), &told), expected) {
+            (Recovery::Done { register, .. }, Ok(no)) => assert_eq!(register.no, RegisterNo(no), "{what}"),
+            (Recovery::Hear(missing), Err(whom)) => assert_eq!(missing, set(whom), "{what}"),
+            (came, expected) => panic!("{what}: {came:?}, not {expected:?}"),
+        }
+    }
+}
+
+/// `1a+` is machine 1 in zone a that keeps up, `-` one that is lost, `?` one that was away for a moment, `=` long calm.
+fn machines(text: &str) -> Vec<Candidate> {
+    let machine = |word: &str| {
+        let mut letters = word.chars();
+        let mut next = || letters.next().expect("three letters");
+        let (no, zone, state) = (next(), next(), next());
+        let (missing, keeping_up) = match state {
+            '+' => (Duration::ZERO, TRUSTED),
+            '=' => (Duration::ZERO, CALM),
+            '?' => (LOST / 2, Duration::ZERO),
+            _ => (LOST, Duration::ZERO),
+        };
+        let office = addr(no.to_digit(10).expect("a digit") as u8);
+        Candidate { office, zone: zone.to_string(), missing, keeping_up }
+    };
+    text.split(' ').map(machine).collect()
+}
+
+#[parameterized(
+    nothing_to_do = { "1a= 2b= 3c= 4a=", 3, None },
+    a_moment_is_no_loss = { "1a+ 2b? 3c+ 4d+", 3, None },
+    lost_and_replaced = { "1a+ 2b- 3c+ 4d+", 3, Some(&[1, 3, 4]) },
+    nobody_stands_by = { "1a+ 2b- 3c+ 4d?", 3, None },
+    where_the_zones_are_spread = { "1a+ 2b- 3c+ 4a+ 5c+ 6d+", 3, Some(&[1, 3, 6]) },
+    one_after_the_other = { "1a+ 2b- 3c- 4d+ 5e+", 3, Some(&[1, 3, 4]) },
+    grown_at_once = { "1a+ 2b+ 3c+ 4d+ 5e+", 5, Some(&[1, 2, 3, 4, 5]) },
+    never_to_four = { "1a+ 2b+ 3c+ 4d+", 5, None },
+    never_to_six = { "1a+ 2b+ 3c+ 4d+ 5e+ 6f+", 7, Some(&[1, 2, 3, 4, 5]) },
+    moved_out_of_a_crowded_zone = { "1a= 2a= 3c= 4d=", 3, Some(&[2, 3, 4]) },
+    not_while_one_has_just_come = { "1a= 2a= 3c= 4d+", 3, None }
+)]
+fn the_set_changes_one_step_at_a_time(text: &str, wanted: usize, expected: Option<&[u8]>) {
+    let now = members(1, &[1, 2, 3], &[]);
+    assert_eq!(next(&now, &machines(text), wanted), expected.map(set));
+}
+
+#[test]
+fn whoever_keeps_up_may_vote_and_who_lags_or_has_amnesia_is_missed() {
+    let mut following = Following::default();
+    following.begin(START);
+    let ip = |no: u8| IpAddr::from([10, 0, 0, no]);
+    let follower = |no: u8, kept: Option<u64>| Follower {
+        row: OfficeRow { ip: ip(no), zone: "z".to_owned() },
+        kept: kept.map(|no| (Ballot(1), RegisterNo(no))),
+    };
+    // Changes come faster than they are kept: 2 is one behind each time, 3 stays where it was, 4 has amnesia.
+    let mut now = START;
+    for turn in 1..40u64 {
+        now = now.after(Duration::from_millis(100));
+        following.hear(&follower(2, Some(turn - 1)), RegisterNo(turn), now);
+        following.hear(&follower(3, Some(2)), RegisterNo(turn), now);
+        following.hear(&follower(4, None), RegisterNo(turn), now);
+    }
+    let office = |ip| SocketAddr::new(ip, 7600);
+    let all = following.candidates(&list(&[1, 2, 5]), (addr(1), "z"), office, now);
+    let of = |no: u8| all.iter().find(|one| one.office == addr(no)).expect("it is known");
+    assert!(of(2).missing.is_zero() && of(2).keeping_up > TRUSTED, "{:?}", of(2));
+    assert!(of(3).missing > Duration::from_secs(2) && of(3).keeping_up.is_zero(), "{:?}", of(3));
+    assert!(of(4).missing > LOST && of(5).missing > LOST, "as long as the lease is held");
+    assert!(of(1).missing.is_zero());
+    following.begin(now);
+    let all = following.candidates(&list(&[1, 2]), (addr(1), "z"), office, now);
+    assert!(all.iter().all(|one| one.missing < LOST), "a new holder misses nobody yet");
+}
--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -5,11 +5,13 @@
 //! vote may be said only when what it promises is on disk, so each call gives the vote together with what to save
 //! first; the owner does one after the other.
 
+use crate::membership::founded;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use vanewharf_mailroom::clock::At;
-use vanewharf_mailroom::messages::{Ballot, Register, Vote, VoteRequest};
+use vanewharf_mailroom::messages::{Ballot, Cast, Register, Vote, VoteRequest};
 
 /// How long a granted lease lasts at its voter.
 pub const TERM: Duration = Duration::from_millis(1500);
@@ -24,12 +26,18 @@
     pub ballot: Ballot,
     /// Whom the ballot was promised to.
     pub holder: Option<SocketAddr>,
-    /// The set that this voter belongs to, or knows.
-    pub voters: Vec<SocketAddr>,
+    /// The voters of the first start, until a register names others.
+    pub founders: Vec<SocketAddr>,
     /// By how many doors quotas were last divided, as far as it knows: after all processes were killed nobody else
     /// can say, and the doors that come by first are not all.
     #[serde(default)]
     pub doors: u32,
+    /// Goes up whenever this machine comes back without what it had promised.
+    #[serde(default)]
+    pub incarnation: u64,
+    /// What the others have come back as: votes of before count for nothing beside this voter's.
+    #[serde(default)]
+    pub incarnations: BTreeMap<SocketAddr, u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -48,8 +56,12 @@
     lease: Option<Lease>,
     /// Grants given before this start may last until then.
     quiet_until: At,
-    /// It has forgotten what it swore.
+    /// It has forgotten what it promised.
     amnesic: bool,
+    seeds: Vec<SocketAddr>,
+    founders: Vec<SocketAddr>,
+    incarnation: u64,
+    incarnations: BTreeMap<SocketAddr, u64>,
 }
 
 /// What is to be on disk before the vote is said.
@@ -71,19 +83,60 @@
 }
 
 impl Voter {
-    /// With what was found on disk; `first` where this is the first start of all, so that nothing was ever granted.
-    pub fn start(promised: Option<&Promise>, register: Option<Register>, first: bool, now: At) -> Voter {
-        let amnesic = promised.is_none() && !first;
-        let register = register.unwrap_or_else(Register::none);
-        let (to, doors) = promised.map_or((None, 0), |promised| (promised.holder, promised.doors));
-        let promised = promised.map(|promised| promised.ballot).unwrap_or_default().max(register.ballot);
-        let quiet_until = if first { now } else { now.after(TERM) };
-        Voter { promised, to, doors, register, lease: None, quiet_until, amnesic }
+    /// With what was found on disk; `first` where this is the first start of all, so that nothing was ever granted, and the
+    /// seeds are the voters.
+    pub fn start(
+        found: Option<&Promise>,
+        register: Option<Register>,
+        seeds: &[SocketAddr],
+        first: bool,
+        now: At,
+    ) -> Voter {
+        let nothing = Promise {
+            ballot: Ballot::default(),
+            holder: None,
+            founders: if first { seeds.to_vec() } else { Vec::new() },
+            doors: 0,
+            incarnation: 0,
+            incarnations: BTreeMap::new(),
+        };
+        let promise = found.cloned().unwrap_or(nothing);
+        let blank = |founders: &[SocketAddr]| {
+            let membership =
+                if founders.is_empty() { Default::default() } else { founded(founders.to_vec()) };
+            Register { membership, ..Register::none() }
+        };
+        let register = register.unwrap_or_else(|| blank(&promise.founders));
+        Voter {
+            promised: promise.ballot.max(register.ballot),
+            to: promise.holder,
+            doors: promise.doors,
+            register,
+            lease: None,
+            quiet_until: if first { now } else { now.after(TERM) },
+            amnesic: found.is_none() && !first,
+            seeds: seeds.to_vec(),
+            founders: promise.founders,
+            incarnation: promise.incarnation,
+            incarnations: promise.incarnations,
+        }
     }
 
-    /// What is to be on disk of what it swore.
+    /// What is to be on disk of what it promised.
     pub fn record(&self) -> Promise {
-        Promise { ballot: self.promised, holder: self.to, voters: Vec::new(), doors: self.doors }
+        Promise {
+            ballot: self.promised,
+            holder: self.to,
+            founders: self.founders.clone(),
+            doors: self.doors,
+            incarnation: self.incarnation,
+            incarnations: self.incarnations.clone(),
+        }
+    }
+
+    /// A vote as it goes out.
+    pub fn cast(&self, vote: Vote) -> Cast {
+        Cast { incarnation: self.incarnation, incarnations: self.incarnations.clone(), vote }
     }
 
     pub fn doors(&self) -> u32 {
@@ -120,12 +173,8 @@
     }
 
     pub fn hear(&mut self, vote_request: VoteRequest, now: At) -> Step {
-        if let VoteRequest::Recover = vote_request {
-            let told = Vote::Known { promised: self.promised, register: self.register.clone() };
-            return Step::say(if self.amnesic { Vote::Unable } else { told });
-        }
         if self.amnesic {
-            return Step::say(Vote::Unable);
+            return Step::say(Vote::Amnesic { seeds: self.seeds.clone() });
         }
         let refused = Vote::Refused { promised: self.promised, holder: self.holder(now) };
         match vote_request {
@@ -167,7 +216,15 @@
                 }
                 Step::say(Vote::Accepted)
             }
-            VoteRequest::Recover => Step::say(refused),
+            VoteRequest::Recover { member, incarnation } => {
+                let known = self.incarnations.get(&member).copied().unwrap_or(0);
+                if incarnation < known {
+                    return Step::say(Vote::Outlived { incarnation: known });
+                }
+                self.incarnations.insert(member, incarnation);
+                let vote = Vote::Known { promised: self.promised, register: self.register.clone() };
+                Step { vote, save: (incarnation > known).then(|| Save::Promise(self.record())) }
+            }
         }
     }
 
@@ -186,60 +243,39 @@
         }
     }
 
-    /// What one that had forgotten was told, once it is on disk.
-    pub fn restore(&mut self, promised: Ballot, register: Register, now: At) {
-        self.promised = promised.max(register.ballot);
+    /// What a member with amnesia was told, once that and the new incarnation are on disk.
+    pub fn restore(&mut self, recovered: &Promise, register: Register, now: At) {
+        self.promised = recovered.ballot.max(register.ballot);
         self.register = register;
+        self.founders = recovered.founders.clone();
+        self.incarnation = recovered.incarnation;
+        self.incarnations = recovered.incarnations.clone();
         // What it granted before it forgot.
         self.quiet_until = now.after(TERM);
         self.amnesic = false;
     }
 }
 
-/// What a majority of the others remembers, for one that has forgotten: to be on disk before it votes again.
-pub fn recovered(told: Vec<(Ballot, Register)>) -> (Ballot, Register) {
-    let promised = told.iter().map(|(promised, _)| *promised).max().unwrap_or_default();
-    let register = told
-        .into_iter()
-        .map(|(_, register)| register)
-        .max_by_key(Register::rank)
-        .unwrap_or_else(Register::none);
-    (promised.max(register.ballot), register)
-}
-
-/// Whether one that has forgotten may go by what the others told: a majority remembers; or all were heard and none has
-/// any register, so that none was ever acknowledged: the power went in the first moments of all.
-pub fn enough(told: &[(Ballot, Register)], unable: usize, others: usize, voters: usize) -> bool {
-    let blank = told.iter().all(|(_, register)| register.no.0 == 0);
-    told.len() >= majority(voters) || blank && told.len() + unable == others
+/// An incarnation above the one that was heard of, and hardly any other's: a machine that loses its disk twice in a row may
+/// count from the same one.
+pub fn incarnation_above(heard: u64, chance: u64) -> u64 {
+    (((heard >> INCARNATION_BITS) + 1) << INCARNATION_BITS) | chance & ((1 << INCARNATION_BITS) - 1)
 }
 
-/// How many of so many voters are a majority.
-pub fn majority(voters: usize) -> usize {
-    voters / 2 + 1
-}
+const INCARNATION_BITS: u32 = 32;
 
-/// A ballot above all that were seen, and no other voter's: its low bits are of the voter's address.
+/// A ballot above all that were seen, and no other machine's: its low bits are the machine's whole IPv4 address (the pages
+/// have no other network; of IPv6 the last 32 bits stand for it).
 pub fn above(seen: Ballot, me: SocketAddr) -> Ballot {
     let own = match me.ip() {
-        IpAddr::V4(ip) => u64::from(ip.to_bits()) & OWN,
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
         IpAddr::V6(ip) => ip.to_bits() as u64 & OWN,
     };
     Ballot((((seen.0 >> OWN_BITS) + 1) << OWN_BITS) | own)
 }
 
-const OWN_BITS: u32 = 24;
+const OWN_BITS: u32 = 32;
 const OWN: u64 = (1 << OWN_BITS) - 1;
 
-/// How many voters there are to be, where so many may be lost at once: enough that the rest is a majority.
-pub fn wanted(losses: u64) -> usize {
-    2 * losses.clamp(1, 4) as usize + 1
-}
-
-/// Whether those who assent are a majority of a set.
-pub fn carries<'a>(set: &[SocketAddr], assents: impl Iterator<Item = &'a SocketAddr>) -> bool {
-    assents.filter(|voter| set.contains(voter)).count() >= majority(set.len())
-}
-
 #[cfg(test)]
 mod tests;
--- a/franking/src/voter/tests.rs
+++ b/franking/src/voter/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::membership::{Recovery, majority, recovery};
 use vanewharf_mailroom::messages::RegisterNo;
 
 const START: At = At(1_000_000_000);
@@ -12,11 +13,33 @@
 }
 
 fn promised(ballot: u64) -> Promise {
-    Promise { ballot: Ballot(ballot), holder: None, voters: Vec::new(), doors: 0 }
+    Promise { ballot: Ballot(ballot), ..Voter::start(None, None, &seeds(), true, START).record() }
+}
+
+fn seeds() -> Vec<SocketAddr> {
+    (1..4).map(addr).collect()
+}
+
+/// What the others tell one with amnesia, as votes of theirs, and what it goes by then.
+fn recover(me: u8, others: &mut [(u8, &mut Voter)], incarnation: u64) -> Option<(Promise, Register)> {
+    let request = VoteRequest::Recover { member: addr(me), incarnation };
+    let mut told = BTreeMap::new();
+    for (no, voter) in others {
+        let step = voter.hear(request.clone(), START);
+        told.insert(addr(*no), voter.cast(step.vote));
+    }
+    match recovery(addr(me), &seeds(), &told) {
+        Recovery::Done { promised, register } => {
+            let blank = Voter::start(None, None, &seeds(), true, START).record();
+            Some((Promise { ballot: promised, incarnation, ..blank }, *register))
+        }
+        Recovery::Hear(_) => None,
+    }
 }
 
 fn register(ballot: u64, no: u64) -> Register {
-    Register { ballot: Ballot(ballot), no: RegisterNo(no), ..Register::none() }
+    let membership = founded(seeds());
+    Register { ballot: Ballot(ballot), no: RegisterNo(no), membership, ..Register::none() }
 }
 
 fn keep(voter: &mut Voter, kept: Register, now: At) -> bool {
@@ -27,7 +50,7 @@
 
 #[test]
 fn one_holder_at_a_time_and_none_right_after_a_restart() {
-    let mut voter = Voter::start(None, None, true, START);
+    let mut voter = Voter::start(None, None, &seeds(), true, START);
     assert!(matches!(voter.hear(lease(1 << 8, 1), START).vote, Vote::Granted { .. }));
     let (soon, later) = (START.after(TERM / 2), START.after(TERM));
     assert!(matches!(voter.hear(lease(2 << 8, 2), soon).vote, Vote::Refused { .. }), "it is held");
@@ -36,7 +59,7 @@
     assert!(matches!(voter.hear(lease(2 << 8, 2), later).vote, Vote::Refused { .. }), "it was renewed");
     assert!(matches!(voter.hear(lease(2 << 8, 2), soon.after(TERM)).vote, Vote::Granted { .. }));
     assert!(matches!(voter.hear(renew(1 << 8), later.after(TERM)).vote, Vote::Refused { .. }));
-    let mut back = Voter::start(Some(&promised(2 << 8)), None, false, START);
+    let mut back = Voter::start(Some(&promised(2 << 8)), None, &seeds(), false, START);
     assert!(
         matches!(back.hear(lease(3 << 8, 1), soon).vote, Vote::Refused { .. }),
         "granted before, perhaps"
@@ -45,8 +68,8 @@
 }
 
 #[test]
-fn a_restart_waits_no_longer_once_the_one_sworn_to_disowns_the_lease() {
-    let mut back = Voter::start(Some(&promised(2 << 8)), None, false, START);
+fn a_restart_waits_no_longer_once_the_one_promised_to_disowns_the_lease() {
+    let mut back = Voter::start(Some(&promised(2 << 8)), None, &seeds(), false, START);
     back.released(Ballot(1 << 8), START);
     assert!(!back.vacant(START), "that is another's");
     back.released(Ballot(2 << 8), START);
@@ -55,7 +78,7 @@
 
 #[test]
 fn what_was_kept_under_an_older_ballot_gives_way_and_nothing_older_is_kept() {
-    let mut voter = Voter::start(None, None, true, START);
+    let mut voter = Voter::start(None, None, &seeds(), true, START);
     assert!(keep(&mut voter, register(1 << 8, 3), START));
     assert!(matches!(voter.hear(lease(2 << 8, 2), START).vote, Vote::Granted { .. }));
     assert!(!keep(&mut voter, register(1 << 8, 4), START), "promised to another since");
@@ -66,56 +89,84 @@
 
 #[test]
 fn the_count_of_doors_outlasts_a_restart_and_is_told_with_the_grant() {
-    let mut voter = Voter::start(None, None, true, START);
+    let mut voter = Voter::start(None, None, &seeds(), true, START);
     let saved = voter.count(8);
     assert!(voter.count(8).is_none() && voter.count(0).is_none(), "no news");
     let Some(Save::Promise(record)) = saved else { panic!("{saved:?}") };
-    let mut back = Voter::start(Some(&record), None, false, START);
+    let mut back = Voter::start(Some(&record), None, &seeds(), false, START);
     let granted = back.hear(lease(1 << 8, 1), START.after(TERM)).vote;
     assert!(matches!(granted, Vote::Granted { doors: 8, .. }), "{granted:?}");
 }
 
 #[test]
 fn what_was_not_saved_is_not_held() {
-    let mut voter = Voter::start(None, None, true, START);
+    let mut voter = Voter::start(None, None, &seeds(), true, START);
     let step = voter.hear(VoteRequest::Accept { register: register(1 << 8, 1) }, START);
     assert!(step.save.is_some(), "the disk then refuses it");
     assert_eq!(voter.register().no, RegisterNo(0));
 }
 
 #[test]
-fn one_that_forgot_does_nothing_until_it_is_reminded() {
-    let mut voter = Voter::start(None, None, false, START);
-    for vote_request in
-        [lease(1 << 8, 1), VoteRequest::Accept { register: register(1 << 8, 1) }, VoteRequest::Recover]
-    {
-        assert!(matches!(voter.hear(vote_request, START.after(TERM)).vote, Vote::Unable));
+fn one_with_amnesia_does_nothing_until_it_has_recovered() {
+    let mut voter = Voter::start(None, None, &seeds(), false, START);
+    let asked = VoteRequest::Recover { member: addr(2), incarnation: 1 };
+    for request in [lease(1 << 8, 1), VoteRequest::Accept { register: register(1 << 8, 1) }, asked] {
+        let vote = voter.hear(request, START.after(TERM)).vote;
+        assert!(matches!(&vote, Vote::Amnesic { seeds: told } if *told == seeds()), "{vote:?}");
     }
-    let told = vec![(Ballot(5 << 8), register(3 << 8, 7)), (Ballot(4 << 8), register(4 << 8, 6))];
-    let (promised, register) = recovered(told);
-    assert_eq!(register.rank(), (Ballot(4 << 8), RegisterNo(6)));
-    voter.restore(promised, register, START);
+    let (mut one, mut other) = (Voter::start(None, None, &seeds(), true, START), voter_at(4 << 8, 6));
+    one.saved(Save::Register(Box::new(register(3 << 8, 7))));
+    assert!(matches!(one.hear(lease(5 << 8, 1), START).vote, Vote::Granted { .. }));
+    let (promise, register) = recover(1, &mut [(2, &mut one), (3, &mut other)], 1 << 32).expect("both told");
+    assert_eq!((promise.ballot, register.rank()), (Ballot(5 << 8), (Ballot(4 << 8), RegisterNo(6))));
+    voter.restore(&promise, register, START);
     assert!(!keep(&mut voter, self::register(4 << 8, 9), START), "the others have promised to 5");
     assert!(keep(&mut voter, self::register(5 << 8, 9), START));
+    assert!(
+        matches!(voter.hear(lease(6 << 8, 1), START).vote, Vote::Refused { .. }),
+        "it may have granted one"
+    );
+}
+
+fn voter_at(ballot: u64, no: u64) -> Voter {
+    let mut voter = Voter::start(None, None, &seeds(), true, START);
+    assert!(keep(&mut voter, register(ballot, no), START));
+    voter
+}
+
+#[test]
+fn a_later_incarnation_is_kept_on_disk_and_an_earlier_one_is_told_so() {
+    let mut voter = voter_at(4 << 8, 6);
+    let recover = |incarnation| VoteRequest::Recover { member: addr(2), incarnation };
+    let step = voter.hear(recover(7 << 32), START);
+    let Some(Save::Promise(record)) = step.save else { panic!("nothing to save") };
+    let mut back = Voter::start(Some(&record), None, &seeds(), false, START);
+    assert!(
+        matches!(back.hear(recover(6 << 32), START).vote, Vote::Outlived { incarnation } if incarnation == 7 << 32)
+    );
+    let again = back.hear(recover(7 << 32), START);
+    assert!(matches!(again.vote, Vote::Known { .. }) && again.save.is_none(), "the answer was lost");
+    assert_eq!(back.cast(Vote::Unable).incarnations, BTreeMap::from([(addr(2), 7 << 32)]));
+    let (one, other) = (incarnation_above(7 << 32 | 9, 1), incarnation_above(7 << 32 | 9, u64::MAX));
+    assert!(one > 7 << 32 | 9 && other > one && other < 9 << 32);
 }
 
 #[test]
-fn one_that_forgot_goes_by_a_majority_or_by_all_where_nothing_was_ever_kept() {
-    let told = |no| (Ballot(1 << 8), register(1 << 8, no));
-    assert!(enough(&[told(3), told(3)], 0, 2, 3));
-    assert!(!enough(&[told(3)], 1, 2, 3), "the other may remember more");
-    assert!(enough(&[told(0)], 1, 2, 3) && enough(&[], 2, 2, 3), "nobody has anything");
-    assert!(!enough(&[], 1, 2, 3) && !enough(&[told(0)], 0, 2, 3), "one was not heard");
+fn ballots_of_two_machines_differ_wherever_they_are() {
+    let at = |ip: [u8; 4]| SocketAddr::from((ip, 7600));
+    assert_ne!(above(Ballot(0), at([10, 1, 2, 3])), above(Ballot(0), at([11, 1, 2, 3])));
+    let mine = above(Ballot(0), at([10, 1, 2, 3]));
+    assert!(above(mine, at([0, 0, 0, 1])) > mine);
 }
 
-/// All histories of three voters and two holders of a fixed length, by a seeded walk: no two words are ever kept by
+/// All histories of three voters and two holders of a fixed length, by a seeded walk: no two registers are ever kept by
 /// majorities under one number, and none that was is lost to a later holder.
 #[test]
 fn what_a_majority_kept_is_found_by_every_later_holder() {
     use rand_walk::Walk;
     for seed in 0..400 {
         let mut walk = Walk(seed);
-        let mut voters: Vec<_> = (0..3).map(|_| Voter::start(None, None, true, START)).collect();
+        let mut voters: Vec<_> = (0..3).map(|_| Voter::start(None, None, &seeds(), true, START)).collect();
         let mut now = START;
         let mut acknowledged: Option<Register> = None;
         for turn in 1..60u64 {
@@ -124,11 +175,12 @@
             // Some of the voters hear, in any order; one may have lost its disk since, and recovered.
             if walk.draw(6) == 0 {
                 let lost = walk.draw(3) as usize;
-                let mut fresh = Voter::start(None, None, false, now);
-                let others = (0..3).filter(|&no| no != lost);
-                let told = others.map(|no| (voters[no].promised(), voters[no].register().clone())).collect();
-                let (promised, register) = recovered(told);
-                fresh.restore(promised, register, now);
+                let mut fresh = Voter::start(None, None, &seeds(), false, now);
+                let others = voters.iter_mut().enumerate().filter(|(no, _)| *no != lost);
+                let mut others: Vec<_> = others.map(|(no, voter)| (no as u8 + 1, voter)).collect();
+                let recovered = recover(lost as u8 + 1, &mut others, turn << 32);
+                let (promise, register) = recovered.expect("both others were heard");
+                fresh.restore(&promise, register, now);
                 voters[lost] = fresh;
                 now = now.after(TERM);
             }
@@ -147,7 +199,7 @@
             if let Some(acknowledged) = &acknowledged {
                 assert!(found.no >= acknowledged.no, "seed {seed}: an acknowledged register is lost");
                 let same = found.no > acknowledged.no || found.evacuated == acknowledged.evacuated;
-                assert!(same, "seed {seed}: two words under one number");
+                assert!(same, "seed {seed}: two registers under one number");
             }
             let mut next = Register { ballot, ..found };
             for fresh in [false, true] {
--- a/lab/src/system/door.rs
+++ b/lab/src/system/door.rs
@@ -118,7 +118,7 @@
             let config = register.config.as_ref().and_then(|config| Config::of(config.get().as_bytes()).ok());
             self.revision = config.map_or(0, |config| config.revision.0);
             let mut hasher = DefaultHasher::new();
-            (register.config.as_ref().map(|config| config.get()), &register.evacuated, &register.voters)
+            (register.config.as_ref().map(|config| config.get()), &register.evacuated, &register.membership)
                 .hash(&mut hasher);
             self.town.history.borrow_mut().heard.push(Heard {
                 door: self.no,
--- a/mailroom/src/changes.rs
+++ b/mailroom/src/changes.rs
@@ -2,11 +2,10 @@
 //! is far behind, or whose result is not the teller's, takes a snapshot.
 
 use crate::clock::At;
-use crate::messages::{Ballot, List, Register, RegisterNo, Server, Version};
+use crate::messages::{Ballot, List, Membership, Register, RegisterNo, Server, Version};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Changes that are kept to be told, and their size altogether, in bytes about.
@@ -133,7 +132,7 @@
     pub no: RegisterNo,
     pub ballot: Ballot,
     pub evacuated: BTreeSet<String>,
-    pub voters: Vec<SocketAddr>,
+    pub membership: Membership,
     pub edits: Vec<Edit>,
     /// Of the text that the configuration has afterwards.
     pub sum: u32,
@@ -175,7 +174,7 @@
             no: to.no,
             ballot: to.ballot,
             evacuated: to.evacuated.clone(),
-            voters: to.voters.clone(),
+            membership: to.membership.clone(),
             edits,
             sum: checksum(&new.text()?),
         };
@@ -237,13 +236,14 @@
         if checksum(&text) != last.sum {
             return None;
         }
-        let (ballot, evacuated, voters) = (last.ballot, last.evacuated.clone(), last.voters.clone());
+        let (ballot, evacuated) = (last.ballot, last.evacuated.clone());
+        let membership = last.membership.clone();
         self.document = Some(document);
         for change in changes {
             let size = size(&change.edits);
             self.keep(Some((change, size)));
         }
-        Some(Register { ballot, no, config: Some(text), evacuated, voters })
+        Some(Register { ballot, no, config: Some(text), evacuated, membership })
     }
 }
 
--- a/mailroom/src/messages.rs
+++ b/mailroom/src/messages.rs
@@ -23,9 +23,18 @@
     /// Null until the first one has come.
     pub config: Option<Box<RawValue>>,
     pub evacuated: BTreeSet<String>,
-    /// Who grants leases and keeps words; none: those of the first start.
-    #[serde(default)]
+    pub membership: Membership,
+}
+
+/// Who grants leases and keeps the register. A change goes by joint consensus: while there are outgoing voters, a majority
+/// of them is needed beside one of the voters.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Membership {
+    /// Goes up at each change; 0: it is not known.
+    pub epoch: u64,
     pub voters: Vec<SocketAddr>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub outgoing: Vec<SocketAddr>,
 }
 
 impl Register {
@@ -35,7 +44,7 @@
             no: RegisterNo(0),
             config: None,
             evacuated: BTreeSet::new(),
-            voters: Vec::new(),
+            membership: Membership::default(),
         }
     }
 
@@ -97,6 +106,14 @@
     pub zone: String,
 }
 
+/// A postmaster that follows the holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Follower {
+    pub row: OfficeRow,
+    /// The register on its disk; null while it has amnesia.
+    pub kept: Option<(Ballot, RegisterNo)>,
+}
+
 /// A tenant's use over all doors, a second, and the sum of the doors' slices of its quota.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Use {
@@ -178,7 +195,7 @@
     /// How long the answer may be held back for something new.
     pub wait_ms: u64,
     /// Who pulls, where it is a postmaster.
-    pub office: Option<OfficeRow>,
+    pub office: Option<Follower>,
     /// What that postmaster lends.
     pub lent: Option<Lent>,
     pub reports: Vec<Report>,
@@ -202,7 +219,7 @@
     pub holder: Option<SocketAddr>,
 }
 
-/// What a would-be holder asks of a voter, and how it votes.
+/// What a would-be holder asks of a voter.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum VoteRequest {
     /// For a lease under a ballot of its own.
@@ -213,8 +230,9 @@
     Accept { register: Register },
     /// It wants the lease no more.
     Release { ballot: Ballot },
-    /// What the voter has, for one that has forgotten what it swore.
-    Recover,
+    /// What the voter has, for a member with amnesia: from then on no vote counts beside the answerer's that the member
+    /// cast in an earlier incarnation.
+    Recover { member: SocketAddr, incarnation: u64 },
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -226,7 +244,7 @@
         doors: u32,
     },
     Accepted,
-    /// What it has, promised and kept.
+    /// What it has promised and accepted.
     Known {
         promised: Ballot,
         register: Register,
@@ -235,6 +253,24 @@
         promised: Ballot,
         holder: Option<SocketAddr>,
     },
-    /// It has forgotten what it swore, or its disk takes nothing.
+    /// A later incarnation of that member has made itself known here.
+    Outlived {
+        incarnation: u64,
+    },
+    /// It has forgotten what it promised; the seeds that it was told.
+    Amnesic {
+        seeds: Vec<SocketAddr>,
+    },
+    /// Its disk takes nothing.
     Unable,
 }
+
+/// A vote, with the incarnation of who casts it, and what that one knows of the others': a vote that a member cast before
+/// it lost its disk counts for nothing beside one that was cast by who knows of the loss.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Cast {
+    pub incarnation: u64,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub incarnations: BTreeMap<SocketAddr, u64>,
+    pub vote: Vote,
+}
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -10,14 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
+use vanewharf_franking::membership::{Following, next, wanted};
 use vanewharf_franking::quota::{Buckets, Quota};
 use vanewharf_franking::summing::{Summing, for_doors, homes};
-use vanewharf_franking::voter::wanted;
 use vanewharf_mailroom::call::{Caller, Failed};
 use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{
-    DoorRow, Lent, List, Mail, Neighbour, OfficeRow, Pull, RegisterNo, Tokens, Version,
+    DoorRow, Follower, Lent, List, Mail, Neighbour, OfficeRow, Pull, RegisterNo, Tokens, Version,
 };
 use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::settings::Settings;
@@ -28,7 +28,7 @@
 /// By then all that start together have been heard.
 const GATHERED: Duration = Duration::from_millis(1500);
 /// How often it is seen whether a voter is missing.
-const ENLARGED: Duration = Duration::from_millis(250);
+const TENDED: Duration = Duration::from_millis(250);
 /// How many doors one that knows none is told of.
 const NEIGHBOURS: usize = 4;
 /// How soon a duty is taken up with the lease.
@@ -51,6 +51,8 @@
     pub hosts: RefCell<(RegisterNo, Rc<Homes>)>,
     /// The tokens that this process lends, and by which quotas.
     pub lending: RefCell<Lending>,
+    /// Who follows this process, and keeps up.
+    pub following: RefCell<Following>,
 }
 
 pub struct Lending {
@@ -123,10 +125,14 @@
         let now = self.feed.now();
         {
             let mut sums = self.sums.borrow_mut();
-            pull.office.iter().for_each(|office| sums.office(office.clone(), now));
+            pull.office.iter().for_each(|follower| sums.office(follower.row.clone(), now));
             pull.lent.iter().for_each(|lent| sums.lent(lent.clone(), now));
             pull.reports.iter().for_each(|report| sums.report(report.clone(), now));
         }
+        if let Some(follower) = &pull.office {
+            let settled = self.feed.store().register.as_ref().map_or(RegisterNo(0), |register| register.no);
+            self.following.borrow_mut().hear(follower, settled, now);
+        }
         let mut mail = self.feed.answer(&pull).await;
         mail.holder = self.office.holder();
         if pull.office.is_none() {
@@ -143,8 +149,7 @@
                 sleep(ALONE).await;
                 continue;
             }
-            let others: Vec<SocketAddr> =
-                self.office.voters().into_iter().filter(|voter| *voter != self.office.me).collect();
+            let others: Vec<SocketAddr> = self.office.peers();
             let holder = self.office.holder().filter(|holder| *holder != self.office.me);
             let Some(from) = holder.or_else(|| others.get(turn % others.len().max(1)).copied()) else {
                 sleep(ALONE).await;
@@ -159,7 +164,7 @@
             let pull = Pull {
                 have: self.feed.store().have(),
                 wait_ms: FOLLOW.as_millis() as u64,
-                office: Some(self.row.clone()),
+                office: Some(Follower { row: self.row.clone(), kept: self.office.kept_here() }),
                 lent: Some(self.lent()),
                 reports: self.sums.borrow().reports(self.feed.now()),
             };
@@ -239,19 +244,32 @@
         }
     }
 
-    /// While there are fewer voters than the losses to be borne want, one that follows is made a voter.
-    pub async fn enlarge(self: Rc<Self>, orders: Orders) {
+    /// The set of voters, as it should be: enlarged to what the losses to be borne want, a lost voter replaced by a machine
+    /// that keeps up, one change after the other.
+    pub async fn tend_membership(self: Rc<Self>, orders: Orders) {
+        let mut held = false;
         loop {
-            sleep(ENLARGED).await;
-            let voters = self.office.voters();
-            if !self.office.holds() || voters.len() >= wanted(self.settings.losses) {
+            sleep(TENDED).await;
+            let (holds, now) = (self.office.holds(), self.feed.now());
+            if holds && !std::mem::replace(&mut held, holds) {
+                self.following.borrow_mut().begin(now);
+            }
+            held = holds;
+            if !holds {
                 continue;
             }
-            let rows =
-                self.feed.store().ledger.as_ref().map(|ledger| ledger.offices.clone()).unwrap_or_default();
-            let offices = rows.into_iter().map(|row| self.settings.office(row.ip));
-            if let Some(voter) = offices.into_iter().find(|office| !voters.contains(office)) {
-                orders.give(Order::Enlarge { voter }).await;
+            let membership = self.office.membership();
+            let me = (self.office.me, self.settings.zone.as_str());
+            let office = |ip| self.settings.office(ip);
+            let known = self.following.borrow().candidates(&membership.voters, me, office, now);
+            let voters = match membership.outgoing.is_empty() {
+                // What another holder began.
+                false => Some(membership.voters.iter().copied().collect()),
+                true => next(&membership, &known, wanted(self.settings.losses)),
+            };
+            if let Some(voters) = voters {
+                spdlog::info!("the voters are to be {:?} after epoch {}", voters, membership.epoch);
+                orders.give(Order::Reconfigure { epoch: membership.epoch, voters }).await;
             }
         }
     }
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -13,17 +13,16 @@
 use office::Office;
 use orders::Orders;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 use vanewharf_franking::quota::Buckets;
 use vanewharf_franking::summing::Summing;
 use vanewharf_franking::voter::{Promise, Voter};
-use vanewharf_mailroom::call::{Caller, Said, serve};
+use vanewharf_mailroom::call::{Said, serve};
 use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
-use vanewharf_mailroom::messages::{Ballot, OfficeRow, Pull, Register, Tokens, VoteRequest};
+use vanewharf_mailroom::messages::{Ballot, OfficeRow, Pull, Tokens, VoteRequest};
 use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
@@ -31,58 +30,6 @@
 /// Calls that are under way at the end are answered.
 const LAST_ANSWERS: Duration = Duration::from_millis(600);
 
-/// The set of voters: the three seeds of the first start, for good. One that has lost its disk asks the others. Where none
-/// of the seeds knows either, the power went before anything was written down, and they are the voters again; only
-/// where all were told the same seeds, as two sets must not be founded.
-async fn voters(settings: &Settings, premises: &Premises, promised: Option<&Promise>) -> Vec<SocketAddr> {
-    let seeds: Vec<_> = settings.seeds.iter().map(|seed| settings.office(seed.ip())).collect();
-    match promised {
-        Some(promised) if !promised.voters.is_empty() => return promised.voters.clone(),
-        _ if settings.initial_start => return seeds,
-        _ => {}
-    }
-    // Meanwhile others are told that it does not know.
-    let (told, me) = (seeds.clone(), settings.office(settings.ip));
-    let answering = premises.net.listen(me).map(|ear| {
-        tokio::task::spawn_local(serve(ear, move |request| {
-            let said = match (request.method(), request.target()) {
-                ("GET", "/voters") => Said::json(&[(); 0]),
-                ("GET", "/seeds") => Said::json(&told),
-                _ => Said::status(503, "its voters are not known here yet"),
-            };
-            async move { said }
-        }))
-    });
-    let found = 'found: loop {
-        let mut alike = seeds.contains(&me);
-        for seed in seeds.iter().filter(|seed| **seed != me) {
-            let mut there = Caller::to(*seed, &premises.net);
-            match asked::<Vec<SocketAddr>>(&mut there, "/voters").await {
-                Some(voters) if !voters.is_empty() => break 'found voters,
-                Some(_) => {
-                    alike &= asked::<Vec<SocketAddr>>(&mut there, "/seeds").await.as_ref() == Some(&seeds)
-                }
-                None => alike = false,
-            }
-        }
-        if alike {
-            break seeds;
-        }
-        sleep(Duration::from_millis(200)).await;
-    };
-    if let Ok(answering) = answering {
-        answering.abort();
-        // The address is free once it has ended.
-        let _ = answering.await;
-    }
-    found
-}
-
-async fn asked<T: serde::de::DeserializeOwned>(there: &mut Caller, path: &str) -> Option<T> {
-    let (status, body) = there.call("GET", path, "", Duration::from_millis(500)).await.ok()?;
-    (status == 200).then(|| serde_json::from_slice(&body).ok())?
-}
-
 /// A postmaster at work.
 pub struct Post {
     office: Rc<Office>,
@@ -122,21 +69,17 @@
     let steady = Steady::start();
     let feed = Feed::new(steady);
     let me = settings.office(settings.ip);
-    let promised: Option<Promise> = found.record(Record::Promise);
-    let voters = voters(&settings, &premises, promised.as_ref()).await;
-    let first = settings.initial_start && found.nothing() || !voters.contains(&me);
-    if first {
-        let promised = Promise { ballot: Ballot(0), holder: None, voters: voters.clone(), doors: 0 };
-        if let Err(error) = disk.save(Record::Promise, &promised).await {
-            spdlog::warn!("the set of voters is not on disk: {}", error);
-        }
+    let promise: Option<Promise> = found.record(Record::Promise);
+    let first = settings.initial_start && found.nothing();
+    let seeds: Vec<_> = settings.seeds.iter().map(|seed| settings.office(seed.ip())).collect();
+    let voter = Voter::start(promise.as_ref(), found.record(Record::Register), &seeds, first, steady.now());
+    if first && let Err(error) = disk.save(Record::Promise, &voter.record()).await {
+        spdlog::warn!("the set of voters is not on disk: {}", error);
     }
-    let register: Option<Register> = found.record(Record::Register);
-    let voter = Voter::start(promised.as_ref(), register, first, steady.now());
     let amnesic = voter.amnesic();
-    let office = Office::start(me, voters, voter, disk.clone(), feed.clone(), premises.clone());
-    if let Some(promised) = promised {
-        tokio::task::spawn_local(Rc::clone(&office).inquire(promised));
+    let office = Office::start(me, seeds, voter, disk.clone(), feed.clone(), premises.clone());
+    if let Some(promise) = promise {
+        tokio::task::spawn_local(Rc::clone(&office).inquire(promise));
     }
     if amnesic {
         tokio::task::spawn_local(Rc::clone(&office).recover(disk));
@@ -156,13 +99,14 @@
             buckets: Buckets::start(settings.bounds.rate_allowance, settings.initial_start, steady.now()),
             life: premises.life(),
         }),
+        following: RefCell::default(),
     });
     tokio::task::spawn_local(Rc::clone(&desk).follow());
     tokio::task::spawn_local(Rc::clone(&desk).sum());
     tokio::task::spawn_local(Rc::clone(&desk).ask_platform());
     tokio::task::spawn_local(Rc::clone(&desk).attest());
     let orders = Orders::start(Rc::clone(&office));
-    tokio::task::spawn_local(Rc::clone(&desk).enlarge(orders.clone()));
+    tokio::task::spawn_local(Rc::clone(&desk).tend_membership(orders.clone()));
 
     let inside =
         premises.net.listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
@@ -198,7 +142,7 @@
             Err(error) => unread(error),
         },
         ("POST", "/vote") => match serde_json::from_slice::<VoteRequest>(request.body()) {
-            Ok(vote_request) => Said::json(&desk.office.cast(vote_request).await),
+            Ok(request) => Said::json(&desk.office.vote(request).await),
             Err(error) => unread(error),
         },
         ("POST", "/holds") => match serde_json::from_slice::<Ballot>(request.body()) {
@@ -206,7 +150,7 @@
             Err(error) => unread(error),
         },
         ("GET", "/neighbours") => Said::json(&desk.neighbours()),
-        ("GET", "/voters") => Said::json(&desk.office.voters()),
+        ("GET", "/membership") => Said::json(&desk.office.membership()),
         _ => Said::status(404, "there is no such call"),
     }
 }
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -9,14 +9,15 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use vanewharf_franking::voter::{
-    MARGIN, Promise, RENEWED, Save, TERM, Voter, above, carries, enough, majority, recovered,
+use vanewharf_franking::membership::{
+    Recovery, assents, begun, carries, concluded, everyone, hopeless, incarnations, newest, recovery,
 };
+use vanewharf_franking::voter::{MARGIN, Promise, RENEWED, Save, TERM, Voter, above, incarnation_above};
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
-use vanewharf_mailroom::messages::{Ballot, Register, RegisterNo, Vote, VoteRequest};
+use vanewharf_mailroom::messages::{Ballot, Cast, Membership, Register, RegisterNo, Vote, VoteRequest};
 use vanewharf_mailroom::premises::Premises;
 
 /// For an vote that needs no disk.
@@ -33,19 +34,13 @@
 
 /// What the voter's owner works through.
 enum Command {
-    Hear(VoteRequest, oneshot::Sender<Vote>),
+    Hear(VoteRequest, oneshot::Sender<Cast>),
     /// Quotas are divided by so many doors.
     Count(u32),
 }
 
 type Commands = mpsc::UnboundedSender<Command>;
 
-/// Those who assented.
-fn assents(votes: &[(SocketAddr, Vote)]) -> impl Iterator<Item = &SocketAddr> {
-    let yes = votes.iter().filter(|(_, vote)| matches!(vote, Vote::Granted { .. } | Vote::Accepted));
-    yes.map(|(voter, _)| voter)
-}
-
 /// A lease in hand.
 #[derive(Clone, Copy, Debug)]
 struct Term {
@@ -55,6 +50,19 @@
     settled: bool,
 }
 
+/// What came of asking for another term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Renewal {
+    Carried,
+    /// Too few answered, or assented.
+    Short,
+    /// A voter has promised a higher ballot.
+    Overtaken,
+}
+
+/// By which registers are told apart.
+type Rank = (Ballot, RegisterNo);
+
 /// What all tasks of this process know of the office.
 pub struct Office {
     pub me: SocketAddr,
@@ -62,8 +70,8 @@
     premises: Premises,
     steady: Steady,
     voter: RefCell<Voter>,
-    /// The voters of the first start.
-    founders: Vec<SocketAddr>,
+    /// Whom this process was told of at its start, to ask where nothing else is known.
+    seeds: Vec<SocketAddr>,
     commands: Commands,
     /// By how many doors, as far as those know who granted the lease in hand.
     doors: Cell<u32>,
@@ -79,7 +87,7 @@
 impl Office {
     pub fn start(
         me: SocketAddr,
-        voters: Vec<SocketAddr>,
+        seeds: Vec<SocketAddr>,
         voter: Voter,
         disk: Disk,
         feed: Feed,
@@ -93,7 +101,7 @@
             premises,
             steady,
             voter: RefCell::new(voter),
-            founders: voters,
+            seeds,
             commands,
             doors: Cell::new(0),
             term: Cell::new(None),
@@ -111,15 +119,29 @@
         self.steady.now()
     }
 
-    /// By the newest register that this process has, settled or not.
-    pub fn voters(&self) -> Vec<SocketAddr> {
+    /// By the newest register that this process has, settled or not, and which that is.
+    fn newest_set(&self) -> (Membership, Rank) {
         let (voter, store) = (self.voter.borrow(), self.feed.store());
         let settled = store.register.as_deref().filter(|register| register.rank() > voter.register().rank());
-        self.voters_of(settled.unwrap_or(voter.register()))
+        let register = settled.unwrap_or(voter.register());
+        (register.membership.clone(), register.rank())
+    }
+
+    pub fn membership(&self) -> Membership {
+        self.newest_set().0
+    }
+
+    /// Other control machines to hear from: those who have a say, or the seeds where these are not known.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        let members = everyone(&self.membership());
+        let all = if members.is_empty() { self.seeds.iter().copied().collect() } else { members };
+        all.into_iter().filter(|member| *member != self.me).collect()
     }
 
-    fn voters_of(&self, register: &Register) -> Vec<SocketAddr> {
-        if register.voters.is_empty() { self.founders.clone() } else { register.voters.clone() }
+    /// The register on this machine's disk, where it may vote.
+    pub fn kept_here(&self) -> Option<(Ballot, RegisterNo)> {
+        let voter = self.voter.borrow();
+        (!voter.amnesic()).then(|| voter.register().rank())
     }
 
     /// Whether this process holds the lease now and may act by it.
@@ -179,27 +201,25 @@
                     }
                 }
             }
-            let _ = reply.send(vote);
+            let cast = self.voter.borrow().cast(vote);
+            let _ = reply.send(cast);
         }
     }
 
     async fn save(&self, disk: &Disk, save: &Save) -> std::io::Result<()> {
         match save {
-            Save::Promise(promised) => {
-                let promised = Promise { voters: self.founders.clone(), ..promised.clone() };
-                disk.save(Record::Promise, &promised).await
-            }
+            Save::Promise(promise) => disk.save(Record::Promise, promise).await,
             Save::Register(register) => disk.save(Record::Register, register).await,
         }
     }
 
     /// This process' own voter.
-    pub async fn cast(&self, vote_request: VoteRequest) -> Vote {
-        let (reply, vote) = oneshot::channel();
-        if self.commands.send(Command::Hear(vote_request, reply)).is_err() {
-            return Vote::Unable;
+    pub async fn vote(&self, request: VoteRequest) -> Cast {
+        let (reply, cast) = oneshot::channel();
+        if self.commands.send(Command::Hear(request, reply)).is_err() {
+            return self.voter.borrow().cast(Vote::Unable);
         }
-        vote.await.unwrap_or(Vote::Unable)
+        cast.await.unwrap_or_else(|_| self.voter.borrow().cast(Vote::Unable))
     }
 
     /// Quotas are divided by so many doors: kept, so that a holder after the loss of all processes knows.
@@ -215,49 +235,54 @@
         self.doors.get()
     }
 
-    async fn ask(&self, voter: SocketAddr, vote_request: &VoteRequest, within: Duration) -> Option<Vote> {
+    async fn ask(&self, voter: SocketAddr, request: &VoteRequest, within: Duration) -> Option<Cast> {
         if voter == self.me {
-            return timeout(within, self.cast(vote_request.clone())).await.ok();
+            return timeout(within, self.vote(request.clone())).await.ok();
         }
         let kept = self.callers.borrow_mut().get_mut(&voter).and_then(Vec::pop);
         let mut caller = kept.unwrap_or_else(|| Caller::to(voter, &self.premises.net));
-        let vote = caller.ask("/vote", vote_request, within).await.ok();
-        if vote.is_some() {
+        let cast = caller.ask("/vote", request, within).await.ok();
+        if cast.is_some() {
             self.callers.borrow_mut().entry(voter).or_default().push(caller);
         }
-        vote
+        cast
     }
 
-    /// Asks these voters at once; ends with a majority's assent, or when all have spoken.
+    /// Asks these at once; ends when enough have spoken, or all.
     async fn poll(
         self: &Rc<Self>,
-        voters: &[SocketAddr],
-        vote_request: VoteRequest,
-        within: Duration,
-    ) -> Vec<(SocketAddr, Vote)> {
+        voters: &BTreeSet<SocketAddr>,
+        request: VoteRequest,
+        enough: impl Fn(&[(SocketAddr, Cast)]) -> bool,
+    ) -> Vec<(SocketAddr, Cast)> {
         let (said, mut votes) = mpsc::unbounded_channel();
         for &voter in voters {
-            let (office, vote_request, said) = (Rc::clone(self), vote_request.clone(), said.clone());
+            let (office, request, said) = (Rc::clone(self), request.clone(), said.clone());
             tokio::task::spawn_local(async move {
-                let _ = said.send((voter, office.ask(voter, &vote_request, within).await));
+                let _ = said.send((voter, office.ask(voter, &request, QUICK).await));
             });
         }
         drop(said);
         let mut all = Vec::new();
-        while let Some((voter, vote)) = votes.recv().await {
-            all.extend(vote.map(|vote| (voter, vote)));
-            if carries(voters, assents(&all)) {
+        while let Some((voter, cast)) = votes.recv().await {
+            all.extend(cast.map(|cast| (voter, cast)));
+            if enough(&all) {
                 break;
             }
         }
         all
     }
 
+    async fn release(self: &Rc<Self>, set: &Membership, ballot: Ballot) {
+        let enough = |votes: &[(SocketAddr, Cast)]| carries(set, &assents(votes));
+        self.poll(&everyone(set), VoteRequest::Release { ballot }, enough).await;
+    }
+
     /// Tries for the lease whenever nobody holds it.
     async fn seek(self: Rc<Self>) {
         let mut seen = Ballot(0);
         loop {
-            let place = self.voters().iter().position(|voter| *voter == self.me);
+            let place = self.membership().voters.iter().position(|voter| *voter == self.me);
             let chance = self.premises.draw(60);
             let Some(place) = place else {
                 sleep(WATCH * 5).await;
@@ -273,40 +298,34 @@
             }
             let ballot = above(seen.max(self.voter.borrow().promised()), self.me);
             let asked = self.now();
-            let vote_request = VoteRequest::Lease { ballot, holder: self.me };
-            let mut set = self.voters();
-            let mut votes = self.poll(&set, vote_request.clone(), QUICK).await;
-            let newest = |votes: &[(SocketAddr, Vote)]| {
-                let words = votes.iter().filter_map(|(_, vote)| match vote {
-                    Vote::Granted { register, .. } => Some(register),
-                    _ => None,
-                });
-                words.max_by_key(|register| register.rank()).cloned().unwrap_or_else(Register::none)
-            };
+            let request = VoteRequest::Lease { ballot, holder: self.me };
+            let (mut set, mut known) = self.newest_set();
+            let carried = |set: &Membership, votes: &[_]| carries(set, &assents(votes));
+            let mut votes = self.poll(&everyone(&set), request.clone(), |votes| carried(&set, votes)).await;
             let mut found = newest(&votes);
             // The register that is found may have other voters: their majority is needed, too.
-            while carries(&set, assents(&votes)) && self.voters_of(&found) != set {
-                set = self.voters_of(&found);
-                let others: Vec<_> = set
-                    .iter()
-                    .copied()
-                    .filter(|voter| !votes.iter().any(|(asked, _)| asked == voter))
-                    .collect();
-                votes.extend(self.poll(&others, vote_request.clone(), QUICK).await);
+            while carried(&set, &votes) && found.rank() > known {
+                (set, known) = (found.membership.clone(), found.rank());
+                let asked: BTreeSet<_> = votes.iter().map(|(voter, _)| *voter).collect();
+                let others = everyone(&set).difference(&asked).copied().collect();
+                let enough = |more: &[_]| carried(&set, &[&votes[..], more].concat());
+                let more = self.poll(&others, request.clone(), enough).await;
+                votes.extend(more);
                 found = newest(&votes);
             }
-            let refused = votes.iter().filter_map(|(_, vote)| match vote {
-                Vote::Refused { promised, .. } => Some(*promised),
+            let refused = votes.iter().filter_map(|(_, cast)| match cast.vote {
+                Vote::Refused { promised, .. } => Some(promised),
                 _ => None,
             });
             seen = refused.max().unwrap_or_default().max(seen);
-            if !carries(&set, assents(&votes)) {
-                self.poll(&set, VoteRequest::Release { ballot }, QUICK).await;
+            // One that has left must not lead.
+            if !carried(&set, &votes) || !set.voters.contains(&self.me) {
+                self.release(&set, ballot).await;
                 sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
                 continue;
             }
-            let doors = votes.iter().filter_map(|(_, vote)| match vote {
-                Vote::Granted { doors, .. } => Some(*doors),
+            let doors = votes.iter().filter_map(|(_, cast)| match cast.vote {
+                Vote::Granted { doors, .. } => Some(doors),
                 _ => None,
             });
             self.doors.set(doors.max().unwrap_or(0));
@@ -314,7 +333,7 @@
             self.hold(ballot, found).await;
             self.term.set(None);
             spdlog::info!("the lease under ballot {} has ended", ballot.0);
-            self.poll(&self.voters(), VoteRequest::Release { ballot }, QUICK).await;
+            self.release(&self.membership(), ballot).await;
         }
     }
 
@@ -333,17 +352,11 @@
         };
         loop {
             sleep(RENEWED).await;
-            if self.leaving.get() {
+            // One that has left the set hands the lease over.
+            if self.leaving.get() || !self.membership().voters.contains(&self.me) {
                 break;
             }
-            let asked = self.now();
-            let set = self.voters();
-            let votes = self.poll(&set, VoteRequest::Renew { ballot, holder: self.me }, QUICK).await;
-            let higher = |(_, vote): &(SocketAddr, Vote)| matches!(vote, Vote::Refused { promised, .. } if *promised > ballot);
-            if carries(&set, assents(&votes)) {
-                let settled = self.term.get().is_some_and(|term| term.settled);
-                self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled }));
-            } else if votes.iter().any(higher) {
+            if self.renew(ballot).await == Renewal::Overtaken {
                 break;
             }
             if self.term.get().is_none_or(|term| term.until <= self.now()) {
@@ -353,6 +366,25 @@
         settling.abort();
     }
 
+    /// For another term, by all who have a say now.
+    async fn renew(self: &Rc<Self>, ballot: Ballot) -> Renewal {
+        let (asked, set) = (self.now(), self.membership());
+        let request = VoteRequest::Renew { ballot, holder: self.me };
+        let votes = self.poll(&everyone(&set), request, |votes| carries(&set, &assents(votes))).await;
+        let higher = |(_, cast): &(SocketAddr, Cast)| match cast.vote {
+            Vote::Refused { promised, .. } => promised > ballot,
+            _ => false,
+        };
+        if !carries(&set, &assents(&votes)) {
+            return if votes.iter().any(higher) { Renewal::Overtaken } else { Renewal::Short };
+        }
+        if let Some(term) = self.term.get().filter(|term| term.ballot == ballot) {
+            let until = asked.after(TERM - MARGIN).max(term.until);
+            self.term.set(Some(Term { until, ..term }));
+        }
+        Renewal::Carried
+    }
+
     fn settle(&self, register: Register) {
         let Some(term) = self.term.get().filter(|term| term.ballot == register.ballot) else {
             return;
@@ -366,48 +398,37 @@
         });
     }
 
-    /// Whether a majority has it on disk, of the voters before it and of those that it names; tried again and again
-    /// until then, or the lease ends.
+    /// Whether a majority of those that it names has it on disk; tried again and again until then, or the lease ends.
     async fn kept(self: &Rc<Self>, register: &Register) -> bool {
-        let (before, after) = (self.voters(), self.voters_of(register));
-        let voters: BTreeSet<_> = before.iter().chain(&after).copied().collect();
+        let set = register.membership.clone();
+        let voters: BTreeSet<_> = everyone(&self.membership()).union(&everyone(&set)).copied().collect();
         let (said, mut votes) = mpsc::unbounded_channel();
         let mut trying = Vec::new();
         for &voter in &voters {
-            let (office, vote_request, said) =
-                (Rc::clone(self), VoteRequest::Accept { register: register.clone() }, said.clone());
+            let request = VoteRequest::Accept { register: register.clone() };
+            let (office, said) = (Rc::clone(self), said.clone());
             trying.push(tokio::task::spawn_local(async move {
                 loop {
-                    let kept = match office.ask(voter, &vote_request, SLOW).await {
-                        Some(Vote::Accepted) => true,
-                        Some(Vote::Refused { .. }) => false,
-                        _ => {
-                            sleep(AGAIN).await;
-                            continue;
+                    match office.ask(voter, &request, SLOW).await {
+                        // Where nobody counts any more it is known already.
+                        Some(cast) if matches!(cast.vote, Vote::Accepted | Vote::Refused { .. }) => {
+                            let _ = said.send((voter, cast));
+                            return;
                         }
-                    };
-                    // Where nobody counts any more it is known already.
-                    let _ = said.send((voter, kept));
-                    return;
+                        _ => sleep(AGAIN).await,
+                    }
                 }
             }));
         }
         drop(said);
-        let (mut kept, mut refused) = (BTreeSet::new(), BTreeSet::new());
-        let carried =
-            |kept: &BTreeSet<SocketAddr>| carries(&before, kept.iter()) && carries(&after, kept.iter());
+        let mut all = Vec::new();
+        let carried = |all: &[(SocketAddr, Cast)]| carries(&set, &assents(all));
         let counting = async {
-            while let Some((voter, yes)) = votes.recv().await {
-                if yes {
-                    kept.insert(voter)
-                } else {
-                    refused.insert(voter)
-                };
-                let hopeless = |set: &[SocketAddr]| {
-                    let against = set.iter().filter(|voter| refused.contains(voter)).count();
-                    against > set.len() - majority(set.len())
-                };
-                if carried(&kept) || hopeless(&before) || hopeless(&after) {
+            while let Some((voter, cast)) = votes.recv().await {
+                all.push((voter, cast));
+                let against = all.iter().filter(|(_, cast)| matches!(cast.vote, Vote::Refused { .. }));
+                let against = against.map(|(voter, _)| *voter).collect();
+                if carried(&all) || hopeless(&set, &against) {
                     break;
                 }
             }
@@ -418,7 +439,7 @@
             sleep(SLOW).await;
             trying.iter().for_each(tokio::task::JoinHandle::abort);
         });
-        carried(&kept)
+        carried(&all)
     }
 
     /// Makes a register the one in force; false where it is not certain to be.
@@ -438,27 +459,29 @@
         true
     }
 
-    /// Another voter, where there are fewer than are wanted and this one follows.
-    pub async fn enlarge(self: &Rc<Self>, one: SocketAddr) -> bool {
-        let mut voters = self.voters();
-        voters.push(one);
-        voters.sort_unstable();
-        let enlarged = self.acknowledge(|register| Register { voters, ..register.clone() }).await;
-        if enlarged {
-            spdlog::info!("{} is a voter now", one);
+    /// Another set of voters by joint consensus: first both sets decide, then the new one alone. A voter leaves only when a
+    /// majority of the new set has all that was kept.
+    pub async fn reconfigure(self: &Rc<Self>, voters: BTreeSet<SocketAddr>) -> bool {
+        let change = |to: &dyn Fn(&Membership) -> Membership| {
+            let membership = to(&self.membership());
+            self.acknowledge(|register| Register { membership, ..register.clone() })
+        };
+        // One that a holder before this one began is concluded first.
+        if !self.membership().outgoing.is_empty() && !change(&concluded).await {
+            return false;
         }
-        enlarged
-    }
-
-    /// One voter less; it must not be this process, which could not renew its own lease then.
-    pub async fn dismiss(self: &Rc<Self>, one: SocketAddr) -> bool {
-        let voters: Vec<_> = self.voters().into_iter().filter(|voter| *voter != one).collect();
-        let dismissed =
-            one != self.me && self.acknowledge(|register| Register { voters, ..register.clone() }).await;
-        if dismissed {
-            spdlog::info!("{} is no voter any more", one);
+        if self.membership().voters.iter().copied().collect::<BTreeSet<_>>() == voters {
+            return true;
+        }
+        // Between the two the lease is renewed by both sets: a holder that went by votes of the old one alone could be
+        // overtaken by one whom the new one elects.
+        let done = change(&|now| begun(now, &voters)).await
+            && self.renew(self.ballot()).await == Renewal::Carried
+            && change(&concluded).await;
+        if done {
+            spdlog::info!("epoch {}: the voters are {:?}", self.membership().epoch, voters);
         }
-        dismissed
+        done
     }
 
     /// What the holder made known is kept here too, where it is newer than what this disk has.
@@ -466,7 +489,7 @@
         let register = self.feed.store().register.clone();
         let newer = |register: &Rc<Register>| register.rank() > self.voter.borrow().register().rank();
         if let Some(register) = register.filter(newer) {
-            self.cast(VoteRequest::Accept { register: Register::clone(&register) }).await;
+            self.vote(VoteRequest::Accept { register: Register::clone(&register) }).await;
         }
     }
 
@@ -474,7 +497,7 @@
     pub async fn leave(self: &Rc<Self>) {
         self.leaving.set(true);
         if let Some(term) = self.term.take() {
-            self.poll(&self.voters(), VoteRequest::Release { ballot: term.ballot }, QUICK).await;
+            self.release(&self.membership(), term.ballot).await;
         }
     }
 
@@ -505,30 +528,55 @@
         }
     }
 
-    /// A voter with amnesia asks a majority of voters among the others what they promised and accepted, and promises that again.
+    /// A voter with amnesia asks those who have a say what they promised and accepted, and promises that again: a machine
+    /// that lost its disk is a new member of its old name until then.
     pub async fn recover(self: Rc<Self>, disk: Disk) {
+        let (mut told, mut heard) = (BTreeMap::new(), 0);
+        let mut hear: BTreeSet<_> = self.seeds.iter().copied().filter(|seed| *seed != self.me).collect();
+        let mut incarnation = incarnation_above(heard, self.premises.life());
         while self.voter.borrow().amnesic() {
-            let others: Vec<_> = self.voters().into_iter().filter(|voter| *voter != self.me).collect();
-            let (mut told, mut unable) = (Vec::new(), 0);
-            for other in &others {
-                match self.ask(*other, &VoteRequest::Recover, QUICK).await {
-                    Some(Vote::Known { promised, register }) => told.push((promised, register)),
-                    Some(Vote::Unable) => unable += 1,
-                    _ => {}
+            let request = VoteRequest::Recover { member: self.me, incarnation };
+            for (member, cast) in self.poll(&hear, request, |_| false).await {
+                if let Vote::Outlived { incarnation } = cast.vote {
+                    heard = incarnation.max(heard);
                 }
+                told.insert(member, cast);
+            }
+            if heard > incarnation {
+                // What was told counts only for an incarnation that is above all others.
+                incarnation = incarnation_above(heard, self.premises.life());
+                told.clear();
+                continue;
             }
-            if enough(&told, unable, others.len(), self.voters().len()) {
-                let (ballot, register) = recovered(told);
-                let promised = Promise { ballot, holder: None, voters: self.founders.clone(), doors: 0 };
-                while !(disk.save(Record::Register, &register).await.is_ok()
-                    && disk.save(Record::Promise, &promised).await.is_ok())
-                {
+            match recovery(self.me, &self.seeds, &told) {
+                Recovery::Done { promised, register } => {
+                    let known = incarnations(told.iter().map(|(member, cast)| (*member, cast)));
+                    let founders = register.membership.voters.clone();
+                    let holder = None;
+                    let promise = Promise {
+                        ballot: promised,
+                        holder,
+                        founders,
+                        doors: 0,
+                        incarnation,
+                        incarnations: known,
+                    };
+                    while !(disk.save(Record::Register, &*register).await.is_ok()
+                        && disk.save(Record::Promise, &promise).await.is_ok())
+                    {
+                        sleep(AGAIN).await;
+                    }
+                    let no = register.no;
+                    self.voter.borrow_mut().restore(&promise, *register, self.now());
+                    spdlog::warn!("recovered register {} from {} others", no.0, told.len());
+                }
+                Recovery::Hear(missing) => {
+                    // Seeds that were down may be up again, and what was told long ago may be no news.
+                    hear = missing.into_iter().chain(self.seeds.iter().copied()).collect();
+                    hear.remove(&self.me);
                     sleep(AGAIN).await;
                 }
-                self.voter.borrow_mut().restore(ballot, register, self.now());
-                spdlog::warn!("what was forgotten was recovered from {} others", others.len());
             }
-            sleep(AGAIN).await;
         }
     }
 }
--- a/postmaster/src/orders.rs
+++ b/postmaster/src/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::office::Office;
 use serde_json::value::RawValue;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -10,9 +11,10 @@
 
 #[derive(Debug)]
 pub enum Order {
-    /// Not an operator's: the system's own set of voters grows by one.
-    Enlarge {
-        voter: SocketAddr,
+    /// Not an operator's: the system's own set of voters changes, as long as it is still the one of that epoch.
+    Reconfigure {
+        epoch: u64,
+        voters: BTreeSet<SocketAddr>,
     },
     /// One voter leaves the set, and another one takes its place.
     Voters {
@@ -88,12 +90,14 @@
             office.acknowledge(|register| Register { config: Some(config), ..register.clone() }).await
         }
         Order::Voters { out, into } => {
-            // First one more, then one less: at each step a majority of both sets keeps the register.
-            let voters = office.voters();
-            (voters.contains(&into) || office.enlarge(into).await)
-                && (!office.voters().contains(&out) || office.dismiss(out).await)
+            let mut voters: BTreeSet<_> = office.membership().voters.into_iter().collect();
+            voters.remove(&out);
+            voters.insert(into);
+            office.reconfigure(voters).await
+        }
+        Order::Reconfigure { epoch, voters } => {
+            office.membership().epoch == epoch && office.reconfigure(voters).await
         }
-        Order::Enlarge { voter } => office.voters().contains(&voter) || office.enlarge(voter).await,
         Order::Evacuate { zone, begin } => {
             if register.is_some_and(|register| register.evacuated.contains(&zone)) == begin {
                 return if office.holds() { Done::Acknowledged } else { Done::NotHere };
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -83,13 +83,12 @@
     let (out, into) = (office(out)?, office(into)?);
     let store = desk.feed.store();
     let rows = store.ledger.iter().flat_map(|ledger| &ledger.offices);
-    let voters = desk.office.voters();
+    let voters = desk.office.membership().voters;
     let here = rows.map(|row| desk.settings.office(row.ip)).any(|office| office == into);
     let why = match () {
         () if voters.contains(&into) && !voters.contains(&out) => return Ok(Order::Voters { out, into }),
         () if !voters.contains(&out) => format!("{out} is no voter; they are {voters:?}"),
         () if out == into => format!("{out} cannot take its own place"),
-        () if desk.office.me == out => format!("{out} holds the lease; stop it first"),
         () if !here => format!("no postmaster is heard of at {into}"),
         () => return Ok(Order::Voters { out, into }),
     };
--- a/testletter/tests/whole.rs
+++ b/testletter/tests/whole.rs
@@ -1,6 +1,7 @@
 //! The whole system on loopback, through what it is built to live through.
 
 use serde_json::{Value, json};
+use vanewharf_mailroom::messages::Membership;
 use vanewharf_testletter::http::call;
 use vanewharf_testletter::stand_ins::Manner;
 use vanewharf_testletter::town::{OFFICES, Town, config};
@@ -204,6 +205,44 @@
     assert_eq!(revision(&town), "r2");
 }
 
+fn membership(town: &Town, office: usize) -> Option<Membership> {
+    let told = call(town.inside(office), "GET", "/membership", &[], "").ok()?;
+    serde_json::from_str(&told.body).ok()
+}
+
+#[test]
+fn a_voter_that_stays_away_gives_way_to_one_that_follows_and_the_holder_can_be_replaced() {
+    let mut town = Town::sized(4, 1, |_| {});
+    assert_eq!(replace(&town, 1, |_| {}), 200);
+    let at = |town: &Town, office: usize| town.inside(office);
+    town.kill(0);
+    let lost = at(&town, 0);
+    let replaced = |town: &Town| {
+        membership(town, 3).filter(|set| set.outgoing.is_empty() && !set.voters.contains(&lost)).map(drop)
+    };
+    town.until("the fourth votes in the first one's place", || replaced(&town));
+    // Of the three that vote now, any may go; so may the one that takes orders.
+    let holder = |town: &Town| {
+        (0..4).find(|no| {
+            let asked = call(town.office(*no), "GET", "/-/Configuration.Read", &[], "");
+            asked.is_ok_and(|answer| answer.status() == 200)
+        })
+    };
+    town.boot(0);
+    let holds = town.until("one takes orders", || holder(&town));
+    let path = format!("/-/Voters.Replace/{}/{}", at(&town, holds).ip(), lost.ip());
+    town.until("the holder leaves", || (town.order("POST", &path, "").status() == 200).then_some(()));
+    let left = at(&town, holds);
+    town.until("it does not vote any more", || {
+        let set = membership(&town, 0).filter(|set| set.outgoing.is_empty())?;
+        (set.voters.contains(&lost) && !set.voters.contains(&left)).then_some(())
+    });
+    town.until("another takes orders", || holder(&town).filter(|now| *now != holds));
+    town.kill(holds);
+    assert_eq!(replace(&town, 2, |_| {}), 200, "nothing of it is needed");
+    assert_eq!(revision(&town), "r2");
+}
+
 #[test]
 fn of_five_postmasters_any_two_may_go_with_their_disks() {
     let mut town = Town::sized(5, 1, |_| {});
@@ -211,10 +250,13 @@
     for (turn, lost) in [[0, 1], [3, 4], [2, 0]].into_iter().enumerate() {
         // Three are told at the first start; the others become voters one by one, and those with empty disks recover.
         let votes = |office: usize| {
-            let told = call(town.inside(office), "GET", "/voters", &[], "").ok()?;
-            let told: Vec<String> = serde_json::from_str(&told.body).ok()?;
-            let recovers = call(town.inside(office), "POST", "/vote", &[], r#""Recover""#).ok()?;
-            (told.len() == 5 && recovers.body.contains("Known")).then_some(())
+            let told = call(town.inside(office), "GET", "/membership", &[], "").ok()?;
+            let told: Membership = serde_json::from_str(&told.body).ok()?;
+            // One with amnesia would say so.
+            let request = r#"{"Renew":{"ballot":0,"holder":"127.0.0.1:1"}}"#;
+            let vote = call(town.inside(office), "POST", "/vote", &[], request).ok()?;
+            let set = told.voters.len() == 5 && told.outgoing.is_empty();
+            (set && vote.body.contains("Refused")).then_some(())
         };
         town.until("all five are voters", || (0..5).all(|office| votes(office).is_some()).then_some(()));
         let newer = 10 * (turn as u64 + 1);
