--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -131,11 +131,13 @@
         self.newest_set().0
     }
 
-    /// Other control machines to hear from: those who have a say, or the seeds where these are not known.
+    /// Other control machines to hear from: those who have a say as far as is known here, and the seeds: all who had a say
+    /// when this machine was last up may be gone.
     pub fn peers(&self) -> Vec<SocketAddr> {
-        let members = everyone(&self.membership());
-        let all = if members.is_empty() { self.seeds.iter().copied().collect() } else { members };
-        all.into_iter().filter(|member| *member != self.me).collect()
+        let mut all = everyone(&self.membership());
+        all.extend(&self.seeds);
+        all.remove(&self.me);
+        all.into_iter().collect()
     }
 
     /// The register on this machine's disk, where it may vote.
@@ -196,7 +198,7 @@
                 match self.save(&disk, &save).await {
                     Ok(()) => self.voter.borrow_mut().saved(save),
                     Err(error) => {
-                        spdlog::warn!("nothing is promised to, as the disk takes nothing: {}", error);
+                        spdlog::warn!("nothing is promised, as the disk takes nothing: {}", error);
                         vote = Vote::Unable;
                     }
                 }
