--- a/lab/src/system/judge.rs
+++ b/lab/src/system/judge.rs
@@ -204,7 +204,9 @@
             calm = if seen.settled(at) { calm + Duration::from_millis(100) } else { Duration::ZERO };
             at += Duration::from_millis(100);
             if calm > ACKNOWLEDGE && owed {
-                say("DUTY", at, format!("{} not acknowledged in time", short(&order.what)));
+                let (what, sent) = (short(&order.what), seen.seconds(order.sent));
+                let acked = order.acked.map(|at| seen.seconds(at));
+                say("DUTY", at, format!("{what} not acknowledged in time: sent at {sent:.2}, {acked:.2?}"));
                 break;
             }
         }
