Break both import circles, and let a change of voters alone cost a door nothing

Cause: carrier's lend, link and rounds, and mailroom's changes and messages imported each other; a door made its tables, and arranged all backends, anew for each register, also where only the voters had changed. Change: what carrier's modules tell each other is in news.rs; the changes that travel are in messages.rs. A register with the same text and the same evacuations is noted and nothing made of it; a change without edits, whose sum is that of the text in hand, keeps the text as it is. Test: carrier rounds::tests (failed with the comparison taken out), mailroom changes::tests (failed with the sum not looked at).

--- a/carrier/src/lend.rs
+++ b/carrier/src/lend.rs
@@ -1,7 +1,7 @@
 //! Tokens borrowed from the nearest postmaster, where doors are too many to hold a slice of each quota: asks that wait are
 //! sent together, and each is answered, also where no postmaster answers.
 
-use crate::rounds::News;
+use crate::news::{Ask, LENT_WITHIN, Loans, News};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use vanewharf::interface::TxnId;
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::feed::Feed;
@@ -17,28 +16,10 @@
 use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::settings::Settings;
 
-/// For one answer: across regions it takes two ways.
-pub const WITHIN: Duration = Duration::from_millis(300);
 /// A postmaster that did not answer is not asked for so long.
 const SPARED: Duration = Duration::from_secs(2);
 const MOST_AT_ONCE: usize = 64;
 
-/// One request's ask, or one for a lot ahead of requests, or both.
-pub struct Ask {
-    pub txn: Option<TxnId>,
-    pub tenant: Rc<str>,
-    pub more: u32,
-}
-
-/// What came of asks.
-#[derive(Debug, Default)]
-pub struct Loans {
-    /// For each request that waited, whether it was lent a token; none where nobody answered.
-    pub asked: Vec<(TxnId, Option<bool>)>,
-    /// The lots, as far as they were lent.
-    pub ahead: Vec<(Rc<str>, u32)>,
-}
-
 pub struct Lending {
     pub feed: Feed,
     pub settings: Rc<Settings>,
@@ -103,7 +84,7 @@
                 callers.iter().position(|caller| caller.address == address).map(|at| callers.swap_remove(at))
             };
             let mut caller = kept.unwrap_or_else(|| Caller::to(address, &self.premises.net));
-            match caller.ask("/lend", &wanted, WITHIN).await {
+            match caller.ask("/lend", &wanted, LENT_WITHIN).await {
                 Ok(given) => {
                     self.callers.borrow_mut().push(caller);
                     return Some(given);
--- a/carrier/src/lib.rs
+++ b/carrier/src/lib.rs
@@ -4,13 +4,15 @@
 pub mod gate;
 mod lend;
 mod link;
+pub mod news;
 pub mod rounds;
 pub mod tables;
 
 use gate::{Posted, Wicket};
 use lend::Lending;
-pub use link::{Link, Told};
-use rounds::{News, Place, Rounds};
+pub use link::Link;
+use news::{News, Told};
+use rounds::{Place, Rounds};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/carrier/src/link.rs
+++ b/carrier/src/link.rs
@@ -1,31 +1,18 @@
 //! The link to the sorter on this machine: pulls what is new, and reports what was let through.
 
 use crate::gate::Posted;
-use crate::rounds::News;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use crate::news::{News, Told};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::feed::Feed;
-use vanewharf_mailroom::messages::{DoorRow, Pull, Report, Tried};
+use vanewharf_mailroom::messages::{DoorRow, Pull, Report};
 
 const WAIT: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// What the decisions last said of themselves.
-#[derive(Default)]
-pub struct Told {
-    pub let_through: RefCell<BTreeMap<String, u64>>,
-    pub slices: RefCell<BTreeMap<String, f64>>,
-    pub hosts: RefCell<BTreeMap<String, (u64, u64)>>,
-    pub tried: RefCell<BTreeMap<String, Tried>>,
-    /// Told to end: clients are to go elsewhere.
-    pub ending: Cell<bool>,
-}
-
 pub struct Link {
     pub feed: Feed,
     pub sorter: Caller,
--- a/carrier/src/rounds.rs
+++ b/carrier/src/rounds.rs
@@ -3,9 +3,8 @@
 //! may go, how often it may be sent on, what a cold backend may be given.
 
 use crate::gate::{Entry, Posted};
-use crate::lend::WITHIN;
-pub use crate::lend::{Ask, Loans};
-use crate::link::Told as Reported;
+pub use crate::news::{Ask, Loans, News};
+use crate::news::{LENT_WITHIN, Told as Reported};
 use crate::tables::{Rule, Tables, Tenant};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -26,18 +25,9 @@
 use vanewharf_franking::quota::Buckets;
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::RouteKind;
-use vanewharf_mailroom::messages::{Ledger, List, Register, Server};
+use vanewharf_mailroom::messages::{List, Register, Server};
 use vanewharf_mailroom::settings::Bounds;
 
-/// What came from the control plane.
-pub enum News {
-    Register(Rc<Register>),
-    /// With the time at which it was taken.
-    List(Rc<List>, At),
-    Ledger(Rc<Ledger>),
-    Lent(Loans),
-}
-
 /// One service in one region.
 type RoundKey = (Rc<str>, Rc<str>);
 
@@ -108,6 +98,8 @@
     steady: Steady,
     first: bool,
     chance: SmallRng,
+    /// What the tables were made from.
+    register: Option<Rc<Register>>,
     tables: Option<Rc<Tables>>,
     list: Option<(Rc<List>, At)>,
     rounds: BTreeMap<RoundKey, Round>,
@@ -163,6 +155,7 @@
             steady,
             first,
             chance: SmallRng::seed_from_u64(seed),
+            register: None,
             tables: None,
             list: None,
             rounds: BTreeMap::new(),
@@ -330,7 +323,7 @@
             self.pocket.wanted(&tenant, at);
             let pocketed = self.pocket.take(&tenant, at);
             // One that has hardly time to wait for an answer goes by what this door has itself.
-            let waits = !pocketed && arrival.expiry - now > tenths(WITHIN * 2);
+            let waits = !pocketed && arrival.expiry - now > tenths(LENT_WITHIN * 2);
             let more = if self.lenders_far { self.pocket.ahead(&tenant, at) } else { 0 };
             if waits || more > 0 {
                 // The asks end with the program only.
@@ -665,6 +658,10 @@
     fn news(&mut self, now: Tenths, news: News) -> Option<Told> {
         match news {
             News::Register(register) => {
+                let before = self.register.replace(Rc::clone(&register));
+                if before.is_some_and(|before| before.says_the_same(&register)) {
+                    return None;
+                }
                 let tables = Rc::new(Tables::of(&register)?);
                 if let Some(before) = &self.tables {
                     let at = self.steady.now();
--- a/carrier/src/rounds/tests.rs
+++ b/carrier/src/rounds/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::tables::NoWay;
 use std::cell::{Cell, RefCell};
-use vanewharf_mailroom::messages::{Ballot, RegisterNo, Use, Version};
+use vanewharf_mailroom::messages::{Ballot, Ledger, RegisterNo, Use, Version};
 
 const SECOND: Tenths = Tenths::SECOND;
 
@@ -199,6 +199,21 @@
     assert!(cold(&stage), "its backends may have become cold meanwhile");
 }
 
+#[test]
+fn a_register_whose_voters_alone_have_changed_costs_a_door_nothing() {
+    let mut stage = Stage::set(servers(), None);
+    let tables = |stage: &Stage| stage.posted.tables.borrow().clone().expect("told");
+    let before = tables(&stage);
+    let voter = "10.0.0.9:7600".parse().expect("an address");
+    let other = Register { no: RegisterNo(2), voters: vec![voter], ..Register::clone(&register(1, &[])) };
+    let said = stage.rounds.news(SECOND, News::Register(Rc::new(other.clone())));
+    assert!(said.is_none(), "nothing of backends is arranged anew");
+    assert!(Rc::ptr_eq(&before, &tables(&stage)), "nor are tables made");
+    let evacuated = Register { no: RegisterNo(3), evacuated: ["east-a".to_owned()].into(), ..other };
+    assert!(stage.rounds.news(SECOND, News::Register(Rc::new(evacuated))).is_some());
+    assert!(!Rc::ptr_eq(&before, &tables(&stage)));
+}
+
 #[test]
 fn a_cold_backend_is_given_a_part_and_the_rest_goes_elsewhere() {
     let cold = Server { cold_ms: 3_000, ..server("e1", "s", "east-a") };
--- a/lab/src/system/door.rs
+++ b/lab/src/system/door.rs
@@ -15,7 +15,7 @@
 use vanewharf::interface::{Action, BackendId, Ending, Event, Outcome, SubmissionNo, Tenths, TxnId};
 use vanewharf_carrier::Core;
 use vanewharf_carrier::gate::Wicket;
-use vanewharf_carrier::rounds::News;
+use vanewharf_carrier::news::News;
 use vanewharf_door::gate::{Admitted, Gate};
 use vanewharf_door::route::Decides;
 use vanewharf_frames::{Inward, Request};
--- a/mailroom/src/changes.rs
+++ b/mailroom/src/changes.rs
@@ -2,11 +2,9 @@
 //! is far behind, or whose result is not the teller's, takes a snapshot.
 
 use crate::clock::At;
-use crate::messages::{Ballot, List, Register, RegisterNo, Server, Version};
-use serde::{Deserialize, Serialize};
+use crate::messages::{Edit, List, ListChange, Register, RegisterChange, RegisterNo, Server, Version};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Changes that are kept to be told, and their size altogether, in bytes about.
@@ -32,16 +30,6 @@
     }
 }
 
-/// One entry of a table, or a whole part where no entry is named; without a value it is gone.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Edit {
-    pub part: String,
-    #[serde(default)]
-    pub entry: Option<String>,
-    #[serde(default)]
-    pub value: Option<Box<RawValue>>,
-}
-
 impl Document {
     pub fn of(config: &RawValue) -> Option<Document> {
         let raw: BTreeMap<String, Box<RawValue>> = serde_json::from_str(config.get()).ok()?;
@@ -126,30 +114,6 @@
     }
 }
 
-/// From one register to the next.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct RegisterChange {
-    pub from: RegisterNo,
-    pub no: RegisterNo,
-    pub ballot: Ballot,
-    pub evacuated: BTreeSet<String>,
-    pub voters: Vec<SocketAddr>,
-    pub edits: Vec<Edit>,
-    /// Of the text that the configuration has afterwards.
-    pub sum: u32,
-}
-
-/// From one list to the next.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ListChange {
-    pub from: Version,
-    pub version: Version,
-    /// How long ago the newer one was taken.
-    pub age_ms: u64,
-    pub set: Vec<Server>,
-    pub gone: Vec<String>,
-}
-
 fn checksum(text: &RawValue) -> u32 {
     crc32fast::hash(text.get().as_bytes())
 }
@@ -159,34 +123,34 @@
     edits.iter().map(|edit| 60 + edit.value.as_ref().map_or(0, |value| value.get().len())).sum()
 }
 
-impl RegisterChange {
-    /// None where one of them has no configuration, or it would be no shorter than the whole.
-    fn between(
-        from: &Register,
-        to: &Register,
-        old: &Document,
-        new: &Document,
-    ) -> Option<(RegisterChange, usize)> {
-        let edits = old.edits(new);
-        let size = size(&edits);
-        let whole = to.config.as_ref()?.get().len();
-        let change = RegisterChange {
-            from: from.no,
-            no: to.no,
-            ballot: to.ballot,
-            evacuated: to.evacuated.clone(),
-            voters: to.voters.clone(),
-            edits,
-            sum: checksum(&new.text()?),
-        };
-        (size * 2 < whole).then_some((change, size))
-    }
+/// None where one of them has no configuration, or it would be no shorter than the whole.
+fn between(
+    from: &Register,
+    to: &Register,
+    old: &Document,
+    new: &Document,
+) -> Option<(RegisterChange, usize)> {
+    let edits = old.edits(new);
+    let size = size(&edits);
+    let whole = to.config.as_ref()?.get().len();
+    let change = RegisterChange {
+        from: from.no,
+        no: to.no,
+        ballot: to.ballot,
+        evacuated: to.evacuated.clone(),
+        voters: to.voters.clone(),
+        edits,
+        sum: checksum(&new.text()?),
+    };
+    (size * 2 < whole).then_some((change, size))
 }
 
 /// The words' changes that can be told, and what the next one is taken against.
 #[derive(Clone, Debug, Default)]
 pub struct RegisterChanges {
     document: Option<Document>,
+    /// Of the document's text, where it is known.
+    sum: Option<u32>,
     kept: VecDeque<(RegisterChange, usize)>,
 }
 
@@ -195,10 +159,11 @@
     pub fn moved(&mut self, from: Option<&Register>, to: &Register) {
         let newer = to.config.as_ref().and_then(|config| Document::of(config));
         let change = match (from, &self.document, &newer) {
-            (Some(from), Some(old), Some(new)) => RegisterChange::between(from, to, old, new),
+            (Some(from), Some(old), Some(new)) => between(from, to, old, new),
             _ => None,
         };
         self.document = newer;
+        self.sum = change.as_ref().map(|(change, _)| change.sum);
         self.keep(change);
     }
 
@@ -223,22 +188,29 @@
 
     /// The register after these changes; none where they do not start from the one in hand or lead elsewhere than they say.
     pub fn follow(&mut self, from: &Register, changes: Vec<RegisterChange>) -> Option<Register> {
-        let mut document = self.document.clone()?;
         let mut no = from.no;
         for change in &changes {
             if change.from != no {
                 return None;
             }
-            document.apply(&change.edits);
             no = change.no;
         }
         let last = changes.last()?;
-        let text = document.text()?;
-        if checksum(&text) != last.sum {
-            return None;
-        }
+        // Where voters or evacuations alone have changed, the configuration costs nothing.
+        let text = if self.sum == Some(last.sum) && changes.iter().all(|change| change.edits.is_empty()) {
+            from.config.clone()?
+        } else {
+            let mut document = self.document.clone()?;
+            changes.iter().for_each(|change| document.apply(&change.edits));
+            let text = document.text()?;
+            if checksum(&text) != last.sum {
+                return None;
+            }
+            self.document = Some(document);
+            self.sum = Some(last.sum);
+            text
+        };
         let (ballot, evacuated, voters) = (last.ballot, last.evacuated.clone(), last.voters.clone());
-        self.document = Some(document);
         for change in changes {
             let size = size(&change.edits);
             self.keep(Some((change, size)));
--- a/mailroom/src/changes/tests.rs
+++ b/mailroom/src/changes/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::messages::{Mail, Vector};
+use crate::messages::{Ballot, Mail, Vector, Version};
 use crate::store::Store;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -124,3 +124,30 @@
     assert!(snapshot.register.is_some() && reader.absorb(snapshot, START, START).register);
     assert_eq!(reader.have().register, RegisterNo(2));
 }
+
+#[test]
+fn a_change_of_voters_alone_is_followed_and_one_that_leads_to_another_text_is_not() {
+    let (mut teller, mut reader) = (Store::default(), Store::default());
+    let routes: BTreeMap<_, _> = (0..40u64).map(|one| (format!("r{one}"), one)).collect();
+    let tell = |teller: &Store, reader: &Store| teller.mail(&reader.have(), false, Duration::ZERO, START);
+    for no in 1..=2 {
+        teller.set_register(Rc::new(register(no, &routes, 0)));
+        reader.absorb(tell(&teller, &reader), START, START);
+    }
+    let document = |store: &Store| store.register.as_ref().and_then(|one| one.config.clone()).expect("one");
+    let before = document(&reader);
+    let voters = vec!["10.0.0.9:7600".parse().expect("an address")];
+    let after = Register { no: RegisterNo(3), voters: voters.clone(), ..register(2, &routes, 0) };
+    teller.set_register(Rc::new(after));
+    let mut mail = tell(&teller, &reader);
+    assert!(mail.register_changes.iter().all(|change| change.edits.is_empty()));
+    // One whose sum is another's is not believed, though it edits nothing.
+    let mut other = Mail { register_changes: mail.register_changes.clone(), ..Mail::default() };
+    other.register_changes[0].sum ^= 1;
+    let mut doubtful = reader.clone();
+    assert!(!doubtful.absorb(other, START, START).register);
+    mail.sure_ms = Some(0);
+    assert!(reader.absorb(mail, START, START).register);
+    assert_eq!((document(&reader).get(), reader.have().register), (before.get(), RegisterNo(3)));
+    assert_eq!(reader.register.as_ref().map(|register| register.voters.clone()), Some(voters));
+}
--- a/mailroom/src/messages.rs
+++ b/mailroom/src/messages.rs
@@ -1,7 +1,6 @@
 //! What the system's programs tell each other, as JSON. A reader pulls: it says what it has of each source, and gets what
 //! it lacks. Spans are whole milliseconds; an instant never travels, only how long ago it was.
 
-use crate::changes::{ListChange, RegisterChange};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,6 +38,12 @@
         }
     }
 
+    /// Whether the two are alike to a door: its voters are not its business.
+    pub fn says_the_same(&self, other: &Register) -> bool {
+        let (one, two) = (self.config.as_deref(), other.config.as_deref());
+        self.evacuated == other.evacuated && one.map(RawValue::get) == two.map(RawValue::get)
+    }
+
     /// Of two, the one that later holders go by.
     pub fn rank(&self) -> (Ballot, RegisterNo) {
         (self.ballot, self.no)
@@ -184,6 +189,40 @@
     pub reports: Vec<Report>,
 }
 
+/// One entry of a table, or a whole part where no entry is named; without a value it is gone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Edit {
+    pub part: String,
+    #[serde(default)]
+    pub entry: Option<String>,
+    #[serde(default)]
+    pub value: Option<Box<RawValue>>,
+}
+
+/// From one register to the next.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RegisterChange {
+    pub from: RegisterNo,
+    pub no: RegisterNo,
+    pub ballot: Ballot,
+    pub evacuated: BTreeSet<String>,
+    pub voters: Vec<SocketAddr>,
+    pub edits: Vec<Edit>,
+    /// Of the text that the configuration has afterwards.
+    pub sum: u32,
+}
+
+/// From one list to the next.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListChange {
+    pub from: Version,
+    pub version: Version,
+    /// How long ago the newer one was taken.
+    pub age_ms: u64,
+    pub set: Vec<Server>,
+    pub gone: Vec<String>,
+}
+
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Mail {
     pub register: Option<Register>,
--- a/mailroom/src/store.rs
+++ b/mailroom/src/store.rs
@@ -1,9 +1,9 @@
 //! What a process has of each source, and how it is passed on: the newest version of each, never one that is older than
 //! what it had.
 
-use crate::changes::{ListChange, ListChanges, RegisterChange, RegisterChanges};
+use crate::changes::{ListChanges, RegisterChanges};
 use crate::clock::At;
-use crate::messages::{Ledger, List, Mail, Register, RegisterNo, Vector};
+use crate::messages::{Ledger, List, ListChange, Mail, Register, RegisterChange, RegisterNo, Vector};
 use std::rc::Rc;
 use std::time::Duration;
 
