--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod evidence;
 pub mod pocket;
 pub mod quota;
+pub mod source;
 pub mod summing;
 pub mod view;
 pub mod voter;
--- a/mailroom/src/changes/tests.rs
+++ b/mailroom/src/changes/tests.rs
@@ -125,6 +125,30 @@
     assert_eq!(reader.have().register, RegisterNo(2));
 }
 
+#[test]
+fn a_list_that_could_not_be_followed_is_not_taken_for_the_newest() {
+    let (mut teller, mut reader) = (Store::default(), Store::default());
+    let list = |no, draining| {
+        let servers = (0..9).map(|id| server(id, 0, draining && id == 0)).collect();
+        List { version: Version { ballot: Ballot(1), no }, age_ms: 0, servers }
+    };
+    let tell = |teller: &Store, reader: &Store| {
+        let mail = teller.mail(&reader.have(), false, Duration::ZERO, START);
+        Mail { sure_ms: Some(0), ..mail }
+    };
+    teller.set_list(list(1, false), START);
+    reader.absorb(tell(&teller, &reader), START.before(Duration::from_secs(5)), START);
+    let sure = reader.sure;
+    teller.set_list(list(2, true), START);
+    let mut mail = tell(&teller, &reader);
+    assert_eq!(mail.list_changes.len(), 1);
+    mail.list_changes[0].from.no = 7;
+    assert!(!reader.absorb(mail, START, START).list);
+    assert_eq!(reader.sure, sure, "it has not what its teller has");
+    let news = reader.absorb(tell(&teller, &reader), START, START);
+    assert!(news.list && reader.sure == Some(START) && news.sure == Some(START));
+}
+
 #[test]
 fn a_change_of_voters_alone_is_followed_and_one_that_leads_to_another_text_is_not() {
     let (mut teller, mut reader) = (Store::default(), Store::default());
--- a/mailroom/src/store.rs
+++ b/mailroom/src/store.rs
@@ -20,7 +20,7 @@
     pub listed: At,
     pub ledger: Option<Rc<Ledger>>,
     pub ledger_at: At,
-    /// When the register was certainly the newest acknowledged.
+    /// When the register was certainly the newest acknowledged, and the list at least the one that its holder had.
     pub sure: Option<At>,
     pub holder: Option<std::net::SocketAddr>,
 }
@@ -31,6 +31,8 @@
     pub register: bool,
     pub list: bool,
     pub ledger: bool,
+    /// When what its sender has was certainly the newest: the sender's own word, whatever is in hand here.
+    pub sure: Option<At>,
 }
 
 impl News {
@@ -125,10 +127,11 @@
         if let Some(ledger) = ledger {
             news.ledger = self.set_ledger(ledger, now);
         }
-        // How sure it is is said of the register that came.
-        if let Some(sure) = sure_ms.filter(|_| !self.lost_register) {
-            let given = asked.after(Duration::from_millis(held_ms));
-            self.be_sure(given.before(Duration::from_millis(sure)));
+        let given = asked.after(Duration::from_millis(held_ms));
+        news.sure = sure_ms.map(|sure| given.before(Duration::from_millis(sure)));
+        // It is said of all that came: where the register or the list could not be followed, what is here is older.
+        if let Some(sure) = news.sure.filter(|_| !self.lost_register && !self.lost_list) {
+            self.be_sure(sure);
         }
         self.holder = holder.or(self.holder);
         news
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -3,11 +3,12 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
 use vanewharf_frames::Request;
+use vanewharf_franking::source::{Next, Sources};
 use vanewharf_franking::view::View;
 use vanewharf_mailroom::call::{Caller, Said, serve};
 use vanewharf_mailroom::clock::{At, Steady};
@@ -17,21 +18,17 @@
 use vanewharf_mailroom::program::End;
 use vanewharf_mailroom::settings::Settings;
 
-/// How long a pull waits for news.
-const WAIT: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(60);
 /// A report that its carrier made longer ago tells nothing: the carrier is gone.
 const STALE: Duration = Duration::from_millis(800);
-/// A postmaster that is further behind than this is left for another.
-const BEHIND: Duration = Duration::from_millis(2000);
-/// How long one that failed is not asked again while others are left.
-const SPARED: Duration = Duration::from_secs(3);
 /// A carrier that ends is fed for this much of the grace that a process is given.
 const FEEDS_ON: f64 = 0.9;
 
 /// How often the view is shuffled, and how long a neighbour is waited for.
 const SHUFFLED: Duration = Duration::from_millis(1800);
 const BESIDE: Duration = Duration::from_millis(400);
+/// Connections kept to sources that are asked in turn.
+const MOST_CALLERS: usize = 4;
 /// Other doors' reports that are passed on.
 const MOST_RELAYED: usize = 8;
 
@@ -154,8 +151,7 @@
     }
 }
 
-/// From the nearest postmaster that answers and is up to date; where there is none, from a neighbour that is; else from
-/// a postmaster that is behind: clients hear of this door through it.
+/// Hears through one source after the other, as `Sources` has it.
 async fn keep_pulling(
     settings: Rc<Settings>,
     premises: Premises,
@@ -164,35 +160,21 @@
     view: Rc<RefCell<View>>,
     relayed: Relayed,
 ) {
-    let (mut from, mut in_vain): (Option<Caller>, bool) = (None, false);
-    let (mut failed, mut behind): (BTreeMap<SocketAddr, At>, BTreeMap<SocketAddr, At>) = Default::default();
+    let (mut callers, mut sources): (Vec<Caller>, Sources) = Default::default();
     loop {
-        let now = feed.now();
-        failed.retain(|_, at| now.since(*at) < SPARED);
-        behind.retain(|_, at| now.since(*at) < SPARED);
         let offices: Vec<_> = known(&settings, &feed).into_iter().map(|ip| settings.office(ip)).collect();
         let beside: Vec<_> = {
             // From one on that is this door's own, so that not all turn to the same.
             let order = view.borrow().order(usize::from(u8::try_from(settings.name.len()).unwrap_or(0)));
             order.into_iter().map(|ip| settings.neighbour(ip)).collect()
         };
-        let answers = |at: &&SocketAddr| !failed.contains_key(at);
-        let current = |at: &&SocketAddr| answers(at) && !behind.contains_key(at);
-        // A neighbour in vain is followed by a postmaster that answers: the registry must hear of this door.
-        let turn = !std::mem::replace(&mut in_vain, false);
-        let neighbour = beside.iter().find(|at| turn && current(at));
-        let best = offices.iter().find(current).or(neighbour);
-        let Some(best) = best.or_else(|| offices.iter().find(answers)).copied() else {
-            failed.clear();
+        let Some(Next { source: best, wait }) = sources.next(&offices, &beside, feed.now()) else {
             sleep(PAUSE).await;
             continue;
         };
-        if from.as_ref().is_none_or(|caller| caller.address != best) {
-            from = Some(Caller::to(best, &premises.net));
-        }
-        let Some(caller) = &mut from else {
-            continue;
-        };
+        let kept = callers.iter().position(|caller| caller.address == best).map(|at| callers.remove(at));
+        let mut caller = kept.unwrap_or_else(|| Caller::to(best, &premises.net));
+        let now = feed.now();
         let aged = |(report, made): &(Report, At)| {
             let age = now.since(*made);
             (age < STALE).then(|| Report { age_ms: age.as_millis() as u64, ..report.clone() })
@@ -203,26 +185,23 @@
         let others = relayed.into_iter().filter(|report| Some(&report.door.name) != name.as_ref());
         let pull = Pull {
             have: feed.store().have(),
-            wait_ms: WAIT.as_millis() as u64,
+            wait_ms: wait.as_millis() as u64,
             office: None,
             lent: None,
             reports: own.into_iter().chain(others).collect(),
         };
-        match feed.pull(caller, &pull).await {
-            Ok(_) => {
-                let sure = feed.store().sure;
-                if sure.is_none_or(|sure| feed.now().since(sure) > BEHIND) {
-                    // It answers and knows nothing new itself: another may.
-                    behind.insert(best, feed.now());
-                    in_vain = beside.contains(&best);
+        match feed.pull(&mut caller, &pull).await {
+            // By the source's own word: what is in hand may be newer, of another one.
+            Ok(news) => {
+                callers.insert(0, caller);
+                callers.truncate(MOST_CALLERS);
+                if !sources.answered(best, news.sure, &beside, feed.now()) {
                     sleep(PAUSE).await;
                 }
             }
             Err(why) => {
                 spdlog::debug!("nothing from {}: {}", best, why);
-                failed.insert(best, feed.now());
-                in_vain = beside.contains(&best);
-                from = None;
+                sources.failed(best, &beside, feed.now());
                 sleep(PAUSE).await;
             }
         }
