--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod membership;
 pub mod pocket;
 pub mod quota;
+pub mod source;
 pub mod summing;
 pub mod view;
 pub mod voter;
