Carry out orders that wait in one round, drop those whose caller went, tell bodies apart

Cause: orders were carried out one after the other, each for up to KEPT_BY 5.5 s; nobody watched the connection of a caller while its order waited, so that an order whose caller had gone elsewhere was carried out as if new (lab: an Evacuation.Finish held up on its way, sent again elsewhere, taken back by a Begin that was acknowledged, then delivered: the evacuation was gone); two operators were both confirmed under one number.

Change: franking/src/group.rs works out, purely, what a group of orders comes to on the newest register that was proposed; postmaster/src/orders.rs has one round for all that wait, and a second one after 0.6 s where the first is held up (registers under one ballot are a chain: the later one makes both certain). attend drops a handler whose caller's connection has ended, looked at before the handler; an order that is dropped or over 1 s old is not begun. The register remembers the last 256 configurations taken, by number and digest (FNV-1a of the text): the same is acknowledged again, another body under such a number gets 409 with the number held; a number that was passed over is acknowledged, as before.

The test of testletter that held the second body under r3 to 200 asks for 409 now, and for 200 to the first one again: it guarded that the first body stays, and let both operators be confirmed, which the users name as a fault.

Ruled out: refusing in the voter; comparing parsed bodies (what is sent again is sent just as it was).

--- a/carrier/src/rounds/tests.rs
+++ b/carrier/src/rounds/tests.rs
@@ -42,7 +42,7 @@
     );
     let config = Some(serde_json::from_str(&config).expect("JSON"));
     let evacuated = evacuated.iter().map(|zone| zone.to_string()).collect();
-    Rc::new(Register { ballot: Ballot(1), no: RegisterNo(no), config, evacuated, voters: Vec::new() })
+    Rc::new(Register { ballot: Ballot(1), no: RegisterNo(no), config, evacuated, ..Register::none() })
 }
 
 fn ledger(lenders: Option<u32>) -> News {
--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod allowance;
 pub mod evidence;
+pub mod group;
 pub mod pocket;
 pub mod quota;
 pub mod summing;
--- a/mailroom/src/call.rs
+++ b/mailroom/src/call.rs
@@ -231,12 +231,36 @@
     }
 }
 
+/// What the handler says, or nothing where the caller has gone: nobody waits for it any more, so that it is dropped where
+/// it stands. The connection is looked at first, as what was held up on its way comes together with its end. A request
+/// that comes meanwhile is read ahead, one at most.
+async fn unless_gone(
+    framed: &mut Framed<Stream, Inward>,
+    ahead: &mut Option<Result<Request, Fault>>,
+    saying: impl Future<Output = Said>,
+) -> Option<Said> {
+    let mut saying = std::pin::pin!(saying);
+    std::future::poll_fn(|cx| {
+        if ahead.is_none()
+            && let std::task::Poll::Ready(read) = framed.poll_next_unpin(cx)
+        {
+            match read {
+                None | Some(Err(Fault::Io(_) | Fault::Cut)) => return std::task::Poll::Ready(None),
+                Some(read) => *ahead = Some(read),
+            }
+        }
+        saying.as_mut().poll(cx).map(Some)
+    })
+    .await
+}
+
 async fn attend<H, F>(stream: Stream, handler: &H)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Said>,
 {
     let mut framed = Framed::new(stream, Inward::up_to(MOST_BODY));
+    let mut ahead = None;
     loop {
         let begun = std::future::poll_fn(|cx| match framed.poll_next_unpin(cx) {
             std::task::Poll::Ready(read) => std::task::Poll::Ready(Some(read)),
@@ -245,13 +269,16 @@
             }
             std::task::Poll::Pending => std::task::Poll::Ready(None),
         });
-        let read = match timeout(IDLE, begun).await {
-            Ok(Some(read)) => read,
-            Ok(None) => match timeout(WHOLE, framed.next()).await {
-                Ok(read) => read,
+        let read = match ahead.take() {
+            Some(read) => Some(read),
+            None => match timeout(IDLE, begun).await {
+                Ok(Some(read)) => read,
+                Ok(None) => match timeout(WHOLE, framed.next()).await {
+                    Ok(read) => read,
+                    Err(_) => return,
+                },
                 Err(_) => return,
             },
-            Err(_) => return,
         };
         let (said, last) = match read {
             None | Some(Err(Fault::Io(_) | Fault::Cut)) => return,
@@ -260,7 +287,10 @@
             Some(Err(fault)) => (Said::status(400, &fault.to_string()), true),
             Some(Ok(request)) => {
                 let last = request.last();
-                (handler(request).await, last)
+                match unless_gone(&mut framed, &mut ahead, handler(request)).await {
+                    Some(said) => (said, last),
+                    None => return,
+                }
             }
         };
         let mut fields: Vec<_> = said.fields.iter().map(|(name, value)| (*name, value.as_str())).collect();
--- a/mailroom/src/changes.rs
+++ b/mailroom/src/changes.rs
@@ -243,7 +243,7 @@
             let size = size(&change.edits);
             self.keep(Some((change, size)));
         }
-        Some(Register { ballot, no, config: Some(text), evacuated, voters })
+        Some(Register { ballot, no, config: Some(text), evacuated, voters, taken: Vec::new() })
     }
 }
 
--- a/mailroom/src/messages.rs
+++ b/mailroom/src/messages.rs
@@ -26,6 +26,17 @@
     /// Who grants leases and keeps words; none: those of the first start.
     #[serde(default)]
     pub voters: Vec<SocketAddr>,
+    /// The last configurations that were taken, in their order; for postmasters alone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub taken: Vec<Taken>,
+}
+
+/// A configuration that was taken: one that is sent again is told by this from another one under its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken {
+    pub revision: u64,
+    /// Of its text as it was sent.
+    pub digest: u64,
 }
 
 impl Register {
@@ -36,6 +47,7 @@
             config: None,
             evacuated: BTreeSet::new(),
             voters: Vec::new(),
+            taken: Vec::new(),
         }
     }
 
--- a/mailroom/src/store.rs
+++ b/mailroom/src/store.rs
@@ -151,7 +151,10 @@
         // Rounded so that nothing is taken for surer than it is.
         let sure_ms = self.sure.map(|sure| now.since(sure).as_millis() as u64 + 1);
         Mail {
-            register: register.map(|register| Register::clone(register)),
+            register: register.map(|register| {
+                let taken = if verbatim { register.taken.clone() } else { Vec::new() };
+                Register { taken, ..Register::clone(register) }
+            }),
             register_changes: register_changes.unwrap_or_default(),
             list,
             list_changes: list_changes.unwrap_or_default(),
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -71,6 +71,8 @@
     callers: RefCell<BTreeMap<SocketAddr, Vec<Caller>>>,
     /// No number is given twice under one ballot.
     next: Cell<RegisterNo>,
+    /// The last register that was proposed for the operator's orders, certain or not.
+    proposed: RefCell<Option<Register>>,
     leaving: Cell<bool>,
     /// The configuration of the register in hand, read once.
     config: RefCell<(RegisterNo, Option<Rc<Config>>)>,
@@ -99,6 +101,7 @@
             term: Cell::new(None),
             callers: RefCell::default(),
             next: Cell::new(RegisterNo(0)),
+            proposed: RefCell::default(),
             leaving: Cell::new(false),
             config: RefCell::default(),
         });
@@ -371,6 +374,7 @@
     async fn kept(self: &Rc<Self>, register: &Register) -> bool {
         let (before, after) = (self.voters(), self.voters_of(register));
         let voters: BTreeSet<_> = before.iter().chain(&after).copied().collect();
+        let no = register.no;
         let (said, mut votes) = mpsc::unbounded_channel();
         let mut trying = Vec::new();
         for &voter in &voters {
@@ -381,6 +385,7 @@
                     let kept = match office.ask(voter, &vote_request, SLOW).await {
                         Some(Vote::Accepted) => true,
                         Some(Vote::Refused { .. }) => false,
+                        _ if office.superseded(no) => return,
                         _ => {
                             sleep(AGAIN).await;
                             continue;
@@ -421,23 +426,61 @@
         carried(&kept)
     }
 
-    /// Makes a register the one in force; false where it is not certain to be.
-    pub async fn acknowledge(self: &Rc<Self>, change: impl FnOnce(&Register) -> Register) -> bool {
-        let Some(term) = self.term.get().filter(|_| self.holds()) else {
-            return false;
-        };
-        let now = self.feed.store().register.clone();
-        let changed = change(now.as_deref().unwrap_or(&Register::none()));
+    /// What the next register is worked out on. Where one was proposed under the ballot in hand, that is in the way to a
+    /// majority and may come to be in force: the next one holds what it changed.
+    pub fn newest(&self) -> Register {
+        let settled = self.feed.store().register.clone();
+        let settled = settled.as_deref().cloned().unwrap_or_else(Register::none);
+        let ballot = self.ballot();
+        let proposed = self.proposed.borrow();
+        let newer = |register: &&Register| register.ballot == ballot && register.rank() > settled.rank();
+        proposed.as_ref().filter(newer).cloned().unwrap_or(settled)
+    }
+
+    /// Whether it is what a majority has, and nobody else can have changed it since.
+    pub fn certain(&self, register: &Register) -> bool {
+        let store = self.feed.store();
+        let settled = store.register.as_deref().map_or((Ballot(0), RegisterNo(0)), Register::rank);
+        self.holds() && settled == register.rank()
+    }
+
+    fn numbered(&self, register: Register) -> Option<Register> {
+        let term = self.term.get().filter(|_| self.holds())?;
         let no = self.next.get();
         self.next.set(RegisterNo(no.0 + 1));
-        let register = Register { ballot: term.ballot, no, ..changed };
-        if !self.kept(&register).await || !self.holds() || self.ballot() != term.ballot {
+        Some(Register { ballot: term.ballot, no, ..register })
+    }
+
+    /// Gives a register its number under the ballot in hand; it is to be kept now.
+    pub fn propose(&self, register: Register) -> Option<Register> {
+        let register = self.numbered(register)?;
+        *self.proposed.borrow_mut() = Some(register.clone());
+        Some(register)
+    }
+
+    /// Makes what was proposed the one in force; false where it is not certain to be.
+    pub async fn keep(self: &Rc<Self>, register: Register) -> bool {
+        if !self.kept(&register).await || !self.holds() || self.ballot() != register.ballot {
             return false;
         }
         self.feed.change(|store| store.set_register(Rc::new(register)));
         true
     }
 
+    /// A later one was proposed, which holds all that this one does.
+    fn superseded(&self, no: RegisterNo) -> bool {
+        self.next.get().0 > no.0 + 1
+    }
+
+    /// Makes a register the one in force; false where it is not certain to be. For changes of the set of voters, with
+    /// no round under way: one that is not certain is not worked on.
+    pub async fn acknowledge(self: &Rc<Self>, change: impl FnOnce(&Register) -> Register) -> bool {
+        match self.numbered(change(&self.newest())) {
+            Some(register) => self.keep(register).await,
+            None => false,
+        }
+    }
+
     /// Another voter, where there are fewer than are wanted and this one follows.
     pub async fn enlarge(self: &Rc<Self>, one: SocketAddr) -> bool {
         let mut voters = self.voters();
--- a/postmaster/src/orders.rs
+++ b/postmaster/src/orders.rs
@@ -1,12 +1,20 @@
-//! The operator's orders: one task takes them one after the other while this process holds the lease.
+//! The operator's orders. One task takes them while this process holds the lease: all that wait share one register and
+//! one round among the voters (`franking/src/group.rs`), and each gets an outcome of its own.
+//!
+//! Registers under one ballot are a chain: each holds all that the ones before it changed, and a voter takes only a higher
+//! one. So what a majority keeps makes all before it certain, too, and a round that is held up need not be waited for:
+//! after `OVERTAKEN` a second one may start, which takes the first one's orders along if that fails.
 
 use crate::office::Office;
 use serde_json::value::RawValue;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use vanewharf_mailroom::config::Revision;
-use vanewharf_mailroom::messages::Register;
+use tokio::time::{Instant, timeout};
+use vanewharf_franking::group::{Change, Outcome, gathered};
+use vanewharf_mailroom::messages::{Ballot, Register, RegisterNo};
 
 #[derive(Debug)]
 pub enum Order {
@@ -19,21 +27,17 @@
         out: SocketAddr,
         into: SocketAddr,
     },
-    Replace {
-        revision: Revision,
-        config: Box<RawValue>,
-    },
-    Evacuate {
-        zone: String,
-        begin: bool,
-    },
-    Read,
+    Change(Change),
 }
 
 /// What became of an order.
 #[derive(Debug)]
 pub enum Done {
     Acknowledged,
+    /// Another configuration was taken under its number; this is the number held.
+    Conflict {
+        held: u64,
+    },
     Configuration(Option<Box<RawValue>>),
     /// Nothing is certain: it may or may not come to be in force.
     Uncertain,
@@ -41,74 +45,222 @@
     NotHere,
 }
 
+struct Waiting {
+    order: Order,
+    came: Instant,
+    reply: oneshot::Sender<Done>,
+}
+
+impl Waiting {
+    /// Its caller has gone, or has gone elsewhere by now: what was sent again there may be overtaken already.
+    fn left(&self) -> bool {
+        self.reply.is_closed() || self.came.elapsed() > WAITED
+    }
+}
+
+enum Event {
+    Came(Waiting),
+    /// A round has ended, with its register kept by a majority or not.
+    Ended {
+        ballot: Ballot,
+        no: RegisterNo,
+        kept: bool,
+    },
+}
+
 #[derive(Clone)]
 pub struct Orders {
-    queue: mpsc::Sender<(Order, oneshot::Sender<Done>)>,
+    office: Rc<Office>,
+    events: mpsc::Sender<Event>,
 }
 
 /// Orders that wait at once; more are turned away.
-const MOST_WAITING: usize = 32;
+const MOST_WAITING: usize = 64;
+/// An operator goes to another door after a second of silence.
+const WAITED: Duration = Duration::from_secs(1);
+/// A round that takes longer is not waited for by the next one.
+const OVERTAKEN: Duration = Duration::from_millis(600);
+/// Rounds under way at once: each is one more write at a voter whose disk is slow.
+const MOST_ROUNDS: usize = 2;
+/// How often those that wait are looked at.
+const LOOKED_AT: Duration = Duration::from_millis(100);
 
 impl Orders {
     pub fn start(office: Rc<Office>) -> Orders {
-        let (queue, mut taken) = mpsc::channel::<(Order, oneshot::Sender<Done>)>(MOST_WAITING);
-        tokio::task::spawn_local(async move {
-            while let Some((order, reply)) = taken.recv().await {
-                let _ = reply.send(carry_out(&office, order).await);
-            }
-        });
-        Orders { queue }
+        let (events, taken) = mpsc::channel(MOST_WAITING);
+        let (waiting, rounds) = (VecDeque::new(), Vec::new());
+        let clerk = Clerk { office: Rc::clone(&office), events: events.clone(), waiting, rounds };
+        tokio::task::spawn_local(clerk.serve(taken));
+        Orders { office, events }
     }
 
+    /// Where whoever calls drops this, the order is not begun any more.
     pub async fn give(&self, order: Order) -> Done {
         let (reply, done) = oneshot::channel();
-        if self.queue.try_send((order, reply)).is_err() {
+        let waiting = Waiting { order, came: Instant::now(), reply };
+        if self.events.try_send(Event::Came(waiting)).is_err() {
             return Done::Uncertain;
         }
         done.await.unwrap_or(Done::Uncertain)
     }
+
+    /// The newest configuration that is certain; nobody can have had a newer one acknowledged while the lease lasts.
+    pub fn read(&self) -> Done {
+        let register = self.office.feed.store().register.clone();
+        let config = register.and_then(|register| register.config.clone());
+        if self.office.holds() { Done::Configuration(config) } else { Done::NotHere }
+    }
+}
+
+/// One register on its way to a majority, and those who are told once it is certain.
+struct Round {
+    ballot: Ballot,
+    no: RegisterNo,
+    begun: Instant,
+    told: Vec<(Done, oneshot::Sender<Done>)>,
+}
+
+/// Owns all orders that wait and all rounds.
+struct Clerk {
+    office: Rc<Office>,
+    events: mpsc::Sender<Event>,
+    waiting: VecDeque<Waiting>,
+    /// In the order in which they were begun.
+    rounds: Vec<Round>,
 }
 
-async fn carry_out(office: &Rc<Office>, order: Order) -> Done {
-    if !office.holds() {
-        return Done::NotHere;
+impl Clerk {
+    async fn serve(mut self, mut taken: mpsc::Receiver<Event>) {
+        loop {
+            let event = if self.waiting.is_empty() {
+                taken.recv().await
+            } else {
+                timeout(LOOKED_AT, taken.recv()).await.unwrap_or(None)
+            };
+            event.into_iter().for_each(|event| self.hear(event));
+            while let Ok(event) = taken.try_recv() {
+                self.hear(event);
+            }
+            self.go_on().await;
+        }
+    }
+
+    fn hear(&mut self, event: Event) {
+        match event {
+            Event::Came(order) if self.waiting.len() < MOST_WAITING => self.waiting.push_back(order),
+            Event::Came(order) => drop(order.reply.send(Done::Uncertain)),
+            Event::Ended { ballot, no, kept } => self.ended(ballot, no, kept),
+        }
     }
-    let register = office.feed.store().register.clone();
-    let register = register.as_deref();
-    let acknowledged = match order {
-        Order::Read => {
-            let config = register.and_then(|register| register.config.clone());
-            return if office.holds() { Done::Configuration(config) } else { Done::NotHere };
+
+    fn ended(&mut self, ballot: Ballot, no: RegisterNo, kept: bool) {
+        let certain = |round: &mut Round| round.ballot == ballot && (round.no == no || kept && round.no < no);
+        let mut over: Vec<_> = self.rounds.extract_if(.., certain).collect();
+        if kept {
+            // Who has gone is told nothing.
+            let told = over.into_iter().flat_map(|round| round.told);
+            return told.for_each(|(done, reply)| drop(reply.send(done)));
         }
-        Order::Replace { revision: newer, config } => {
-            // A version that is not above the one held changes nothing.
-            if office.config().is_some_and(|held| held.revision >= newer) {
-                return if office.holds() { Done::Acknowledged } else { Done::NotHere };
+        // The next one holds all that this one does.
+        let next = self.rounds.iter_mut().find(|round| round.ballot == ballot && round.no > no);
+        match next {
+            Some(next) => over.iter_mut().for_each(|round| next.told.append(&mut round.told)),
+            None => {
+                let told = over.into_iter().flat_map(|round| round.told);
+                told.for_each(|(_, reply)| drop(reply.send(Done::Uncertain)));
             }
-            office.acknowledge(|register| Register { config: Some(config), ..register.clone() }).await
         }
-        Order::Voters { out, into } => {
-            // First one more, then one less: at each step a majority of both sets keeps the register.
-            let voters = office.voters();
-            (voters.contains(&into) || office.enlarge(into).await)
-                && (!office.voters().contains(&out) || office.dismiss(out).await)
+    }
+
+    /// Begins what may be begun now.
+    async fn go_on(&mut self) {
+        let (left, waiting): (VecDeque<_>, _) =
+            std::mem::take(&mut self.waiting).into_iter().partition(Waiting::left);
+        self.waiting = waiting;
+        left.into_iter().for_each(|waiting| drop(waiting.reply.send(Done::Uncertain)));
+        if !self.office.holds() {
+            let all = self.waiting.drain(..);
+            return all.for_each(|waiting| drop(waiting.reply.send(Done::NotHere)));
         }
-        Order::Enlarge { voter } => office.voters().contains(&voter) || office.enlarge(voter).await,
-        Order::Evacuate { zone, begin } => {
-            if register.is_some_and(|register| register.evacuated.contains(&zone)) == begin {
-                return if office.holds() { Done::Acknowledged } else { Done::NotHere };
-            }
-            let change = |register: &Register| {
-                let mut register = register.clone();
-                if begin {
-                    register.evacuated.insert(zone);
-                } else {
-                    register.evacuated.remove(&zone);
+        let ballot = self.office.ballot();
+        let own: Vec<_> = self.rounds.iter().filter(|round| round.ballot == ballot).collect();
+        let held_up = own.last().is_none_or(|round| round.begun.elapsed() >= OVERTAKEN);
+        if !held_up || own.len() >= MOST_ROUNDS {
+            return;
+        }
+        let alone = own.is_empty();
+        let (mut changes, mut replies) = (Vec::new(), Vec::new());
+        while let Some(waiting) = self.waiting.pop_front() {
+            match waiting.order {
+                Order::Change(change) => {
+                    changes.push(change);
+                    replies.push(waiting.reply);
                 }
-                register
-            };
-            office.acknowledge(change).await
+                // One at a time, and nothing else meanwhile: who keeps the register changes.
+                _ if changes.is_empty() && alone => {
+                    let acknowledged = self.membership(&waiting.order).await;
+                    let done = if acknowledged { Done::Acknowledged } else { Done::Uncertain };
+                    return drop(waiting.reply.send(done));
+                }
+                _ => {
+                    self.waiting.push_front(waiting);
+                    break;
+                }
+            }
         }
-    };
-    if acknowledged { Done::Acknowledged } else { Done::Uncertain }
+        if !changes.is_empty() {
+            self.begin(&changes, replies);
+        }
+    }
+
+    fn begin(&mut self, changes: &[Change], replies: Vec<oneshot::Sender<Done>>) {
+        let newest = self.office.newest();
+        let group = gathered(&newest, changes);
+        let held = group.register.taken.last().map_or(0, |taken| taken.revision);
+        let conflicts = group.outcomes.iter().filter(|outcome| **outcome == Outcome::Conflict).count();
+        if conflicts > 0 {
+            spdlog::warn!("{} refused: another was taken under the number; r{} is held", conflicts, held);
+        }
+        let done = |outcome| match outcome {
+            Outcome::Acknowledged => Done::Acknowledged,
+            Outcome::Conflict => Done::Conflict { held },
+        };
+        let told = group.outcomes.into_iter().map(done).zip(replies).collect();
+        if !group.changed && self.office.certain(&newest) {
+            return Vec::into_iter(told)
+                .for_each(|(done, reply): (_, oneshot::Sender<_>)| drop(reply.send(done)));
+        }
+        let same = |round: &&mut Round| (round.ballot, round.no) == newest.rank();
+        match self.rounds.last_mut().filter(same) {
+            Some(round) if !group.changed => round.told.extend(told),
+            _ => self.propose(group.register, told),
+        }
+    }
+
+    fn propose(&mut self, register: Register, told: Vec<(Done, oneshot::Sender<Done>)>) {
+        let Some(register) = self.office.propose(register) else {
+            return told.into_iter().for_each(|(_, reply)| drop(reply.send(Done::NotHere)));
+        };
+        let (ballot, no) = register.rank();
+        self.rounds.push(Round { ballot, no, begun: Instant::now(), told });
+        let (office, events) = (Rc::clone(&self.office), self.events.clone());
+        tokio::task::spawn_local(async move {
+            let kept = office.keep(register).await;
+            // The clerk ends with the program only.
+            let _ = events.send(Event::Ended { ballot, no, kept }).await;
+        });
+    }
+
+    async fn membership(&self, order: &Order) -> bool {
+        let office = &self.office;
+        match order {
+            Order::Change(_) => false,
+            Order::Enlarge { voter } => office.voters().contains(voter) || office.enlarge(*voter).await,
+            Order::Voters { out, into } => {
+                // First one more, then one less: at each step a majority of both sets keeps the register.
+                (office.voters().contains(into) || office.enlarge(*into).await)
+                    && (!office.voters().contains(out) || office.dismiss(*out).await)
+            }
+        }
+    }
 }
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use vanewharf_frames::Request;
+use vanewharf_franking::group::Change;
 use vanewharf_franking::summing::resolved;
 use vanewharf_mailroom::call::Said;
 use vanewharf_mailroom::config::Config;
@@ -23,24 +24,30 @@
     let segments: Vec<_> = path.split('/').skip(1).collect();
     let order = match (request.method(), segments.as_slice()) {
         ("GET", ["-", "resolution"]) => return resolution(desk, query),
+        ("GET", ["-", "Configuration.Read"]) => return said(desk, request, orders.read()),
         ("POST", ["-", "Configuration.Replace"]) => replace(request.body()),
-        ("GET", ["-", "Configuration.Read"]) => Ok(Order::Read),
         ("POST", ["-", "Evacuation.Begin", zone]) => evacuate(desk, zone, true),
         ("POST", ["-", "Evacuation.Finish", zone]) => evacuate(desk, zone, false),
         ("POST", ["-", "Voters.Replace", out, into]) => replace_voter(desk, out, into),
         (_, ["-", ..]) => Err(Said::status(404, "there is no such call")),
         _ => Err(Said::status(404, "calls begin with /-/")),
     };
-    let done = match order {
-        Ok(order) => orders.give(order).await,
-        Err(said) => return said,
-    };
+    match order {
+        Ok(order) => said(desk, request, orders.give(order).await),
+        Err(said) => said,
+    }
+}
+
+fn said(desk: &Desk, request: &Request, done: Done) -> Said {
     match done {
         Done::Acknowledged => Said::json(&json!({})),
         Done::Configuration(Some(config)) => {
             Said { status: 200, fields: Vec::new(), body: config.get().as_bytes().to_vec() }
         }
         Done::Configuration(None) => Said::status(404, "no configuration was sent yet"),
+        Done::Conflict { held } => {
+            Said::status(409, &format!("another configuration was taken under its number; r{held} is held"))
+        }
         Done::Uncertain => Said::status(503, "not certain to hold; send it again"),
         Done::NotHere => elsewhere(desk, request),
     }
@@ -63,14 +70,14 @@
     let config = Config::of(body).map_err(|fault| Said::status(400, &fault.to_string()))?;
     let text = String::from_utf8(body.to_vec()).map_err(|_| Said::status(400, "it is no text"))?;
     let raw = RawValue::from_string(text).map_err(|error| Said::status(400, &error.to_string()))?;
-    Ok(Order::Replace { revision: config.revision, config: raw })
+    Ok(Order::Change(Change::Replace { revision: config.revision, config: raw }))
 }
 
 fn evacuate(desk: &Desk, zone: &str, begin: bool) -> Result<Order, Said> {
     if !desk.settings.zones.contains_key(zone) {
         return Err(Said::status(404, &format!("the zone {zone} is not known")));
     }
-    Ok(Order::Evacuate { zone: zone.to_owned(), begin })
+    Ok(Order::Change(Change::Evacuate { zone: zone.to_owned(), begin }))
 }
 
 /// By the addresses of machines.
--- a/testletter/tests/whole.rs
+++ b/testletter/tests/whole.rs
@@ -65,8 +65,10 @@
     assert_eq!(replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/first/")), 200);
     assert_eq!(
         replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/second/")),
-        200
+        409,
+        "two operators must not both be confirmed under one number"
     );
+    assert_eq!(replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/first/")), 200);
     assert_eq!(replace(&town, 2, |_| {}), 200, "older, and changes nothing");
     town.until_status(0, "/first/x", Some("key-a"), 200);
     assert_eq!(town.ask(0, "GET", "/second/x", Some("key-a")).expect("answered").status(), 404);
