--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -3,9 +3,11 @@
 
 pub mod allowance;
 pub mod evidence;
+pub mod group;
 pub mod membership;
 pub mod pocket;
 pub mod quota;
+pub mod source;
 pub mod summing;
 pub mod view;
 pub mod voter;
--- a/mailroom/src/messages.rs
+++ b/mailroom/src/messages.rs
@@ -1,7 +1,6 @@
 //! What the system's programs tell each other, as JSON. A reader pulls: it says what it has of each source, and gets what
 //! it lacks. Spans are whole milliseconds; an instant never travels, only how long ago it was.
 
-use crate::changes::{ListChange, RegisterChange};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +23,9 @@
     pub config: Option<Box<RawValue>>,
     pub evacuated: BTreeSet<String>,
     pub membership: Membership,
+    /// The last configurations that were taken, in their order; for postmasters alone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub taken: Vec<Taken>,
 }
 
 /// Who grants leases and keeps the register. A change goes by joint consensus: while there are outgoing voters, a majority
@@ -37,6 +39,14 @@
     pub outgoing: Vec<SocketAddr>,
 }
 
+/// A configuration that was taken: one that is sent again is told by this from another one under its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken {
+    pub revision: u64,
+    /// Of its text as it was sent.
+    pub digest: u64,
+}
+
 impl Register {
     pub fn none() -> Register {
         Register {
@@ -45,9 +55,16 @@
             config: None,
             evacuated: BTreeSet::new(),
             membership: Membership::default(),
+            taken: Vec::new(),
         }
     }
 
+    /// Whether the two are alike to a door: its voters are not its business.
+    pub fn says_the_same(&self, other: &Register) -> bool {
+        let (one, two) = (self.config.as_deref(), other.config.as_deref());
+        self.evacuated == other.evacuated && one.map(RawValue::get) == two.map(RawValue::get)
+    }
+
     /// Of two, the one that later holders go by.
     pub fn rank(&self) -> (Ballot, RegisterNo) {
         (self.ballot, self.no)
@@ -201,6 +218,40 @@
     pub reports: Vec<Report>,
 }
 
+/// One entry of a table, or a whole part where no entry is named; without a value it is gone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Edit {
+    pub part: String,
+    #[serde(default)]
+    pub entry: Option<String>,
+    #[serde(default)]
+    pub value: Option<Box<RawValue>>,
+}
+
+/// From one register to the next.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RegisterChange {
+    pub from: RegisterNo,
+    pub no: RegisterNo,
+    pub ballot: Ballot,
+    pub evacuated: BTreeSet<String>,
+    pub membership: Membership,
+    pub edits: Vec<Edit>,
+    /// Of the text that the configuration has afterwards.
+    pub sum: u32,
+}
+
+/// From one list to the next.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListChange {
+    pub from: Version,
+    pub version: Version,
+    /// How long ago the newer one was taken.
+    pub age_ms: u64,
+    pub set: Vec<Server>,
+    pub gone: Vec<String>,
+}
+
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Mail {
     pub register: Option<Register>,
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -10,14 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
-use vanewharf_franking::membership::{Following, next, wanted};
+use vanewharf_franking::membership::{Candidate, Following, next, wanted};
 use vanewharf_franking::quota::{Buckets, Quota};
 use vanewharf_franking::summing::{Summing, for_doors, homes};
 use vanewharf_mailroom::call::{Caller, Failed};
 use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{
-    DoorRow, Follower, Lent, List, Mail, Neighbour, OfficeRow, Pull, RegisterNo, Tokens, Version,
+    DoorRow, Follower, Lent, List, Mail, Membership, Neighbour, OfficeRow, Pull, RegisterNo, Tokens, Version,
 };
 use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::settings::Settings;
@@ -233,8 +233,9 @@
     /// While the lease lasts nobody else acknowledges anything.
     pub async fn attest(self: Rc<Self>) {
         loop {
+            // Read before the lease is looked at: a process that stands still in between attests nothing of later.
+            let now = self.feed.now();
             if self.office.holds() {
-                let now = self.feed.now();
                 self.feed.change(|store| {
                     store.be_sure(now);
                     false
@@ -244,6 +245,15 @@
         }
     }
 
+    /// Who votes, and who may, as the holder sees it.
+    pub fn candidates(&self) -> (Membership, Vec<Candidate>) {
+        let membership = self.office.membership();
+        let me = (self.office.me, self.settings.zone.as_str());
+        let (office, now) = (|ip| self.settings.office(ip), self.feed.now());
+        let known = self.following.borrow().candidates(&membership.voters, me, office, now);
+        (membership, known)
+    }
+
     /// The set of voters, as it should be: enlarged to what the losses to be borne want, a lost voter replaced by a machine
     /// that keeps up, one change after the other.
     pub async fn tend_membership(self: Rc<Self>, orders: Orders) {
@@ -258,10 +268,7 @@
             if !holds {
                 continue;
             }
-            let membership = self.office.membership();
-            let me = (self.office.me, self.settings.zone.as_str());
-            let office = |ip| self.settings.office(ip);
-            let known = self.following.borrow().candidates(&membership.voters, me, office, now);
+            let (membership, known) = self.candidates();
             let voters = match membership.outgoing.is_empty() {
                 // What another holder began.
                 false => Some(membership.voters.iter().copied().collect()),
@@ -292,7 +299,11 @@
                         let known = store.list.as_ref().map(|list| list.servers.clone());
                         (store.have().list, known)
                     };
-                    if known.is_none_or(|known| cloud::differs(&known, &servers)) && self.office.holds() {
+                    // A holder before may have told some doors of a list that never came here: what is the same
+                    // as the one in hand is new to them.
+                    let others = last.ballot != self.office.ballot();
+                    let differs = others || known.is_none_or(|known| cloud::differs(&known, &servers));
+                    if differs && self.office.holds() {
                         let list = List { version: self.version(last), age_ms: 0, servers };
                         self.feed.change(|store| store.set_list(list, asked));
                     }
