Sync the folder of a new file, and confirm what was found before any vote

A new copy is followed by a sync of its folder, and a voter that starts syncs the folder before it votes by what it found.

--- a/lab/src/system/disk.rs
+++ b/lab/src/system/disk.rs
@@ -1,10 +1,10 @@
 //! A disk that keeps what was synced, and of the rest what its loss of power leaves: nothing, all, or each write there,
-//! missing or torn. It can be slow, hang, refuse writes, or lose power at a chosen deed.
+//! missing or torn. A file that was made without a sync of its folder may be gone, though it was synced itself. It can be slow, hang, refuse writes, or lose power at a chosen deed.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +37,8 @@
     /// As it would be found if all that was not synced were gone.
     durable: Files,
     unsynced: Vec<Deed>,
+    /// Files whose names are in the folder for good.
+    entered: BTreeSet<String>,
     health: Health,
     sync: Duration,
     deeds: u64,
@@ -58,6 +60,7 @@
             files: Files::new(),
             durable: Files::new(),
             unsynced: Vec::new(),
+            entered: BTreeSet::new(),
             health: Health::Well,
             sync,
             deeds: 0,
@@ -83,6 +86,7 @@
     pub fn wipe(&self) {
         let mut platter = self.platter.borrow_mut();
         (platter.files, platter.durable, platter.unsynced) = Default::default();
+        platter.entered.clear();
     }
 
     pub fn lose_power(&self, left: Left) {
@@ -114,6 +118,15 @@
                 _ => {}
             }
         }
+        found.retain(|file, _| {
+            platter.entered.contains(file)
+                || match left {
+                    Left::Nothing => false,
+                    Left::All => true,
+                    Left::Torn(_) => chance.random_bool(0.5),
+                }
+        });
+        platter.entered = found.keys().cloned().collect();
         (platter.files, platter.durable) = (found.clone(), found);
         platter.watched = None;
     }
@@ -165,6 +178,7 @@
                 platter.unsynced.push(deed);
             }
             Deed::SyncFolder => {
+                platter.entered = platter.files.keys().cloned().collect();
                 let (renames, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut platter.unsynced)
                     .into_iter()
                     .partition(|one| matches!(one, Deed::Rename { .. }));
--- a/postmaster/src/disk.rs
+++ b/postmaster/src/disk.rs
@@ -3,6 +3,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -29,9 +30,17 @@
     }
 }
 
+enum Work {
+    /// What was found is to last, with the files' names.
+    Confirm,
+    Write {
+        record: Record,
+        body: Vec<u8>,
+    },
+}
+
 struct Job {
-    record: Record,
-    body: Vec<u8>,
+    work: Work,
     done: oneshot::Sender<io::Result<()>>,
 }
 
@@ -99,12 +108,13 @@
     Ok(found)
 }
 
-/// One copy, and not before it is on disk for good.
-fn copy(record: Record, write: u64, body: &[u8]) -> Vec<Deed> {
+/// One copy, and not before it is on disk for good; a new file's name, too, which lasts with its folder's sync alone.
+fn copy(record: Record, write: u64, body: &[u8], named: bool) -> Vec<Deed> {
     let (file, number) = (record.file(write % 2), write.to_string());
     let head = format!("{:08x} {number} {}\n", checksum(&number, body), body.len());
     let bytes = [head.as_bytes(), body].concat();
-    vec![Deed::Write { file: file.clone(), bytes }, Deed::Sync { file }]
+    let folder = (!named).then_some(Deed::SyncFolder);
+    [Deed::Write { file: file.clone(), bytes }, Deed::Sync { file }].into_iter().chain(folder).collect()
 }
 
 impl Disk {
@@ -118,14 +128,26 @@
                 // Left where it is, it is written over in its turn.
                 let _ = folder.carry_out(vec![Deed::Rename { from, to }, Deed::SyncFolder]).await;
             }
-            while let Some(Job { record, body, done }) = taken.recv().await {
-                // A write that failed is tried over the same copy, never over the one that stands.
-                let next = writes[record as usize] + 1;
-                let written = folder.carry_out(copy(record, next, &body)).await;
-                if written.is_ok() {
-                    writes[record as usize] = next;
-                }
-                let _ = done.send(written);
+            // Whose names are in the folder for good.
+            let mut named = BTreeSet::new();
+            while let Some(Job { work, done }) = taken.recv().await {
+                let carried_out = match work {
+                    Work::Confirm => folder.carry_out(vec![Deed::SyncFolder]).await,
+                    Work::Write { record, body } => {
+                        // A write that failed is tried over the same copy, never over the one that stands.
+                        let next = writes[record as usize] + 1;
+                        let file = record.file(next % 2);
+                        let deeds = copy(record, next, &body, named.contains(&file));
+                        let written = folder.carry_out(deeds).await;
+                        if written.is_ok() {
+                            writes[record as usize] = next;
+                            named.insert(file);
+                        }
+                        written
+                    }
+                };
+                // Whoever gave up waiting asks again.
+                let _ = done.send(carried_out);
             }
         });
         Disk { jobs }
@@ -134,9 +156,18 @@
     /// Whether it is on disk for good.
     pub async fn save<T: Serialize>(&self, record: Record, what: &T) -> io::Result<()> {
         let body = serde_json::to_vec(what).map_err(io::Error::other)?;
+        self.carried_out(Work::Write { record, body }).await
+    }
+
+    /// Whether what was found at the start lasts: the program may have ended between a file's sync and its folder's.
+    pub async fn confirm(&self) -> io::Result<()> {
+        self.carried_out(Work::Confirm).await
+    }
+
+    async fn carried_out(&self, work: Work) -> io::Result<()> {
         let (done, saved) = oneshot::channel();
         let gone = || io::Error::other("nothing is written any more");
-        self.jobs.send(Job { record, body, done }).map_err(|_| gone())?;
+        self.jobs.send(Job { work, done }).map_err(|_| gone())?;
         saved.await.map_err(|_| gone())?
     }
 }
--- a/postmaster/src/disk/tests.rs
+++ b/postmaster/src/disk/tests.rs
@@ -19,7 +19,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
     for (write, body) in [(1, "\"one\""), (2, "\"two\""), (3, "\"three\"")] {
         assert_eq!(bodies(dir.path()).0.as_deref(), [None, Some("one"), Some("two")][write as usize - 1]);
-        let written = folder(dir.path()).carry_out(copy(Record::Register, write, body.as_bytes()));
+        let written = folder(dir.path()).carry_out(copy(Record::Register, write, body.as_bytes(), false));
         runtime.block_on(written).expect("written");
     }
     let path = dir.path().join(Record::Register.file(1));
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -182,6 +182,11 @@
 
     /// The voter hears one request after the other; what a vote promises is on disk before it is said.
     async fn own(self: Rc<Self>, mut heard: mpsc::UnboundedReceiver<Command>, disk: Disk) {
+        // Nothing is voted by what may be gone with the power.
+        while let Err(error) = disk.confirm().await {
+            spdlog::warn!("the folder cannot be synced: {}", error);
+            sleep(AGAIN).await;
+        }
         while let Some(command) = heard.recv().await {
             let (vote_request, reply) = match command {
                 Command::Hear(vote_request, reply) => (vote_request, reply),
