--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -21,7 +21,7 @@
 pub const RENEWED: Duration = Duration::from_millis(400);
 
 /// What a voter has on disk.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Promise {
     pub ballot: Ballot,
     /// Whom the ballot was promised to.
@@ -40,13 +40,14 @@
     pub incarnations: BTreeMap<SocketAddr, u64>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Lease {
     ballot: Ballot,
     holder: SocketAddr,
     until: At,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Voter {
     promised: Ballot,
     /// Whom that was promised to.
