--- a/franking/src/election.rs
+++ b/franking/src/election.rs
@@ -43,6 +43,32 @@
     }
 }
 
+/// The ballot under which a machine tries for the lease or holds it. Who has said that it holds nothing under it, never
+/// will: votes for it may still be on their way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Claim {
+    ballot: Ballot,
+    disowned: bool,
+}
+
+impl Claim {
+    pub fn on(ballot: Ballot) -> Claim {
+        Claim { ballot, disowned: false }
+    }
+
+    /// A voter that promised that ballot and was restarted asks whether it is still held.
+    pub fn asked(&mut self, ballot: Ballot, term: Option<Term>, now: At) -> bool {
+        let held = term.is_some_and(|term| term.ballot == ballot && term.lasts(now));
+        self.disowned |= !held && self.ballot == ballot;
+        held
+    }
+
+    /// Whether votes for that ballot may still be gone by.
+    pub fn stands(&self, ballot: Ballot) -> bool {
+        self.ballot == ballot && !self.disowned
+    }
+}
+
 /// A try for the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Election {
--- a/franking/tests/model/machine.rs
+++ b/franking/tests/model/machine.rs
@@ -3,11 +3,10 @@
 //! it (`postmaster/src/office.rs`), and all that may go wrong on the way: messages come in any order, late, twice or never,
 //! disks refuse, machines end and come back with their disk or without, and clocks run apart.
 
-
 use stateright::{Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use vanewharf_franking::election::{Election, Keeping, Recovering, Renewing, Term};
+use vanewharf_franking::election::{Claim, Election, Keeping, Recovering, Renewing, Term};
 use vanewharf_franking::membership::{carries, everyone};
 use vanewharf_franking::voter::{Promise, Voter};
 use vanewharf_mailroom::clock::At;
@@ -126,7 +125,7 @@
     /// The rounds it ever began, so that votes of those that are over are told apart.
     pub rounds: u8,
     pub seen: Ballot,
-    pub disowned: Ballot,
+    pub claim: Claim,
     pub election: Option<(u8, Ballot, At, Election)>,
     pub term: Option<Term>,
     pub next: RegisterNo,
@@ -223,7 +222,8 @@
 pub const ONE_VALUE: &str = "never two registers acknowledged under one number";
 pub const LEFT: &str = "a set is left only when a majority of it knows of the next";
 pub const READ: &str = "a holder's read has all that was acknowledged before";
-pub const LIVE: &str = "with all up and all delivered, a holder comes about that has all that was acknowledged";
+pub const LIVE: &str =
+    "with all up and all delivered, a holder comes about that has all that was acknowledged";
 
 impl Lease {
     fn one_holder(&self, state: &State) -> bool {
@@ -253,7 +253,8 @@
     /// Of the founders, who are the only set that is left here.
     fn left(&self, state: &State) -> bool {
         let founders: Vec<_> = (0..self.founders).map(addr).collect();
-        let concluded = |membership: &Membership| membership.outgoing.is_empty() && membership.voters != founders;
+        let concluded =
+            |membership: &Membership| membership.outgoing.is_empty() && membership.voters != founders;
         let last = state.acknowledged.last_key_value();
         if !last.is_some_and(|(_, (_, membership))| concluded(membership)) {
             return true;
@@ -298,7 +299,7 @@
                 register: None,
                 rounds: 0,
                 seen: Ballot(0),
-                disowned: Ballot(0),
+                claim: Claim::default(),
                 election: None,
                 term: None,
                 next: RegisterNo(0),
--- a/franking/tests/model/steps.rs
+++ b/franking/tests/model/steps.rs
@@ -3,16 +3,16 @@
 use crate::machine::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use vanewharf_franking::election::{Election, Keeping, Recovering, Renewing, Term};
-use vanewharf_franking::membership::everyone;
-use vanewharf_franking::voter::{Promise, Voter};
-use vanewharf_mailroom::clock::At;
-use vanewharf_mailroom::messages::{Ballot, Cast, Membership, Register, RegisterNo, VoteRequest};
 use std::ops::ControlFlow;
+use vanewharf_franking::election::{Claim, Election, Keeping, Recovering, Renewing, Term};
 use vanewharf_franking::election::{Outcome, Renewal, Turn};
-use vanewharf_franking::membership::{begun, concluded};
+use vanewharf_franking::membership::everyone;
+use vanewharf_franking::membership::towards;
+use vanewharf_franking::voter::{Promise, Voter};
 use vanewharf_franking::voter::{Save, TERM, above};
+use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::messages::Vote;
+use vanewharf_mailroom::messages::{Ballot, Cast, Membership, Register, RegisterNo, VoteRequest};
 
 impl Lease {
     pub fn possible(&self, state: &State, actions: &mut Vec<Action>) {
@@ -69,7 +69,7 @@
             let outgoing = !member.membership().outgoing.is_empty();
             let settled = !member.settled_set().outgoing.is_empty();
             let change: Vec<_> = self.change.iter().map(|place| addr(*place)).collect();
-            if left.changes > 0 && !settled && member.membership().voters != change && !change.is_empty() {
+            if left.changes > 0 && !settled && member.settled_set().voters != change && !change.is_empty() {
                 actions.push(Action::Begin(place));
             }
             let renewed = !member.unrenewed || self.has(Planted::NoRenewalByBoth);
@@ -105,28 +105,17 @@
             Action::Propose(place) => {
                 next.left.values -= 1;
                 let value = format!("v{}", self.budget.values - next.left.values);
-                self.order(&mut next, place, Purpose::Order, |register, _| {
+                self.order(&mut next, place, Purpose::Order, |register| {
                     register.evacuated.insert(value);
                 });
             }
             Action::Begin(place) => {
                 next.left.changes -= 1;
-                let change: BTreeSet<_> = self.change.iter().map(|place| addr(*place)).collect();
-                let alone = self.has(Planted::ChangeWithoutOutgoing);
-                self.order(&mut next, place, Purpose::Begin, |register, now| {
-                    // One that was begun and is not certain to be kept is begun again, until it is.
-                    register.membership =
-                        if now.outgoing.is_empty() { begun(now, &change) } else { now.clone() };
-                    if alone {
-                        register.membership.outgoing.clear();
-                    }
-                });
+                self.reconfigure(&mut next, place, Purpose::Begin);
             }
             Action::Conclude(place) => {
                 next.left.conclusions -= 1;
-                self.order(&mut next, place, Purpose::Order, |register, now| {
-                    register.membership = concluded(now);
-                });
+                self.reconfigure(&mut next, place, Purpose::Order);
             }
             Action::Leave(place) => {
                 next.left.leaves -= 1;
@@ -203,7 +192,13 @@
         });
     }
 
-    fn ask(&self, state: &mut State, owner: usize, voters: &BTreeSet<SocketAddr>, request: VoteRequest) -> u8 {
+    fn ask(
+        &self,
+        state: &mut State,
+        owner: usize,
+        voters: &BTreeSet<SocketAddr>,
+        request: VoteRequest,
+    ) -> u8 {
         let round = state.members[owner].rounds + 1;
         state.members[owner].rounds = round;
         self.ask_besides(state, owner, round, voters, request);
@@ -230,6 +225,7 @@
         let member = &mut state.members[place];
         let name = if self.has(Planted::BallotsNotUnique) { addr(9) } else { addr(place) };
         let ballot = above(member.seen.max(member.voter.promised()), name);
+        member.claim = Claim::on(ballot);
         let (set, known) = member.newest_set();
         (member.term, member.keeping, member.renewing, member.unrenewed) = (None, None, None, false);
         let voters = everyone(&set);
@@ -251,22 +247,30 @@
     }
 
     /// As `Office::acknowledge`.
-    fn order(
-        &self,
-        state: &mut State,
-        place: usize,
-        purpose: Purpose,
-        change: impl FnOnce(&mut Register, &Membership),
-    ) {
+    fn order(&self, state: &mut State, place: usize, purpose: Purpose, change: impl FnOnce(&mut Register)) {
         let member = &mut state.members[place];
-        let (membership, now) = (member.membership(), member.store.clone());
-        let mut register = now.unwrap_or_else(Register::none);
-        change(&mut register, &membership);
+        let mut register = member.store.clone().unwrap_or_else(Register::none);
+        change(&mut register);
         (register.ballot, register.no) = (member.term.expect("it holds the lease").ballot, member.next);
         member.next = RegisterNo(member.next.0 + 1);
         self.keep(state, place, purpose, register);
     }
 
+    /// One step of `Office::reconfigure`.
+    fn reconfigure(&self, state: &mut State, place: usize, purpose: Purpose) {
+        let member = &state.members[place];
+        let newest = self.has(Planted::ConcludedUnkept);
+        let settled = if newest { member.membership() } else { member.settled_set() };
+        let voters = self.change.iter().map(|place| addr(*place)).collect();
+        let Some(mut membership) = towards(&settled, &voters) else {
+            return;
+        };
+        if self.has(Planted::ChangeWithoutOutgoing) {
+            membership.outgoing.clear();
+        }
+        self.order(state, place, purpose, |register| register.membership = membership);
+    }
+
     /// As `Office::kept`.
     fn keep(&self, state: &mut State, place: usize, purpose: Purpose, register: Register) {
         let keeping = Keeping::begin(&register);
@@ -294,7 +298,7 @@
         member.up = false;
         (member.election, member.term, member.renewing, member.keeping) = (None, None, None, None);
         (member.store, member.recovering, member.unrenewed) = (None, None, false);
-        (member.seen, member.disowned, member.next) = (Ballot(0), Ballot(0), RegisterNo(0));
+        (member.seen, member.claim, member.next) = (Ballot(0), Claim::default(), RegisterNo(0));
         state.net.retain(|one| !(one.owner == place && (one.vote.is_some() || one.voter == place)));
     }
 
@@ -328,11 +332,12 @@
         };
         let (now, then) = (self.now(state, asker), self.now(state, place(holder)));
         let holder = &mut state.members[place(holder)];
-        if !holder.up || holder.term.is_some_and(|term| term.ballot == ballot && term.lasts(then)) {
+        let mut claim = holder.claim;
+        if !holder.up || claim.asked(ballot, holder.term, then) {
             return;
         }
         if !self.has(Planted::NotDisowned) {
-            holder.disowned = holder.disowned.max(ballot);
+            holder.claim = claim;
         }
         state.members[asker].voter.released(ballot, now);
     }
@@ -407,17 +412,19 @@
                     let again = self.ask(state, me, &others, request);
                     state.members[me].election = Some((again, ballot, asked, election));
                 }
-                ControlFlow::Break(Outcome::Won(found)) if member.disowned < ballot => {
+                ControlFlow::Break(Outcome::Won(found)) if member.claim.stands(ballot) => {
                     self.win(state, me, ballot, asked, *found);
                 }
-                ControlFlow::Break(Outcome::Won(_) | Outcome::Left) => self.lose(state, me, ballot, &election),
+                ControlFlow::Break(Outcome::Won(_) | Outcome::Left) => {
+                    self.lose(state, me, ballot, &election)
+                }
             }
         } else if let Some((_, asked, mut renewing)) = member.renewing.take_if(|now| now.0 == round) {
             match renewing.hear(from, cast) {
                 ControlFlow::Break(()) => {
                     let both = renewing.set() == &member.settled_set();
-                    let disowned = member.disowned;
-                    if let Some(term) = member.term.filter(|term| term.ballot > disowned) {
+                    let claim = member.claim;
+                    if let Some(term) = member.term.filter(|term| claim.stands(term.ballot)) {
                         member.term = Some(self.lasting(term.renewed(asked), asked));
                         member.unrenewed &= !both;
                     }
@@ -540,8 +547,9 @@
                     state.members[me].recovering = Some((again, recovering.clone()));
                     return;
                 }
-                let asked =
-                    |other: &SocketAddr| state.net.iter().any(|one| one.owner == me && one.voter == place(*other));
+                let asked = |other: &SocketAddr| {
+                    state.net.iter().any(|one| one.owner == me && one.voter == place(*other))
+                };
                 let spoke = recovering.known();
                 let others: BTreeSet<_> = others
                     .into_iter()
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -11,9 +11,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use vanewharf_franking::election::{
-    Election, Keeping, Outcome, Rank, Recovering, Renewal, Renewing, Term, Turn,
+    Claim, Election, Keeping, Outcome, Rank, Recovering, Renewal, Renewing, Term, Turn,
 };
-use vanewharf_franking::membership::{assents, begun, carries, concluded, everyone};
+use vanewharf_franking::membership::{assents, carries, everyone, towards};
 use vanewharf_franking::voter::{Promise, RENEWED, Save, TERM, Voter, above};
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::{At, Steady};
@@ -56,6 +56,7 @@
     /// By how many doors, as far as those know who granted the lease in hand.
     doors: Cell<u32>,
     term: Cell<Option<Term>>,
+    claim: Cell<Claim>,
     callers: RefCell<BTreeMap<SocketAddr, Vec<Caller>>>,
     /// No number is given twice under one ballot.
     next: Cell<RegisterNo>,
@@ -85,6 +86,7 @@
             commands,
             doors: Cell::new(0),
             term: Cell::new(None),
+            claim: Cell::default(),
             callers: RefCell::default(),
             next: Cell::new(RegisterNo(0)),
             leaving: Cell::new(false),
@@ -281,6 +283,7 @@
             }
             let ballot = above(seen.max(self.voter.borrow().promised()), self.me);
             let asked = self.now();
+            self.claim.set(Claim::on(ballot));
             let request = VoteRequest::Lease { ballot, holder: self.me };
             let (set, known) = self.newest_set();
             let mut ask = everyone(&set);
@@ -294,7 +297,7 @@
                 }
             };
             seen = election.overtaken_by().max(seen);
-            let Some(found) = found else {
+            let Some(found) = found.filter(|_| self.claim.get().stands(ballot)) else {
                 self.release(election.set(), ballot).await;
                 sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
                 continue;
@@ -344,6 +347,9 @@
         let mut renewing = Renewing::begin(ballot, set);
         let voters = everyone(renewing.set());
         self.poll(&voters, request, |voter, cast| renewing.hear(voter, cast)).await;
+        if !self.claim.get().stands(ballot) {
+            return Renewal::Overtaken;
+        }
         let outcome = renewing.outcome();
         if outcome == Renewal::Carried
             && let Some(term) = self.term.get().filter(|term| term.ballot == ballot)
@@ -424,29 +430,31 @@
         true
     }
 
+    /// The set of the register in force.
+    fn settled_set(&self) -> Membership {
+        self.feed.store().register.as_ref().map(|register| register.membership.clone()).unwrap_or_default()
+    }
+
     /// Another set of voters by joint consensus: first both sets decide, then the new one alone. A voter leaves only when a
     /// majority of the new set has all that was kept.
     pub async fn reconfigure(self: &Rc<Self>, voters: BTreeSet<SocketAddr>) -> bool {
-        let change = |to: &dyn Fn(&Membership) -> Membership| {
-            let membership = to(&self.membership());
-            self.acknowledge(|register| Register { membership, ..register.clone() })
-        };
         // One that a holder before this one began is concluded first.
-        if !self.membership().outgoing.is_empty() && !change(&concluded).await {
-            return false;
-        }
-        if self.membership().voters.iter().copied().collect::<BTreeSet<_>>() == voters {
-            return true;
-        }
-        // Between the two the lease is renewed by both sets: a holder that went by votes of the old one alone could be
-        // overtaken by one whom the new one elects.
-        let done = change(&|now| begun(now, &voters)).await
-            && self.renew(self.ballot()).await == Renewal::Carried
-            && change(&concluded).await;
-        if done {
-            spdlog::info!("epoch {}: the voters are {:?}", self.membership().epoch, voters);
+        while let Some(membership) = towards(&self.settled_set(), &voters) {
+            // Between the two the lease is renewed by both sets: a holder that went by votes of the old one alone could
+            // be overtaken by one whom the new one elects.
+            let concludes = membership.outgoing.is_empty();
+            if concludes && self.renew(self.ballot()).await != Renewal::Carried {
+                return false;
+            }
+            if !self.acknowledge(|register| Register { membership, ..register.clone() }).await {
+                return false;
+            }
+            if concludes {
+                let now = self.membership();
+                spdlog::info!("epoch {}: the voters are {:?}", now.epoch, now.voters);
+            }
         }
-        done
+        true
     }
 
     /// What the holder made known is kept here too, where it is newer than what this disk has.
@@ -466,10 +474,12 @@
         }
     }
 
-    /// Whether this process still holds what was promised to it under that ballot.
+    /// Whether this process still holds what was promised to it under that ballot; where not, it never will.
     pub fn holds_by(&self, ballot: Ballot) -> bool {
-        let now = self.now();
-        self.term.get().is_some_and(|term| term.ballot == ballot && term.lasts(now))
+        let mut claim = self.claim.get();
+        let held = claim.asked(ballot, self.term.get(), self.now());
+        self.claim.set(claim);
+        held
     }
 
     /// After a restart the one that was promised to may still hold its lease; one that says otherwise need not be waited
