--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -21,7 +21,7 @@
 pub const RENEWED: Duration = Duration::from_millis(400);
 
 /// What a voter has on disk.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Promise {
     pub ballot: Ballot,
     /// Whom the ballot was promised to.
@@ -40,13 +40,14 @@
     pub incarnations: BTreeMap<SocketAddr, u64>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Lease {
     ballot: Ballot,
     holder: SocketAddr,
     until: At,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Voter {
     promised: Ballot,
     /// Whom that was promised to.
@@ -62,6 +63,8 @@
     founders: Vec<SocketAddr>,
     incarnation: u64,
     incarnations: BTreeMap<SocketAddr, u64>,
+    /// The disk has refused what it promised last: that is saved with the next vote that goes by it.
+    unsaved: bool,
 }
 
 /// What is to be on disk before the vote is said.
@@ -119,6 +122,7 @@
             founders: promise.founders,
             incarnation: promise.incarnation,
             incarnations: promise.incarnations,
+            unsaved: false,
         }
     }
 
@@ -172,25 +176,33 @@
         !self.amnesic && now >= self.quiet_until && self.holder(now).is_none()
     }
 
+    /// Whether another one holds the lease.
+    fn taken(&self, holder: SocketAddr, now: At) -> bool {
+        self.lease.is_some_and(|lease| lease.until > now && lease.holder != holder)
+    }
+
     pub fn hear(&mut self, vote_request: VoteRequest, now: At) -> Step {
         if self.amnesic {
             return Step::say(Vote::Amnesic { seeds: self.seeds.clone() });
         }
         let refused = Vote::Refused { promised: self.promised, holder: self.holder(now) };
         match vote_request {
+            VoteRequest::PreVote { holder } => {
+                let willing = Vote::Willing { promised: self.promised };
+                Step::say(if self.taken(holder, now) || now < self.quiet_until { refused } else { willing })
+            }
             VoteRequest::Lease { ballot, holder } => {
-                let taken = self.lease.is_some_and(|lease| lease.until > now && lease.holder != holder);
-                if ballot <= self.promised || taken || now < self.quiet_until {
+                if ballot <= self.promised || self.taken(holder, now) || now < self.quiet_until {
                     return Step::say(refused);
                 }
                 (self.promised, self.to) = (ballot, Some(holder));
                 self.lease = Some(Lease { ballot, holder, until: now.after(TERM) });
                 let vote = Vote::Granted { register: self.register.clone(), doors: self.doors };
-                Step { vote, save: Some(Save::Promise(self.record())) }
+                self.promise(vote, true)
             }
             VoteRequest::Renew { ballot, holder } => {
-                let taken = self.lease.is_some_and(|lease| lease.until > now && lease.holder != holder);
-                if ballot < self.promised || ballot > self.promised && (taken || now < self.quiet_until) {
+                let barred = self.taken(holder, now) || now < self.quiet_until;
+                if ballot < self.promised || ballot > self.promised && barred {
                     return Step::say(refused);
                 }
                 // Promise to before a restart, too: nobody else can have been granted it since. One that heard
@@ -198,10 +210,12 @@
                 let joins = ballot > self.promised;
                 (self.promised, self.to) = (ballot, Some(holder));
                 self.lease = Some(Lease { ballot, holder, until: now.after(TERM) });
-                Step { vote: Vote::Accepted, save: joins.then(|| Save::Promise(self.record())) }
+                self.promise(Vote::Accepted, joins)
             }
             VoteRequest::Accept { register } => {
-                if register.ballot < self.promised || register.rank() < self.register.rank() {
+                // One that names nobody to keep it is none.
+                let unsound = register.membership.epoch == 0;
+                if unsound || register.ballot < self.promised || register.rank() < self.register.rank() {
                     return Step::say(refused);
                 }
                 // A holder gives a number once, so it is the same register told again.
@@ -223,11 +237,17 @@
                 }
                 self.incarnations.insert(member, incarnation);
                 let vote = Vote::Known { promised: self.promised, register: self.register.clone() };
-                Step { vote, save: (incarnation > known).then(|| Save::Promise(self.record())) }
+                self.promise(vote, incarnation > known)
             }
         }
     }
 
+    /// A vote that goes by a promise: new, or one that the disk refused when it was.
+    fn promise(&mut self, vote: Vote, news: bool) -> Step {
+        self.unsaved |= news;
+        Step { vote, save: self.unsaved.then(|| Save::Promise(self.record())) }
+    }
+
     /// The one it swore to before this start holds nothing any more, as it says itself.
     pub fn released(&mut self, ballot: Ballot, now: At) {
         if ballot == self.promised && self.lease.is_none() {
@@ -235,11 +255,21 @@
         }
     }
 
+    /// What is certain to be in force, as its holder makes it known: it is kept whatever has been promised since, as it was
+    /// decided before. Nobody counts this as a vote.
+    pub fn learn(&self, register: &Register) -> Option<Save> {
+        let newer = !self.amnesic && register.membership.epoch > 0 && register.rank() > self.register.rank();
+        newer.then(|| Save::Register(Box::new(register.clone())))
+    }
+
     /// It is on disk. What could not be saved is never said to be kept.
     pub fn saved(&mut self, save: Save) {
-        if let Save::Register(register) = save {
-            self.promised = self.promised.max(register.ballot);
-            self.register = *register;
+        match save {
+            Save::Promise(_) => self.unsaved = false,
+            Save::Register(register) => {
+                self.promised = self.promised.max(register.ballot);
+                self.register = *register;
+            }
         }
     }
 
@@ -252,7 +282,7 @@
         self.incarnations = recovered.incarnations.clone();
         // What it granted before it forgot.
         self.quiet_until = now.after(TERM);
-        self.amnesic = false;
+        (self.amnesic, self.unsaved) = (false, false);
     }
 }
 
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -171,7 +171,7 @@
             match self.feed.pull(caller, &pull).await {
                 Ok(news) => {
                     if news.register {
-                        self.office.adopt().await;
+                        self.office.adopt();
                     }
                     if news.ledger {
                         self.read_ledger();
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -5,14 +5,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use vanewharf_franking::membership::{
-    Recovery, assents, begun, carries, concluded, everyone, hopeless, incarnations, newest, recovery,
+use vanewharf_franking::election::{
+    Canvass, Claim, Election, Keeping, Outcome, Rank, Recovering, Renewal, Renewing, Term, Turn,
 };
-use vanewharf_franking::voter::{MARGIN, Promise, RENEWED, Save, TERM, Voter, above, incarnation_above};
+use vanewharf_franking::membership::{assents, carries, everyone, towards};
+use vanewharf_franking::voter::{Promise, RENEWED, Save, TERM, Voter, above};
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::Config;
@@ -37,32 +39,12 @@
     Hear(VoteRequest, oneshot::Sender<Cast>),
     /// Quotas are divided by so many doors.
     Count(u32),
+    /// What a holder has made known.
+    Learn(Rc<Register>),
 }
 
 type Commands = mpsc::UnboundedSender<Command>;
 
-/// A lease in hand.
-#[derive(Clone, Copy, Debug)]
-struct Term {
-    ballot: Ballot,
-    until: At,
-    /// What was kept before is kept under this ballot too, so that orders may be taken.
-    settled: bool,
-}
-
-/// What came of asking for another term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Renewal {
-    Carried,
-    /// Too few answered, or assented.
-    Short,
-    /// A voter has promised a higher ballot.
-    Overtaken,
-}
-
-/// By which registers are told apart.
-type Rank = (Ballot, RegisterNo);
-
 /// What all tasks of this process know of the office.
 pub struct Office {
     pub me: SocketAddr,
@@ -76,12 +58,15 @@
     /// By how many doors, as far as those know who granted the lease in hand.
     doors: Cell<u32>,
     term: Cell<Option<Term>>,
+    claim: Cell<Claim>,
     callers: RefCell<BTreeMap<SocketAddr, Vec<Caller>>>,
     /// No number is given twice under one ballot.
     next: Cell<RegisterNo>,
     /// The last register that was proposed for the operator's orders, certain or not.
     proposed: RefCell<Option<Register>>,
     leaving: Cell<bool>,
+    /// The highest ballot that a voter who was asked has promised to another: below it that one takes part in nothing.
+    barred: Cell<Ballot>,
     /// The configuration of the register in hand, read once.
     config: RefCell<(RegisterNo, Option<Rc<Config>>)>,
 }
@@ -107,10 +92,12 @@
             commands,
             doors: Cell::new(0),
             term: Cell::new(None),
+            claim: Cell::default(),
             callers: RefCell::default(),
             next: Cell::new(RegisterNo(0)),
             proposed: RefCell::default(),
             leaving: Cell::new(false),
+            barred: Cell::default(),
             config: RefCell::default(),
         });
         tokio::task::spawn_local(Rc::clone(&office).own(heard, disk));
@@ -152,7 +139,7 @@
     /// Whether this process holds the lease now and may act by it.
     pub fn holds(&self) -> bool {
         let now = self.now();
-        self.term.get().is_some_and(|term| term.settled && term.until > now)
+        self.term.get().is_some_and(|term| term.serves(now))
     }
 
     /// What the register in hand says.
@@ -192,11 +179,12 @@
                 Command::Hear(vote_request, reply) => (vote_request, reply),
                 Command::Count(doors) => {
                     let save = self.voter.borrow_mut().count(doors);
-                    if let Some(save) = save
-                        && let Err(error) = self.save(&disk, &save).await
-                    {
-                        spdlog::warn!("the count of doors is not on disk: {}", error);
-                    }
+                    self.note(&disk, save, "the count of doors").await;
+                    continue;
+                }
+                Command::Learn(register) => {
+                    let save = self.voter.borrow().learn(&register);
+                    self.note(&disk, save, "a register that is in force").await;
                     continue;
                 }
             };
@@ -216,6 +204,17 @@
         }
     }
 
+    /// What nobody waits for.
+    async fn note(&self, disk: &Disk, save: Option<Save>, what: &str) {
+        let Some(save) = save else {
+            return;
+        };
+        match self.save(disk, &save).await {
+            Ok(()) => self.voter.borrow_mut().saved(save),
+            Err(error) => spdlog::warn!("{} is not on disk: {}", what, error),
+        }
+    }
+
     async fn save(&self, disk: &Disk, save: &Save) -> std::io::Result<()> {
         match save {
             Save::Promise(promise) => disk.save(Record::Promise, promise).await,
@@ -246,6 +245,14 @@
     }
 
     async fn ask(&self, voter: SocketAddr, request: &VoteRequest, within: Duration) -> Option<Cast> {
+        let cast = self.asked(voter, request, within).await?;
+        if let Vote::Refused { promised, .. } = cast.vote {
+            self.barred.set(promised.max(self.barred.get()));
+        }
+        Some(cast)
+    }
+
+    async fn asked(&self, voter: SocketAddr, request: &VoteRequest, within: Duration) -> Option<Cast> {
         if voter == self.me {
             return timeout(within, self.vote(request.clone())).await.ok();
         }
@@ -258,13 +265,13 @@
         cast
     }
 
-    /// Asks these at once; ends when enough have spoken, or all.
-    async fn poll(
+    /// Asks these at once; ends when what they say decides it, or with nothing once all have spoken or are silent.
+    async fn poll<T>(
         self: &Rc<Self>,
         voters: &BTreeSet<SocketAddr>,
         request: VoteRequest,
-        enough: impl Fn(&[(SocketAddr, Cast)]) -> bool,
-    ) -> Vec<(SocketAddr, Cast)> {
+        mut hear: impl FnMut(SocketAddr, Cast) -> ControlFlow<T>,
+    ) -> Option<T> {
         let (said, mut votes) = mpsc::unbounded_channel();
         for &voter in voters {
             let (office, request, said) = (Rc::clone(self), request.clone(), said.clone());
@@ -273,24 +280,27 @@
             });
         }
         drop(said);
-        let mut all = Vec::new();
         while let Some((voter, cast)) = votes.recv().await {
-            all.extend(cast.map(|cast| (voter, cast)));
-            if enough(&all) {
-                break;
+            if let Some(ControlFlow::Break(decided)) = cast.map(|cast| hear(voter, cast)) {
+                return Some(decided);
             }
         }
-        all
+        None
     }
 
     async fn release(self: &Rc<Self>, set: &Membership, ballot: Ballot) {
-        let enough = |votes: &[(SocketAddr, Cast)]| carries(set, &assents(votes));
-        self.poll(&everyone(set), VoteRequest::Release { ballot }, enough).await;
+        let mut votes = Vec::new();
+        let request = VoteRequest::Release { ballot };
+        self.poll(&everyone(set), request, |voter, cast| {
+            votes.push((voter, cast));
+            if carries(set, &assents(&votes)) { ControlFlow::Break(()) } else { ControlFlow::Continue(()) }
+        })
+        .await;
     }
 
-    /// Tries for the lease whenever nobody holds it.
+    /// Tries for the lease whenever nobody holds it, or when a voter has promised more than the lease in hand.
     async fn seek(self: Rc<Self>) {
-        let mut seen = Ballot(0);
+        let mut again = false;
         loop {
             let place = self.membership().voters.iter().position(|voter| *voter == self.me);
             let chance = self.premises.draw(60);
@@ -298,57 +308,57 @@
                 sleep(WATCH * 5).await;
                 continue;
             };
-            sleep(WATCH / 2).await;
-            if !self.voter.borrow().vacant(self.now()) || self.leaving.get() {
-                continue;
+            if !std::mem::take(&mut again) {
+                sleep(WATCH / 2).await;
+                if !self.voter.borrow().vacant(self.now()) || self.leaving.get() {
+                    continue;
+                }
+                sleep(STAGGER * place as u32 + Duration::from_millis(chance)).await;
+                if !self.voter.borrow().vacant(self.now()) {
+                    continue;
+                }
             }
-            sleep(STAGGER * place as u32 + Duration::from_millis(chance)).await;
-            if !self.voter.borrow().vacant(self.now()) {
+            let (set, known) = self.newest_set();
+            let mut canvass = Canvass::begin(set.clone());
+            let request = VoteRequest::PreVote { holder: self.me };
+            let promised = self.poll(&everyone(&set), request, |voter, cast| canvass.hear(voter, cast)).await;
+            let Some(promised) = promised else {
+                sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
                 continue;
-            }
-            let ballot = above(seen.max(self.voter.borrow().promised()), self.me);
+            };
+            let ballot = above(promised.max(self.barred.get()).max(self.voter.borrow().promised()), self.me);
             let asked = self.now();
+            self.claim.set(Claim::on(ballot));
             let request = VoteRequest::Lease { ballot, holder: self.me };
-            let (mut set, mut known) = self.newest_set();
-            let carried = |set: &Membership, votes: &[_]| carries(set, &assents(votes));
-            let mut votes = self.poll(&everyone(&set), request.clone(), |votes| carried(&set, votes)).await;
-            let mut found = newest(&votes);
-            // The register that is found may have other voters: their majority is needed, too.
-            while carried(&set, &votes) && found.rank() > known {
-                (set, known) = (found.membership.clone(), found.rank());
-                let asked: BTreeSet<_> = votes.iter().map(|(voter, _)| *voter).collect();
-                let others = everyone(&set).difference(&asked).copied().collect();
-                let enough = |more: &[_]| carried(&set, &[&votes[..], more].concat());
-                let more = self.poll(&others, request.clone(), enough).await;
-                votes.extend(more);
-                found = newest(&votes);
-            }
-            let refused = votes.iter().filter_map(|(_, cast)| match cast.vote {
-                Vote::Refused { promised, .. } => Some(promised),
-                _ => None,
-            });
-            seen = refused.max().unwrap_or_default().max(seen);
-            // One that has left must not lead.
-            if !carried(&set, &votes) || !set.voters.contains(&self.me) {
-                self.release(&set, ballot).await;
+            let mut ask = everyone(&set);
+            let mut election = Election::begin(self.me, set, known);
+            let found = loop {
+                let hear = |voter, cast| election.hear(voter, cast);
+                match self.poll(&ask, request.clone(), hear).await {
+                    Some(Outcome::Ask(others)) => ask = others,
+                    Some(Outcome::Won(found)) => break Some(*found),
+                    Some(Outcome::Left) | None => break None,
+                }
+            };
+            let Some(found) = found.filter(|_| self.claim.get().stands(ballot)) else {
+                self.release(election.set(), ballot).await;
                 sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
                 continue;
-            }
-            let doors = votes.iter().filter_map(|(_, cast)| match cast.vote {
-                Vote::Granted { doors, .. } => Some(doors),
-                _ => None,
-            });
-            self.doors.set(doors.max().unwrap_or(0));
-            self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled: false }));
-            self.hold(ballot, found).await;
+            };
+            self.doors.set(election.doors());
+            self.term.set(Some(Term::won(ballot, asked)));
+            again = self.hold(ballot, found).await;
             self.term.set(None);
             spdlog::info!("the lease under ballot {} has ended", ballot.0);
-            self.release(&self.membership(), ballot).await;
+            if !again {
+                self.release(&self.membership(), ballot).await;
+            }
         }
     }
 
-    /// Holds on for as long as a majority renews; stops before the lease ends.
-    async fn hold(self: &Rc<Self>, ballot: Ballot, found: Register) {
+    /// Holds on for as long as a majority renews; stops before the lease ends. True where it should be had again at once,
+    /// under a higher ballot: a voter that has promised one takes no part any more.
+    async fn hold(self: &Rc<Self>, ballot: Ballot, found: Register) -> bool {
         spdlog::info!("holds the lease under ballot {}, found register {}", ballot.0, found.no.0);
         self.next.set(RegisterNo(found.no.0 + 1));
         let settling = {
@@ -360,39 +370,44 @@
                 }
             })
         };
-        loop {
+        let again = loop {
             sleep(RENEWED).await;
             // One that has left the set hands the lease over.
             if self.leaving.get() || !self.membership().voters.contains(&self.me) {
-                break;
+                break false;
             }
             if self.renew(ballot).await == Renewal::Overtaken {
-                break;
+                break false;
             }
-            if self.term.get().is_none_or(|term| term.until <= self.now()) {
-                break;
+            if self.term.get().is_none_or(|term| !term.lasts(self.now())) {
+                break false;
             }
-        }
+            if self.barred.get() > ballot {
+                spdlog::info!("a voter has promised ballot {}", self.barred.get().0);
+                break true;
+            }
+        };
         settling.abort();
+        again
     }
 
     /// For another term, by all who have a say now.
     async fn renew(self: &Rc<Self>, ballot: Ballot) -> Renewal {
         let (asked, set) = (self.now(), self.membership());
         let request = VoteRequest::Renew { ballot, holder: self.me };
-        let votes = self.poll(&everyone(&set), request, |votes| carries(&set, &assents(votes))).await;
-        let higher = |(_, cast): &(SocketAddr, Cast)| match cast.vote {
-            Vote::Refused { promised, .. } => promised > ballot,
-            _ => false,
-        };
-        if !carries(&set, &assents(&votes)) {
-            return if votes.iter().any(higher) { Renewal::Overtaken } else { Renewal::Short };
+        let mut renewing = Renewing::begin(ballot, set);
+        let voters = everyone(renewing.set());
+        self.poll(&voters, request, |voter, cast| renewing.hear(voter, cast)).await;
+        if !self.claim.get().stands(ballot) {
+            return Renewal::Overtaken;
         }
-        if let Some(term) = self.term.get().filter(|term| term.ballot == ballot) {
-            let until = asked.after(TERM - MARGIN).max(term.until);
-            self.term.set(Some(Term { until, ..term }));
+        let outcome = renewing.outcome();
+        if outcome == Renewal::Carried
+            && let Some(term) = self.term.get().filter(|term| term.ballot == ballot)
+        {
+            self.term.set(Some(term.renewed(asked)));
         }
-        Renewal::Carried
+        outcome
     }
 
     fn settle(&self, register: Register) {
@@ -410,8 +425,8 @@
 
     /// Whether a majority of those that it names has it on disk; tried again and again until then, or the lease ends.
     async fn kept(self: &Rc<Self>, register: &Register) -> bool {
-        let set = register.membership.clone();
-        let voters: BTreeSet<_> = everyone(&self.membership()).union(&everyone(&set)).copied().collect();
+        let named = everyone(&register.membership);
+        let voters: BTreeSet<_> = everyone(&self.membership()).union(&named).copied().collect();
         let no = register.no;
         let (said, mut votes) = mpsc::unbounded_channel();
         let mut trying = Vec::new();
@@ -433,25 +448,22 @@
             }));
         }
         drop(said);
-        let mut all = Vec::new();
-        let carried = |all: &[(SocketAddr, Cast)]| carries(&set, &assents(all));
+        let mut keeping = Keeping::begin(register);
         let counting = async {
             while let Some((voter, cast)) = votes.recv().await {
-                all.push((voter, cast));
-                let against = all.iter().filter(|(_, cast)| matches!(cast.vote, Vote::Refused { .. }));
-                let against = against.map(|(voter, _)| *voter).collect();
-                if carried(&all) || hopeless(&set, &against) {
-                    break;
+                if let ControlFlow::Break(carried) = keeping.hear(voter, cast) {
+                    return carried;
                 }
             }
+            false
         };
-        let _ = timeout(KEPT_BY, counting).await;
+        let carried = timeout(KEPT_BY, counting).await.unwrap_or(false);
         // Those that lag behind are told all the same, for as long as one more try lasts.
         tokio::task::spawn_local(async move {
             sleep(SLOW).await;
             trying.iter().for_each(tokio::task::JoinHandle::abort);
         });
-        carried(&all)
+        carried
     }
 
     /// What the next register is worked out on. Where one was proposed under the ballot in hand, that is in the way to a
@@ -509,37 +521,40 @@
         }
     }
 
+    /// The set of the register in force.
+    fn settled_set(&self) -> Membership {
+        self.feed.store().register.as_ref().map(|register| register.membership.clone()).unwrap_or_default()
+    }
+
     /// Another set of voters by joint consensus: first both sets decide, then the new one alone. A voter leaves only when a
     /// majority of the new set has all that was kept.
     pub async fn reconfigure(self: &Rc<Self>, voters: BTreeSet<SocketAddr>) -> bool {
-        let change = |to: &dyn Fn(&Membership) -> Membership| {
-            let membership = to(&self.membership());
-            self.acknowledge(|register| Register { membership, ..register.clone() })
-        };
         // One that a holder before this one began is concluded first.
-        if !self.membership().outgoing.is_empty() && !change(&concluded).await {
-            return false;
-        }
-        if self.membership().voters.iter().copied().collect::<BTreeSet<_>>() == voters {
-            return true;
-        }
-        // Between the two the lease is renewed by both sets: a holder that went by votes of the old one alone could be
-        // overtaken by one whom the new one elects.
-        let done = change(&|now| begun(now, &voters)).await
-            && self.renew(self.ballot()).await == Renewal::Carried
-            && change(&concluded).await;
-        if done {
-            spdlog::info!("epoch {}: the voters are {:?}", self.membership().epoch, voters);
+        while let Some(membership) = towards(&self.settled_set(), &voters) {
+            // Between the two the lease is renewed by both sets: a holder that went by votes of the old one alone could
+            // be overtaken by one whom the new one elects.
+            let concludes = membership.outgoing.is_empty();
+            if concludes && self.renew(self.ballot()).await != Renewal::Carried {
+                return false;
+            }
+            if !self.acknowledge(|register| Register { membership, ..register.clone() }).await {
+                return false;
+            }
+            if concludes {
+                let now = self.membership();
+                spdlog::info!("epoch {}: the voters are {:?}", now.epoch, now.voters);
+            }
         }
-        done
+        true
     }
 
     /// What the holder made known is kept here too, where it is newer than what this disk has.
-    pub async fn adopt(&self) {
+    pub fn adopt(&self) {
         let register = self.feed.store().register.clone();
         let newer = |register: &Rc<Register>| register.rank() > self.voter.borrow().register().rank();
         if let Some(register) = register.filter(newer) {
-            self.vote(VoteRequest::Accept { register: Register::clone(&register) }).await;
+            // The owner ends with the program only.
+            let _ = self.commands.send(Command::Learn(register));
         }
     }
 
@@ -551,10 +566,12 @@
         }
     }
 
-    /// Whether this process still holds what was promised to it under that ballot.
+    /// Whether this process still holds what was promised to it under that ballot; where not, it never will.
     pub fn holds_by(&self, ballot: Ballot) -> bool {
-        let now = self.now();
-        self.term.get().is_some_and(|term| term.ballot == ballot && term.until > now)
+        let mut claim = self.claim.get();
+        let held = claim.asked(ballot, self.term.get(), self.now());
+        self.claim.set(claim);
+        held
     }
 
     /// After a restart the one that was promised to may still hold its lease; one that says otherwise need not be waited
@@ -581,50 +598,33 @@
     /// A voter with amnesia asks those who have a say what they promised and accepted, and promises that again: a machine
     /// that lost its disk is a new member of its old name until then.
     pub async fn recover(self: Rc<Self>, disk: Disk) {
-        let (mut told, mut heard) = (BTreeMap::new(), 0);
+        let mut recovering = Recovering::begin(self.me, self.seeds.clone(), self.premises.life());
         let mut hear: BTreeSet<_> = self.seeds.iter().copied().filter(|seed| *seed != self.me).collect();
-        let mut incarnation = incarnation_above(heard, self.premises.life());
         while self.voter.borrow().amnesic() {
+            let incarnation = recovering.incarnation();
             let request = VoteRequest::Recover { member: self.me, incarnation };
-            for (member, cast) in self.poll(&hear, request, |_| false).await {
-                if let Vote::Outlived { incarnation } = cast.vote {
-                    heard = incarnation.max(heard);
-                }
-                told.insert(member, cast);
-            }
-            if heard > incarnation {
-                // What was told counts only for an incarnation that is above all others.
-                incarnation = incarnation_above(heard, self.premises.life());
-                told.clear();
-                continue;
-            }
-            match recovery(self.me, &self.seeds, &told) {
-                Recovery::Done { promised, register } => {
-                    let known = incarnations(told.iter().map(|(member, cast)| (*member, cast)));
-                    let founders = register.membership.voters.clone();
-                    let holder = None;
-                    let promise = Promise {
-                        ballot: promised,
-                        holder,
-                        founders,
-                        doors: 0,
-                        incarnation,
-                        incarnations: known,
-                    };
+            self.poll(&hear, request, |member, cast| {
+                recovering.hear(member, cast);
+                ControlFlow::<()>::Continue(())
+            })
+            .await;
+            match recovering.turn(self.premises.life()) {
+                Turn::Restore(promise, register) => {
                     while !(disk.save(Record::Register, &*register).await.is_ok()
-                        && disk.save(Record::Promise, &promise).await.is_ok())
+                        && disk.save(Record::Promise, &*promise).await.is_ok())
                     {
                         sleep(AGAIN).await;
                     }
                     let no = register.no;
                     self.voter.borrow_mut().restore(&promise, *register, self.now());
-                    spdlog::warn!("recovered register {} from {} others", no.0, told.len());
+                    spdlog::warn!("recovered register {} from {} others", no.0, recovering.known().len());
                 }
-                Recovery::Hear(missing) => {
-                    // Seeds that were down may be up again, and what was told long ago may be no news.
-                    hear = missing.into_iter().chain(self.seeds.iter().copied()).collect();
-                    hear.remove(&self.me);
-                    sleep(AGAIN).await;
+                Turn::Ask(others) => {
+                    hear = others;
+                    // One that counts anew asks anew at once.
+                    if recovering.incarnation() == incarnation {
+                        sleep(AGAIN).await;
+                    }
                 }
             }
         }
