--- a/lab/examples/capacity.rs
+++ b/lab/examples/capacity.rs
@@ -1,10 +1,11 @@
 //! What one process pays at sizes that no fleet here reaches: time, bytes on the wire and bytes held, of the same code that
 //! the programs run. `cargo run --release -p vanewharf-lab --example capacity [PART...]`, parts: config, list, ledger,
-//! lenders; all where none is named. Figures in docs/CAPACITY.md.
+//! hosts, lenders, calls; all where none is named. Figures in docs/CAPACITY.md.
 
 use flate2::Compression;
 use flate2::write::DeflateEncoder;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 use serde_json::value::RawValue;
 use std::alloc::{GlobalAlloc, Layout, System};
@@ -12,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hint::black_box;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -21,14 +23,18 @@
 use vanewharf_carrier::rounds::{News, Place, Rounds, Start};
 use vanewharf_carrier::tables::Tables;
 use vanewharf_door::route::Decides;
+use vanewharf_frames::Request;
 use vanewharf_franking::quota::{Buckets, Quota};
 use vanewharf_franking::summing::{Summing, for_doors};
+use vanewharf_mailroom::call::{Caller, Said, serve};
 use vanewharf_mailroom::changes::{Document, ListChanges, RegisterChanges};
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::messages::{
-    Ballot, DoorRow, Ledger, Lent, List, Mail, OfficeRow, Register, RegisterNo, Report, Server, Version,
+    Ballot, DoorRow, Ledger, Lent, List, Mail, OfficeRow, Pull, Register, RegisterNo, Report, Server, Tokens,
+    Vector, Version,
 };
+use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::settings::Bounds;
 
 /// Counts what is held, and the most that was.
@@ -390,6 +396,28 @@
     }
 }
 
+/// Doors tell of each host that they have served, and the holder sums them.
+fn hosts() {
+    const DOORS: usize = 540;
+    println!("\n| doors | hosts at each | a report's bytes | all taken in ms | held MB | ledger made ms |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for hosts in [8, 100, 1_000, 6_000] {
+        let told: BTreeMap<_, _> =
+            (0..hosts).map(|no| (format!("host-{no:04}.shop.example"), (1_001, 20))).collect();
+        let one = |door: usize| Report { hosts: told.clone(), ..report(door, 0, 1, 1) };
+        let size = bytes(&one(0)).len();
+        let reports: Vec<_> = (0..DOORS).map(one).collect();
+        let mut sums = Summing::default();
+        let heard = took(|| bytes(&reports).len());
+        let read = took(|| serde_json::from_slice::<Vec<Report>>(&bytes(&reports)).expect("reports"));
+        drop(reports);
+        let held = read.held;
+        read.out.into_iter().for_each(|report| sums.report(report, at(1)));
+        let made = took(|| sums.ledger(Version::default(), 1e9, at(1)));
+        println!("| {DOORS} | {hosts} | {size} | {:.1} | {held:.1} | {:.1} |", read.ms - heard.ms, made.ms);
+    }
+}
+
 fn lenders() {
     println!(
         "\n| tenants | buckets held MB | bytes a bucket | one token lent µs | what a lender tells: ms, bytes, packed | ledger of 13 made ms, \
@@ -436,11 +464,104 @@
     }
 }
 
+/// On the processor so far, this thread.
+fn spent() -> Duration {
+    let told = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    Duration::from_nanos(told.split(' ').next().and_then(|spent| spent.parse().ok()).unwrap_or(0))
+}
+
+/// Answers on loopback for as long as this program runs: tokens as they were asked for, and mails with nothing new.
+fn answering(at: SocketAddr, up: std::sync::mpsc::Sender<()>) {
+    local(async {
+        let ear = Premises::here(None).expect("without a disk").net.listen(at).expect("a free port");
+        let _ = up.send(());
+        let answered = |request: Request| async move {
+            match request.target() {
+                "/lend" => Said::json(&serde_json::from_slice::<Tokens>(request.body()).expect("tokens")),
+                "/pull" => {
+                    let pull: Pull = serde_json::from_slice(request.body()).expect("a pull");
+                    Said::json(&Mail { held_ms: pull.wait_ms, ..Mail::default() }).packed(&request)
+                }
+                _ => Said::json(&spent()),
+            }
+        };
+        serve(ear, answered).await;
+    });
+}
+
+fn local<T>(work: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, work)
+}
+
+/// So many calls by so many callers at once.
+async fn calls_of<Q: Serialize + Clone + 'static, A: DeserializeOwned>(
+    at: SocketAddr,
+    (path, asked): (&'static str, Q),
+    (callers, each): (usize, usize),
+) {
+    let net = Premises::here(None).expect("without a disk").net;
+    let one = |_| {
+        let (mut caller, asked) = (Caller::to(at, &net), asked.clone());
+        tokio::task::spawn_local(async move {
+            for _ in 0..each {
+                let _: A = caller.ask(path, &asked, Duration::from_secs(9)).await.expect("an answer");
+            }
+        })
+    };
+    for caller in (0..callers).map(one).collect::<Vec<_>>() {
+        caller.await.expect("it ends");
+    }
+}
+
+fn calls() {
+    let at = SocketAddr::from(([127, 0, 0, 1], 30_000 + (std::process::id() % 20_000) as u16));
+    let (up, ready) = std::sync::mpsc::channel();
+    std::thread::spawn(move || answering(at, up));
+    ready.recv().expect("it listens");
+    println!("\n| calls over loopback, 32 callers | calls | callee's processor µs a call | a second |");
+    println!("| --- | --- | --- | --- |");
+    local(async {
+        let net = Premises::here(None).expect("without a disk").net;
+        let mut asking = Caller::to(at, &net);
+        let pull = |report| Pull {
+            have: Vector::default(),
+            wait_ms: 300,
+            office: None,
+            lent: None,
+            reports: vec![report],
+        };
+        let (short, long) = (pull(report(1, 0, 1, 1)), pull(report(1, 100, 10_000, 1)));
+        let token = Tokens::from([("tenant-000123".to_owned(), 1)]);
+        for (name, kind) in [("/lend, one token", 0), ("/pull, no tenants", 1), ("/pull, 100 tenants", 2)] {
+            let within = Duration::from_secs(9);
+            let before: Duration = asking.ask("/spent", &(), within).await.expect("told");
+            let (began, many) = (Instant::now(), (32, 1_500));
+            match kind {
+                0 => calls_of::<_, Tokens>(at, ("/lend", token.clone()), many).await,
+                1 => calls_of::<_, Mail>(at, ("/pull", short.clone()), many).await,
+                _ => calls_of::<_, Mail>(at, ("/pull", long.clone()), many).await,
+            }
+            let wall = began.elapsed().as_secs_f64();
+            let after: Duration = asking.ask("/spent", &(), within).await.expect("told");
+            let count = (many.0 * many.1) as f64;
+            let each = (after - before).as_secs_f64() * 1e6 / count;
+            println!("| {name} | {count} | {each:.1} | {:.0} |", count / wall);
+        }
+    });
+}
+
 fn main() {
     let parts: Vec<String> = std::env::args().skip(1).collect();
     let wanted = |part: &str| parts.is_empty() || parts.iter().any(|one| one == part);
-    let all: [(&str, fn()); 4] =
-        [("config", configs), ("list", lists), ("ledger", ledgers), ("lenders", lenders)];
+    let all: [(&str, fn()); 6] = [
+        ("config", configs),
+        ("list", lists),
+        ("ledger", ledgers),
+        ("hosts", hosts),
+        ("lenders", lenders),
+        ("calls", calls),
+    ];
     for (part, measure) in all {
         if wanted(part) {
             measure();
