--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -108,7 +108,7 @@
         #[arg(long, value_delimiter = ',', default_values_t = [8, 32, 92, 300, 1000],
             value_parser = clap::value_parser!(u64).range(1..=2000))]
         doors: Vec<u64>,
-        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=9))]
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=13))]
         offices: u64,
         #[arg(long, default_value_t = 1)]
         seed: u64,
--- a/lab/examples/capacity.rs
+++ b/lab/examples/capacity.rs
@@ -421,9 +421,9 @@
 fn lenders() {
     println!(
         "\n| tenants | buckets held MB | bytes a bucket | one token lent µs | what a lender tells: ms, bytes, packed | ledger of 13 made ms, \
-         bytes, packed | read by a lender ms |"
+         bytes, packed | copied ms | read by a lender ms |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
     for tenants in [1_000, 10_000, 60_000, 240_000] {
         let quota = Quota { rate: 60.0, burst: 60.0 };
         let name = |no: usize| format!("tenant-{no:06}");
@@ -448,9 +448,10 @@
         (0..OFFICES).for_each(|no| sums.lent(tell(no), at(10)));
         let made = took(|| sums.ledger(Version::default(), 1.0, at(10)));
         let ledger = bytes(&made.out);
+        let copied = took(|| for_doors(Ledger::clone(&made.out)));
         let read = took(|| buckets.read(OFFICES as u32, &made.out.tenants, |_| quota, at(10)));
         println!(
-            "| {tenants} | {held:.1} | {:.0} | {:.2} | {:.0}, {}, {} | {:.0}, {}, {} | {:.0} |",
+            "| {tenants} | {held:.1} | {:.0} | {:.2} | {:.0}, {}, {} | {:.0}, {}, {} | {:.1} | {:.0} |",
             held * 1e6 / tenants as f64,
             lent.ms * 1e3 / tenants as f64,
             told.ms,
@@ -459,6 +460,7 @@
             made.ms,
             ledger.len(),
             packed(&ledger),
+            copied.ms,
             read.ms
         );
     }
