Give each call between own processes an id, and its answer the id of the call it answers

Weighed: no repeat unless nothing was written (a kept connection that the other side has just closed would fail one call in each idle time); an id for all calls of a process (calls run beside each other, so the callee would have to keep many of each). Taken: each Caller has one call under way, so its life, drawn at its making, and a number that goes up are the id, and the callee keeps one number of each caller's life, of 4096 callers, and one answer of /lend. Change: mailroom/src/once.rs, pure. /pull, /vote and /shuffle change nothing by coming twice (absolute counts, the newest account, a promise that stands) and go out again as new calls; /lend goes out under the same id and is given the first answer again, marked; any other id that was heard before, or a lower one, gets 409 and changes nothing, as does one that cannot be read (400). Orders to strangers are not repeated, GETs are. An answer with no id or another's is dropped with its connection. A kept connection that something came on is not used. The postmaster's internal port and both of the sorter's serve so; GETs between own processes are fetched with ids. Left: a callee that has forgotten a caller (4096 later ones), or a caller that gave a call up and made a new Caller, cannot be told a late one from a new one: late /lend then wastes its tokens, as before; it never lends twice.

--- a/lab/src/system/net.rs
+++ b/lab/src/system/net.rs
@@ -41,6 +41,7 @@
     /// Per sending machine.
     carried: BTreeMap<IpAddr, Carried>,
     dialled: u64,
+    lives: u64,
 }
 
 #[derive(Default)]
@@ -238,6 +239,12 @@
         map.ears.insert(at, Rc::clone(&queue));
         Ok(Box::new(Listening { network: self.network.clone(), at, queue }))
     }
+
+    fn life(&self) -> u64 {
+        let mut map = self.network.map.borrow_mut();
+        map.lives += 1;
+        scatter(self.network.seed, map.lives)
+    }
 }
 
 struct Listening {
--- a/mailroom/src/call.rs
+++ b/mailroom/src/call.rs
@@ -1,14 +1,16 @@
-//! HTTP/1.1 between processes: calls that end in time, and a server whose handler gives each request one reply.
+//! HTTP/1.1 between processes: calls that end in time, and a server whose handler gives each request one reply. The
+//! system's own calls carry an id, and their answers the id of the call that they answer.
 
+use crate::once::{CallId, Heard, Hearing, adds_up};
 use crate::premises::{Ear, Net, Stream};
 use bytes::BytesMut;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,21 +45,37 @@
     Status(u16),
     #[error("the answer cannot be read")]
     Unread,
+    #[error("the answer is to another call")]
+    AnotherCalls,
 }
 
+/// By which the system's own processes know a call, and a callee's word that it was heard before.
+const CALL_ID: &str = "Call-Id";
+const REPEATED: &str = "Call-Repeated";
+
 /// One kept connection to one address; a call that fails closes it.
 pub struct Caller {
     pub address: SocketAddr,
     net: Rc<dyn Net>,
     kept: Option<Framed<Stream, Outward>>,
+    /// Of the last call.
+    id: CallId,
+}
+
+/// One request, and what is told of it to processes of the system's own.
+struct Asked<'a> {
+    method: &'a str,
+    path: &'a str,
+    body: &'a str,
+    own: bool,
 }
 
 impl Caller {
     pub fn to(address: SocketAddr, net: &Rc<dyn Net>) -> Caller {
-        Caller { address, net: Rc::clone(net), kept: None }
+        Caller { address, net: Rc::clone(net), kept: None, id: CallId { life: net.life(), no: 0 } }
     }
 
-    /// Status and body. It is tried once more on a new connection where a kept one had ended.
+    /// Status and body, of one that need not be of the system's own.
     pub async fn call(
         &mut self,
         method: &str,
@@ -65,30 +83,43 @@
         body: &str,
         within: Duration,
     ) -> Result<(u16, Vec<u8>), Failed> {
-        self.request((method, path, ""), body, within).await
+        self.request(Asked { method, path, body, own: false }, within).await
     }
 
-    async fn request(
-        &mut self,
-        (method, path, reads): (&str, &str, &str),
-        body: &str,
-        within: Duration,
-    ) -> Result<(u16, Vec<u8>), Failed> {
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{reads}Content-Length: {}\r\n\r\n",
-            self.address,
-            body.len()
-        );
+    /// Where a kept connection breaks, or gives another call's answer, the same goes out once more on a new one if that
+    /// can do no harm: what changes nothing by coming twice does so as a new call, and what adds up under the same id.
+    async fn request(&mut self, asked: Asked<'_>, within: Duration) -> Result<(u16, Vec<u8>), Failed> {
+        let again = asked.own || asked.method == "GET";
+        self.kept = self.kept.take().and_then(still_quiet);
         let kept = self.kept.is_some();
-        let message = [head.as_str(), body].concat();
-        match self.once(&message, within).await {
-            Err(Failed::Broke) if kept => self.once(&message, within).await,
+        self.id.no += 1;
+        match self.once(&asked, within).await {
+            Err(Failed::Broke | Failed::AnotherCalls) if kept && again => {
+                if !adds_up(asked.path) {
+                    self.id.no += 1;
+                }
+                self.once(&asked, within).await
+            }
             done => done,
         }
     }
 
+    fn message(&self, asked: &Asked) -> String {
+        let Asked { method, path, body, own } = asked;
+        let own = match own {
+            true => format!("{CALL_ID}: {}\r\nAccept-Encoding: {PACKED}\r\n", self.id),
+            false => String::new(),
+        };
+        format!(
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/json\r\n{own}Content-Length: {}\r\n\r\n{body}",
+            self.address,
+            body.len()
+        )
+    }
+
     /// `within` is for silence: an answer that keeps coming over a narrow link may take `WHOLE_ANSWER`.
-    async fn once(&mut self, message: &str, within: Duration) -> Result<(u16, Vec<u8>), Failed> {
+    async fn once(&mut self, asked: &Asked<'_>, within: Duration) -> Result<(u16, Vec<u8>), Failed> {
+        let message = self.message(asked);
         let mut framed = match self.kept.take() {
             Some(framed) => framed,
             None => Framed::new(self.dial().await?, Outward::up_to(MOST_BODY)),
@@ -112,6 +143,10 @@
             None | Some(Err(Fault::Io(_) | Fault::Cut)) => return Err(Failed::Broke),
             Some(Err(_)) => return Err(Failed::Unread),
         };
+        // The connection ends here: whatever else comes on it belongs to no call, either.
+        if asked.own && reply.sole(CALL_ID).and_then(|id| id.parse().ok()) != Some(self.id) {
+            return Err(Failed::AnotherCalls);
+        }
         let status = reply.status();
         let body = match reply.field("Content-Encoding") {
             None => reply.body().to_vec(),
@@ -140,14 +175,28 @@
         within: Duration,
     ) -> Result<A, Failed> {
         let body = serde_json::to_string(question).map_err(|_| Failed::Unread)?;
-        let reads = format!("Accept-Encoding: {PACKED}\r\n");
-        match self.request(("POST", path, &reads), &body, within).await? {
+        self.own(Asked { method: "POST", path, body: &body, own: true }, within).await
+    }
+
+    /// One that asks for something and says nothing.
+    pub async fn fetch<A: DeserializeOwned>(&mut self, path: &str, within: Duration) -> Result<A, Failed> {
+        self.own(Asked { method: "GET", path, body: "", own: true }, within).await
+    }
+
+    async fn own<A: DeserializeOwned>(&mut self, asked: Asked<'_>, within: Duration) -> Result<A, Failed> {
+        match self.request(asked, within).await? {
             (200, answer) => serde_json::from_slice(&answer).map_err(|_| Failed::Unread),
             (status, _) => Err(Failed::Status(status)),
         }
     }
 }
 
+/// Nothing may come unasked: whatever it is, an end too, the connection is of no more use.
+fn still_quiet(mut framed: Framed<Stream, Outward>) -> Option<Framed<Stream, Outward>> {
+    let came = framed.next().now_or_never().is_some();
+    (!came && framed.read_buffer().is_empty()).then_some(framed)
+}
+
 const SMALL: usize = 16 * 1024;
 
 /// How bodies between the system's own processes are made smaller, where links are narrow.
@@ -169,7 +218,7 @@
 }
 
 /// What a handler says.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Said {
     pub status: u16,
     pub fields: Vec<(&'static str, String)>,
@@ -208,7 +257,27 @@
 }
 
 /// Serves for as long as the program runs; each caller in a task of its own.
-pub async fn serve<H, F>(mut ear: Box<dyn Ear>, handler: H)
+pub async fn serve<H, F>(ear: Box<dyn Ear>, handler: H)
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Said>,
+{
+    attend_all(ear, handler, None).await;
+}
+
+/// The same for the system's own calls: one that was heard before is told so and changes nothing.
+pub async fn serve_own<H, F>(ear: Box<dyn Ear>, handler: H)
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Said>,
+{
+    attend_all(ear, handler, Some(Rc::default())).await;
+}
+
+/// The calls that were heard, and what was said to those that add up.
+type Calls = Rc<RefCell<Heard<Said>>>;
+
+async fn attend_all<H, F>(mut ear: Box<dyn Ear>, handler: H, calls: Option<Calls>)
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Said>,
@@ -217,10 +286,10 @@
     loop {
         match ear.accept().await {
             Ok(stream) if callers.get() < MOST_CALLERS => {
-                let (handler, callers) = (Rc::clone(&handler), Rc::clone(&callers));
+                let (handler, callers, calls) = (Rc::clone(&handler), Rc::clone(&callers), calls.clone());
                 callers.set(callers.get() + 1);
                 tokio::task::spawn_local(async move {
-                    attend(stream, &*handler).await;
+                    attend(stream, &*handler, calls).await;
                     callers.set(callers.get() - 1);
                 });
             }
@@ -231,7 +300,38 @@
     }
 }
 
-async fn attend<H, F>(stream: Stream, handler: &H)
+/// What is said to a call, unless it was heard before.
+async fn said_to<H, F>(request: Request, handler: &H, calls: Option<&Calls>) -> Said
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Said>,
+{
+    let id = request.field(CALL_ID).map(str::parse::<CallId>);
+    let (id, calls) = match (id, calls) {
+        (Some(Ok(id)), Some(calls)) => (id, calls),
+        (Some(Err(why)), Some(_)) => return Said::status(400, why),
+        // From outside, where no id means anything.
+        _ => return handler(request).await,
+    };
+    let hearing = calls.borrow_mut().hears(id, Instant::now());
+    match hearing {
+        Hearing::Answered(mut said) => {
+            said.fields.push((REPEATED, "1".to_owned()));
+            said
+        }
+        Hearing::Repeated => Said::status(409, "this call, or a later one of its caller, was heard before"),
+        Hearing::New => {
+            let kept = adds_up(request.target());
+            let said = handler(request).await;
+            if kept {
+                calls.borrow_mut().answered(id, said.clone());
+            }
+            said
+        }
+    }
+}
+
+async fn attend<H, F>(stream: Stream, handler: &H, calls: Option<Calls>)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Said>,
@@ -253,6 +353,7 @@
             },
             Err(_) => return,
         };
+        let mut call = None;
         let (said, last) = match read {
             None | Some(Err(Fault::Io(_) | Fault::Cut)) => return,
             Some(Err(Fault::HeadTooLarge)) => (Said::status(431, "the head is too large"), true),
@@ -260,11 +361,13 @@
             Some(Err(fault)) => (Said::status(400, &fault.to_string()), true),
             Some(Ok(request)) => {
                 let last = request.last();
-                (handler(request).await, last)
+                call = request.field(CALL_ID).map(str::to_owned);
+                (said_to(request, handler, calls.as_ref()).await, last)
             }
         };
         let mut fields: Vec<_> = said.fields.iter().map(|(name, value)| (*name, value.as_str())).collect();
         fields.push(("Content-Type", "application/json"));
+        fields.extend(call.iter().map(|id| (CALL_ID, id.as_str())));
         let answer = Answer { status: said.status, fields: &fields, body: &said.body, last };
         if !matches!(timeout(WHOLE_ANSWER, framed.send(answer)).await, Ok(Ok(()))) || last {
             let _ = timeout(WHOLE, framed.get_mut().shutdown()).await;
--- a/mailroom/src/lib.rs
+++ b/mailroom/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod feed;
 pub mod log;
 pub mod messages;
+pub mod once;
 pub mod premises;
 pub mod program;
 pub mod settings;
--- a/mailroom/src/premises.rs
+++ b/mailroom/src/premises.rs
@@ -34,6 +34,9 @@
     fn dial(&self, to: SocketAddr) -> Later<'static, io::Result<Stream>>;
 
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Ear>>;
+
+    /// Another number each time, for what must be told apart from all others of its kind on this network.
+    fn life(&self) -> u64;
 }
 
 /// One thing done to a disk.
@@ -121,6 +124,10 @@
         socket.bind(at)?;
         Ok(Box::new(socket.listen(BACKLOG)?))
     }
+
+    fn life(&self) -> u64 {
+        rand::random()
+    }
 }
 
 impl Ear for TcpListener {
--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -20,7 +20,7 @@
 use vanewharf_franking::quota::Buckets;
 use vanewharf_franking::summing::Summing;
 use vanewharf_franking::voter::{Promise, Voter};
-use vanewharf_mailroom::call::{Caller, Said, serve};
+use vanewharf_mailroom::call::{Caller, Said, serve, serve_own};
 use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{Ballot, OfficeRow, Pull, Register, Tokens, VoteRequest};
@@ -79,8 +79,7 @@
 }
 
 async fn asked<T: serde::de::DeserializeOwned>(there: &mut Caller, path: &str) -> Option<T> {
-    let (status, body) = there.call("GET", path, "", Duration::from_millis(500)).await.ok()?;
-    (status == 200).then(|| serde_json::from_slice(&body).ok())?
+    there.fetch(path, Duration::from_millis(500)).await.ok()
 }
 
 /// A postmaster at work.
@@ -167,7 +166,7 @@
     let inside =
         premises.net.listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
     let within = Rc::clone(&desk);
-    tokio::task::spawn_local(serve(inside, move |request| {
+    tokio::task::spawn_local(serve_own(inside, move |request| {
         let desk = Rc::clone(&within);
         async move { internal(&desk, &request).await }
     }));
--- a/sorter/src/lib.rs
+++ b/sorter/src/lib.rs
@@ -10,7 +10,7 @@
 use vanewharf_frames::Request;
 use vanewharf_franking::source::{Next, Sources};
 use vanewharf_franking::view::View;
-use vanewharf_mailroom::call::{Caller, Said, serve};
+use vanewharf_mailroom::call::{Caller, Said, serve_own};
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{Neighbour, Pull, Report};
@@ -42,7 +42,7 @@
     let at = settings.loopback();
     let listener = premises.net.listen(at).map_err(|error| format!("cannot listen on {at}: {error}"))?;
     let (fed, reported) = (feed.clone(), Rc::clone(&last));
-    tokio::task::spawn_local(serve(listener, move |request| {
+    tokio::task::spawn_local(serve_own(listener, move |request| {
         let (feed, last) = (fed.clone(), Rc::clone(&reported));
         async move {
             if (request.method(), request.target()) != ("POST", "/pull") {
@@ -67,7 +67,7 @@
         premises.net.listen(beside).map_err(|error| format!("cannot listen on {beside}: {error}"))?;
     let relayed = Relayed::default();
     let (fed, known, kept, here) = (feed.clone(), Rc::clone(&view), Rc::clone(&relayed), premises.clone());
-    tokio::task::spawn_local(serve(listener, move |request| {
+    tokio::task::spawn_local(serve_own(listener, move |request| {
         let (feed, view, relayed) = (fed.clone(), Rc::clone(&known), Rc::clone(&kept));
         let draw = here.draw(1 << 16) as usize;
         async move { beside_calls(&feed, &view, &relayed, draw, &request).await }
@@ -138,10 +138,7 @@
             None => {
                 for ip in known(&settings, &feed) {
                     let mut there = Caller::to(settings.office(ip), &premises.net);
-                    let called = there.call("GET", "/neighbours", "", BESIDE).await;
-                    if let Ok((200, body)) = called
-                        && let Ok(heard) = serde_json::from_slice::<Vec<Neighbour>>(&body)
-                    {
+                    if let Ok(heard) = there.fetch::<Vec<Neighbour>>("/neighbours", BESIDE).await {
                         view.borrow_mut().merge(&heard, feed.now());
                         break;
                     }
