--- a/franking/src/source.rs
+++ b/franking/src/source.rs
@@ -1,6 +1,7 @@
-//! Whom a door hears the control plane through. A postmaster or a neighbour that is cut off from the others goes on
-//! answering with what it has; each answer says how long ago the register and all else in it were certainly the newest,
-//! and a source whose own word is too old is left for others, however new what the door has is.
+//! Whom a door hears the control plane through. A postmaster or a neighbour that is cut off from the others
+//! goes on answering with what it has; each answer says how long ago the register and all else in it were
+//! certainly the newest, and a source whose own word is too old is left for others, however new what the door
+//! has is.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,11 +10,11 @@
 
 /// How long a pull waits for news.
 pub const WAIT: Duration = Duration::from_millis(300);
-/// A source that is further behind than this is left for another. A lease that passes from one holder to the next leaves
-/// all of them behind for about as long.
+/// A source that is further behind than this is left for another. A lease that passes from one holder to the
+/// next leaves all of them behind for about as long.
 pub const BEHIND: Duration = Duration::from_millis(2000);
-/// How long one that failed, or was behind, is not asked again while others are left: longer each time, as each try is
-/// time in which the door hears nothing.
+/// How long one that failed, or was behind, is not asked again while others are left: longer each time, as
+/// each try is time in which the door hears nothing.
 const SPARED: Duration = Duration::from_secs(3);
 const MOST_SPARED: Duration = Duration::from_secs(12);
 
@@ -60,9 +61,9 @@
 }
 
 impl Sources {
-    /// From the nearest postmaster that answers and is up to date; where there is none, from a neighbour that is; else
-    /// from the postmaster behind that was asked longest ago: one of them may be up to date by now, and clients hear of
-    /// this door through it. None where nobody is left: all may be asked again.
+    /// From the nearest postmaster that answers and is up to date; where there is none, from a neighbour that
+    /// is; else from the postmaster behind that was asked longest ago: one of them may be up to date by now,
+    /// and clients hear of this door through it. None where nobody is left: all may be asked again.
     pub fn next(&mut self, offices: &[SocketAddr], beside: &[SocketAddr], now: At) -> Option<Next> {
         let known = |source: &SocketAddr| offices.contains(source) || beside.contains(source);
         self.spared.retain(|source, _| known(source));
--- a/franking/src/source/tests.rs
+++ b/franking/src/source/tests.rs
@@ -11,8 +11,8 @@
     SocketAddr::from(([10, 0, 0, no], 7600))
 }
 
-/// Postmasters, the nearest first, some of which are cut off or silent, and what is heard through them. Beside them are
-/// neighbours, from the address 100 on.
+/// Postmasters, the nearest first, some of which are cut off or silent, and what is heard through them.
+/// Beside them are neighbours, from the address 100 on.
 struct Field {
     sources: Sources,
     offices: Vec<SocketAddr>,
@@ -42,8 +42,8 @@
         }
     }
 
-    /// One pull, or the pause where nobody is left. A source that is up to date has news at once: the worst is what
-    /// others take of the time.
+    /// One pull, or the pause where nobody is left. A source that is up to date has news at once: the worst
+    /// is what others take of the time.
     fn step(&mut self) {
         let Some(Next { source, wait }) = self.sources.next(&self.offices, &self.beside, self.now) else {
             self.now = self.now.after(ms(60));
@@ -77,8 +77,8 @@
     }
 }
 
-/// Twenty seconds in which some of the nearest are cut off or silent: how long nothing new is heard from when the door is
-/// in touch, 4 s after it began, at most.
+/// Twenty seconds in which some of the nearest are cut off or silent: how long nothing new is heard from when
+/// the door is in touch, 4 s after it began, at most.
 #[parameterized(
     one_of_three_behind = { 3, 1, 0, 200 },
     two_of_five_behind = { 5, 2, 0, 350 },
--- a/lab/tests/cut.rs
+++ b/lab/tests/cut.rs
@@ -1,5 +1,6 @@
-//! Machines of the core that are cut off from the others, and the doors near them: what a door that reaches the others
-//! hears, and when, and what orders get at the machines that are cut off. All time here is the runtime's own, made up.
+//! Machines of the core that are cut off from the others, and the doors near them: what a door that reaches
+//! the others hears, and when, and what orders get at the machines that are cut off. All time here is the
+//! runtime's own, made up.
 
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -225,7 +226,8 @@
     seen.take()
 }
 
-/// Far within the bounds that are given: 3 s, of which a hop to the carrier and the doors' own work take little.
+/// Far within the bounds that are given: 3 s, of which a hop to the carrier and the doors' own work take
+/// little.
 const IN_TIME: Duration = Duration::from_millis(1000);
 /// The platform is asked each 0.6 s, besides.
 const DRAINED: Duration = Duration::from_millis(1600);
@@ -256,8 +258,9 @@
     );
 }
 
-/// The holder that is cut off sees a change of the platform's list alone and tells the doors near it; by the time that
-/// another one holds the lease the change is undone, so that the new holder's list is as it was before.
+/// The holder that is cut off sees a change of the platform's list alone and tells the doors near it; by the
+/// time that another one holds the lease the change is undone, so that the new holder's list is as it was
+/// before.
 #[test]
 fn a_list_that_only_a_lost_holder_had_is_replaced_by_the_next_ones() {
     vanewharf_mailroom::log::silence();
--- a/mailroom/src/call.rs
+++ b/mailroom/src/call.rs
@@ -1,5 +1,5 @@
-//! HTTP/1.1 between processes: calls that end in time, and a server whose handler gives each request one reply. The
-//! system's own calls carry an id, and their answers the id of the call that they answer.
+//! HTTP/1.1 between processes: calls that end in time, and a server whose handler gives each request one
+//! reply. The system's own calls carry an id, and their answers the id of the call that they answer.
 
 use crate::once::{CallId, Heard, Hearing, adds_up};
 use crate::premises::{Ear, Net, Stream};
@@ -86,8 +86,9 @@
         self.request(Asked { method, path, body, own: false }, within).await
     }
 
-    /// Where a kept connection breaks, or gives another call's answer, the same goes out once more on a new one if that
-    /// can do no harm: what changes nothing by coming twice does so as a new call, and what adds up under the same id.
+    /// Where a kept connection breaks, or gives another call's answer, the same goes out once more on a new
+    /// one if that can do no harm: what changes nothing by coming twice does so as a new call, and what adds
+    /// up under the same id.
     async fn request(&mut self, asked: Asked<'_>, within: Duration) -> Result<(u16, Vec<u8>), Failed> {
         let again = asked.own || asked.method == "GET";
         self.kept = self.kept.take().and_then(still_quiet);
--- a/mailroom/src/once.rs
+++ b/mailroom/src/once.rs
@@ -1,16 +1,17 @@
-//! The ids of calls between the system's own processes, and what a callee remembers of them: a call that comes again,
-//! late or doubled, is told so and changes nothing.
+//! The ids of calls between the system's own processes, and what a callee remembers of them: a call that
+//! comes again, late or doubled, is told so and changes nothing.
 
 use std::collections::BTreeMap;
 use std::fmt;
 use std::str::FromStr;
 use tokio::time::Instant;
 
-/// Callers that are remembered; of more, those heard of longest ago are forgotten, and a call of theirs that comes again
-/// would be taken for a new one.
+/// Callers that are remembered; of more, those heard of longest ago are forgotten, and a call of theirs that
+/// comes again would be taken for a new one.
 const MOST_CALLERS: usize = 4096;
 
-/// A caller's life, drawn anew with each, and the number of its call: a caller has one call under way at a time.
+/// A caller's life, drawn anew with each, and the number of its call: a caller has one call under way at a
+/// time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallId {
     pub life: u64,
@@ -33,8 +34,9 @@
     }
 }
 
-/// Calls whose effect adds up. One that may not have arrived goes out again under the same id, and the callee gives the
-/// answer that it gave before; all others change nothing when they come twice, and go out again as new ones.
+/// Calls whose effect adds up. One that may not have arrived goes out again under the same id, and the callee
+/// gives the answer that it gave before; all others change nothing when they come twice, and go out again as
+/// new ones.
 pub fn adds_up(path: &str) -> bool {
     path == "/lend"
 }
--- a/mailroom/src/store.rs
+++ b/mailroom/src/store.rs
@@ -20,7 +20,8 @@
     pub listed: At,
     pub ledger: Option<Rc<Ledger>>,
     pub ledger_at: At,
-    /// When the register was certainly the newest acknowledged, and the list at least the one that its holder had.
+    /// When the register was certainly the newest acknowledged, and the list at least the one that its holder
+    /// had.
     pub sure: Option<At>,
     pub holder: Option<std::net::SocketAddr>,
 }
@@ -129,7 +130,8 @@
         }
         let given = asked.after(Duration::from_millis(held_ms));
         news.sure = sure_ms.map(|sure| given.before(Duration::from_millis(sure)));
-        // It is said of all that came: where the register or the list could not be followed, what is here is older.
+        // It is said of all that came: where the register or the list could not be followed, what is here is
+        // older.
         if let Some(sure) = news.sure.filter(|_| !self.lost_register && !self.lost_list) {
             self.be_sure(sure);
         }
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -228,7 +228,8 @@
     /// While the lease lasts nobody else acknowledges anything.
     pub async fn attest(self: Rc<Self>) {
         loop {
-            // Read before the lease is looked at: a process that stands still in between attests nothing of later.
+            // Read before the lease is looked at: a process that stands still in between attests nothing of
+            // later.
             let now = self.feed.now();
             if self.office.holds() {
                 self.feed.change(|store| {
@@ -275,8 +276,8 @@
                         let known = store.list.as_ref().map(|list| list.servers.clone());
                         (store.have().list, known)
                     };
-                    // A holder before may have told some doors of a list that never came here: what is the same
-                    // as the one in hand is new to them.
+                    // A holder before may have told some doors of a list that never came here: what is the
+                    // same as the one in hand is new to them.
                     let others = last.ballot != self.office.ballot();
                     let differs = others || known.is_none_or(|known| cloud::differs(&known, &servers));
                     if differs && self.office.holds() {
--- a/testletter/src/town.rs
+++ b/testletter/src/town.rs
@@ -205,6 +205,11 @@
         SocketAddr::new(self.machines[no].ip, 7600)
     }
 
+    /// Where a door's sorter listens for other doors, and for its carrier.
+    pub fn sorter(&self, door: usize) -> [SocketAddr; 2] {
+        [7601, 7602].map(|port| SocketAddr::new(self.machines[self.offices + door].ip, port))
+    }
+
     pub fn office(&self, no: usize) -> SocketAddr {
         SocketAddr::new(self.machines[no].ip, CONTROL)
     }
