Test sixteen ways in which backends err, towards requests that may be repeated and others

Found tested before: lost answers, failures, shedding and an answer under another id first (testletter whole, one kind each), resets and stale connections (frontdoor/tests/door.rs, txns). Added, as one table over the whole system, each for mutating and read_only requests, and then with the backends well again: a reset after the last byte, silence, an answer to the request before on a kept connection, under another id alone, an extra answer, a success without id or seal, bytes that are no answer, half an answer, and 408, 429 and 503 from a backend that ran it. A mutating request runs once at most, is never told 408, 421, 429 or 503 once it ran, and each 200 is one's own. Nothing had to be mended.

--- a/testletter/src/stand_ins.rs
+++ b/testletter/src/stand_ins.rs
@@ -2,9 +2,12 @@
 
 use crate::http;
 use serde_json::json;
+use socket2::SockRef;
+use std::io::Write;
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 /// Told anew by whoever comes after a thread that failed with it.
 fn held<T>(what: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -19,10 +22,30 @@
     Sheds,
     /// Runs it and ends the connection without a word.
     LosesAnswers,
+    /// Runs it and resets the connection.
+    Resets,
+    /// Runs it and says nothing, for as long as the connection lasts.
+    KeepsSilent,
     /// Answers under another request's id first.
     AnswersTwice,
+    /// Answers under another request's id only.
+    AnswersAnother,
+    /// Gives the answer to the request before it once more, in the place of its own, and its own after that.
+    AnswersLate,
+    /// Gives its answer twice at once.
+    AddsAnAnswer,
+    /// A success without an id.
+    AnswersNobody,
+    /// A success without a seal.
+    AnswersUnsealed,
+    /// Bytes that are no answer.
+    Garbles,
+    /// Half an answer, and the end.
+    CutsShort,
     /// Runs it and fails.
     Fails,
+    /// Runs it, and says by the status alone that it did not.
+    Feigns(u16),
 }
 
 /// A request that a backend ran.
@@ -69,6 +92,7 @@
 }
 
 fn attend(mut stream: TcpStream, id: &str, manner: &Mutex<Manner>, ran: &Mutex<Vec<Ran>>) {
+    let mut last: Option<String> = None;
     while let Ok(Some(asked)) = http::read(&mut stream) {
         let attempt = asked.field("Attempt-Id").unwrap_or_default().to_owned();
         if asked.field("Expected-Instance").is_some_and(|expected| expected != id) {
@@ -85,26 +109,60 @@
         let (customer, key) = (field("Customer-Name"), field("X-Api-Key"));
         let path = asked.path().to_owned();
         held(ran).push(Ran { attempt: attempt.clone(), customer, key, path });
-        let own = [("Attempt-Id", attempt.as_str()), ("Backend-Seal", "s.1")];
-        let said = match manner {
-            Manner::LosesAnswers => {
-                let _ = stream.shutdown(Shutdown::Both);
-                return;
-            }
-            Manner::Fails => http::write(&mut stream, "HTTP/1.1 500 Internal Server Error", &own, "failed"),
-            Manner::AnswersTwice => {
-                let other = [("Attempt-Id", "another"), ("Backend-Seal", "s.2")];
-                let first = http::write(&mut stream, "HTTP/1.1 200 OK", &other, "another's");
-                first.and_then(|()| http::write(&mut stream, "HTTP/1.1 200 OK", &own, id))
-            }
-            Manner::Serves | Manner::Sheds => http::write(&mut stream, "HTTP/1.1 200 OK", &own, id),
-        };
-        if said.is_err() {
+        let before = last.replace(attempt.clone());
+        if !say(&mut stream, id, manner, &attempt, before.as_deref()) {
             return;
         }
     }
 }
 
+/// Says what the manner has for a request that was run; false where the connection ends with it.
+fn say(stream: &mut TcpStream, id: &str, manner: Manner, attempt: &str, before: Option<&str>) -> bool {
+    const OK: &str = "HTTP/1.1 200 OK";
+    let seal = ("Backend-Seal", "s.1");
+    let own = [("Attempt-Id", attempt), seal];
+    let other = |attempt| [("Attempt-Id", attempt), ("Backend-Seal", "s.2")];
+    let said = match manner {
+        Manner::LosesAnswers => {
+            let _ = stream.shutdown(Shutdown::Both);
+            return false;
+        }
+        Manner::Resets => {
+            let _ = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            return false;
+        }
+        Manner::KeepsSilent => {
+            // Ends when the other side does.
+            let _ = http::read(stream);
+            return false;
+        }
+        Manner::Garbles => stream.write_all(b"HTP/0.1 so so\r\n\r\n"),
+        Manner::CutsShort => {
+            let head =
+                format!("{OK}\r\nAttempt-Id: {attempt}\r\nBackend-Seal: s.1\r\nContent-Length: 100\r\n\r\n");
+            let _ = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(id.as_bytes()));
+            return false;
+        }
+        Manner::Fails => http::write(stream, "HTTP/1.1 500 Internal Server Error", &own, "failed"),
+        Manner::Feigns(status) => {
+            http::write(stream, &format!("HTTP/1.1 {status} So It Says"), &own, "feigned")
+        }
+        Manner::AnswersNobody => http::write(stream, OK, &[seal], id),
+        Manner::AnswersUnsealed => http::write(stream, OK, &own[..1], id),
+        Manner::AnswersAnother => http::write(stream, OK, &other("another"), "another's"),
+        Manner::AnswersTwice => http::write(stream, OK, &other("another"), "another's")
+            .and_then(|()| http::write(stream, OK, &own, id)),
+        Manner::AnswersLate => before
+            .map_or(Ok(()), |before| http::write(stream, OK, &other(before), "another's"))
+            .and_then(|()| http::write(stream, OK, &own, id)),
+        Manner::AddsAnAnswer => {
+            http::write(stream, OK, &own, id).and_then(|()| http::write(stream, OK, &own, "another's"))
+        }
+        Manner::Serves | Manner::Sheds => http::write(stream, OK, &own, id),
+    };
+    said.is_ok()
+}
+
 /// The platform's list: what it shows of each backend.
 #[derive(Clone)]
 pub struct Platform {
