Argue what a door hears near machines that are cut off; more cases, and a look at the lease before a read is told

Found, not mended here: a voter that was cut off for 20 s refuses the holder for good after the heal (register 1 of 25 on its disk 90 s later).

--- a/lab/tests/cut.rs
+++ b/lab/tests/cut.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use vanewharf_lab::system::many::each;
 use vanewharf_lab::system::net::Place;
 use vanewharf_lab::system::town::{Backend, LAG};
@@ -28,6 +28,8 @@
     BothWays,
     NotHeard,
     DoNotHear,
+    /// They stand still.
+    Frozen,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +47,8 @@
 struct Seen {
     /// From an acknowledgement until the last door went by the register.
     orders: Vec<Duration>,
+    /// The same of evacuations, begun and ended.
+    evacuations: Vec<Duration>,
     /// From when the platform's list showed a drain until the last door knew.
     drains: Vec<Duration>,
     /// Of each kind of call, what was said by machines that were cut off, longer than a lease after the cut.
@@ -111,6 +115,27 @@
     }
 }
 
+/// By way of any machine, redirected or not.
+async fn read_back(premises: &Premises, office: SocketAddr) -> String {
+    let mut to = office;
+    for _ in 0..3 {
+        let mut caller = Caller::to(to, &premises.net);
+        let read = caller.call("GET", "/-/Configuration.Read", "", WITHIN).await.expect("answered");
+        let text = String::from_utf8(read.1).expect("text");
+        if read.0 != 307 {
+            return text;
+        }
+        let there: Value = serde_json::from_str(&text).expect("JSON");
+        let there = there["location"].as_str().expect("where to").trim_start_matches("http://");
+        to = there.split('/').next().expect("an address").parse().expect("an address");
+    }
+    panic!("redirected three times from {office}");
+}
+
+fn rest_of(world: &World, cut: &BTreeSet<usize>) -> BTreeSet<usize> {
+    (0..world.shape.offices).filter(|no| !cut.contains(no)).collect()
+}
+
 fn doors_know(world: &World, knows: impl Fn(&Store) -> bool) -> bool {
     let feeds = world.town.feeds.borrow();
     feeds.len() == world.shape.doors && feeds.values().all(|feed| knows(&feed.store()))
@@ -172,11 +197,12 @@
 async fn played(case: Case) -> Seen {
     let (world, premises, holder) = at_work(case.offices, case.doors, case.seed).await;
     let cut: BTreeSet<usize> = case.cut.iter().map(|far| (holder + far) % case.offices).collect();
-    let rest: BTreeSet<usize> = (0..case.offices).filter(|no| !cut.contains(no)).collect();
+    let rest = rest_of(&world, &cut);
     match case.how {
         Cut::BothWays => world.part((&cut, &rest), false, true),
         Cut::NotHeard => world.part((&cut, &rest), true, true),
         Cut::DoNotHear => world.part((&rest, &cut), true, true),
+        Cut::Frozen => cut.iter().for_each(|no| world.freeze(*no, true)),
     }
     let from = Instant::now();
     let seen = Rc::new(std::cell::RefCell::new(Seen::default()));
@@ -216,19 +242,52 @@
         };
         let heard = until(|| doors_know(&world, knows)).await;
         seen.borrow_mut().orders.push(heard - acked);
+        let (begins, call) = match no % 2 {
+            0 => (true, "/-/Evacuation.Begin/east-b"),
+            _ => (false, "/-/Evacuation.Finish/east-b"),
+        };
+        let acked = order(&premises, &rest, ("POST", call, "")).await;
+        let knows = |store: &Store| {
+            store.register.as_ref().is_some_and(|register| register.evacuated.contains("east-b") == begins)
+        };
+        let heard = until(|| doors_know(&world, knows)).await;
+        seen.borrow_mut().evacuations.push(heard - acked);
         let id = format!("i{no}");
         drain(&world, &id, true);
         let shown = Instant::now() + LAG;
         let heard = until(|| doors_know(&world, |store| shows(store, &id, true))).await;
         seen.borrow_mut().drains.push(heard - shown);
     }
-    sleep_until(from + CUT_FOR + WITHIN * 2).await;
+    sleep_until(from + CUT_FOR).await;
+    match case.how {
+        Cut::BothWays => world.part((&cut, &rest_of(&world, &cut)), false, false),
+        Cut::NotHeard => world.part((&cut, &rest_of(&world, &cut)), true, false),
+        Cut::DoNotHear => world.part((&rest_of(&world, &cut), &cut), true, false),
+        Cut::Frozen => cut.iter().for_each(|no| world.freeze(*no, false)),
+    }
+    // What was sent to them meanwhile reaches them only now.
+    sleep_until(from + CUT_FOR + CONTACT).await;
+    let newest = format!("\"r{no}\"");
+    for office in 0..case.offices {
+        let clear = async {
+            // One that has just been cut off may say for a moment that it knows of nobody.
+            loop {
+                let read = read_back(&premises, world.office(office)).await;
+                if read.contains("revision") {
+                    return read;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let read = timeout(WITHIN, clear).await.expect("a clear answer in time");
+        assert!(read.contains(&newest), "{case:?}: {read:?} at {office}, not {newest}");
+    }
     seen.take()
 }
 
 /// Far within the bounds that are given: 3 s, of which a hop to the carrier and the doors' own work take
 /// little.
-const IN_TIME: Duration = Duration::from_millis(1000);
+const IN_TIME: Duration = Duration::from_millis(800);
 /// The platform is asked each 0.6 s, besides.
 const DRAINED: Duration = Duration::from_millis(1600);
 
@@ -236,7 +295,7 @@
 fn a_door_near_machines_that_are_cut_off_goes_by_what_the_others_know() {
     vanewharf_mailroom::log::silence();
     let mut cases = Vec::new();
-    for how in [Cut::BothWays, Cut::NotHeard, Cut::DoNotHear] {
+    for how in [Cut::BothWays, Cut::NotHeard, Cut::DoNotHear, Cut::Frozen] {
         for (offices, cut) in [(3, &[1][..]), (3, &[0]), (5, &[1, 2]), (5, &[0, 3]), (5, &[3, 4])] {
             cases.push(Case { offices, doors: 8, cut, how, seed: 5 });
         }
@@ -250,6 +309,7 @@
             let worst = |spans: &[Duration]| spans.iter().max().copied().expect("some");
             assert!(seen.orders.len() >= 5, "{case:?}: {seen:?}");
             assert!(worst(&seen.orders) < IN_TIME, "{case:?}: {seen:?}");
+            assert!(worst(&seen.evacuations) < IN_TIME, "{case:?}: {seen:?}");
             assert!(worst(&seen.drains) < DRAINED, "{case:?}: {seen:?}");
             assert_eq!(seen.confirmed, 0, "{case:?}: {seen:?}");
             let clear = |said: &&String| !["307", "503", "None"].iter().any(|one| said.contains(one));
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -37,6 +37,9 @@
     };
     match done {
         Done::Acknowledged => Said::json(&json!({})),
+        // Looked at once more, as late as can be: a process that stood still since the order was carried out may
+        // have lost the lease, and its word is old.
+        Done::Configuration(_) if !desk.office.holds() => elsewhere(desk, request),
         Done::Configuration(Some(config)) => {
             Said { status: 200, fields: Vec::new(), body: config.get().as_bytes().to_vec() }
         }
