--- a/carrier/src/rounds/tests.rs
+++ b/carrier/src/rounds/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::tables::NoWay;
 use std::cell::{Cell, RefCell};
-use vanewharf_mailroom::messages::{Ballot, Ledger, RegisterNo, Use, Version};
+use vanewharf_mailroom::messages::{Ballot, Ledger, Membership, RegisterNo, Use, Version};
 
 const SECOND: Tenths = Tenths::SECOND;
 
@@ -42,7 +42,7 @@
     );
     let config = Some(serde_json::from_str(&config).expect("JSON"));
     let evacuated = evacuated.iter().map(|zone| zone.to_string()).collect();
-    Rc::new(Register { ballot: Ballot(1), no: RegisterNo(no), config, evacuated, voters: Vec::new() })
+    Rc::new(Register { ballot: Ballot(1), no: RegisterNo(no), config, evacuated, ..Register::none() })
 }
 
 fn ledger(lenders: Option<u32>) -> News {
@@ -205,7 +205,8 @@
     let tables = |stage: &Stage| stage.posted.tables.borrow().clone().expect("told");
     let before = tables(&stage);
     let voter = "10.0.0.9:7600".parse().expect("an address");
-    let other = Register { no: RegisterNo(2), voters: vec![voter], ..Register::clone(&register(1, &[])) };
+    let membership = Membership { epoch: 2, voters: vec![voter], outgoing: Vec::new() };
+    let other = Register { no: RegisterNo(2), membership, ..Register::clone(&register(1, &[])) };
     let said = stage.rounds.news(SECOND, News::Register(Rc::new(other.clone())));
     assert!(said.is_none(), "nothing of backends is arranged anew");
     assert!(Rc::ptr_eq(&before, &tables(&stage)), "nor are tables made");
--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod allowance;
 pub mod evidence;
+pub mod group;
+pub mod membership;
 pub mod pocket;
 pub mod quota;
 pub mod source;
--- a/mailroom/src/changes.rs
+++ b/mailroom/src/changes.rs
@@ -138,7 +138,7 @@
         no: to.no,
         ballot: to.ballot,
         evacuated: to.evacuated.clone(),
-        voters: to.voters.clone(),
+        membership: to.membership.clone(),
         edits,
         sum: checksum(&new.text()?),
     };
@@ -210,12 +210,13 @@
             self.sum = Some(last.sum);
             text
         };
-        let (ballot, evacuated, voters) = (last.ballot, last.evacuated.clone(), last.voters.clone());
+        let (ballot, evacuated) = (last.ballot, last.evacuated.clone());
+        let membership = last.membership.clone();
         for change in changes {
             let size = size(&change.edits);
             self.keep(Some((change, size)));
         }
-        Some(Register { ballot, no, config: Some(text), evacuated, voters })
+        Some(Register { ballot, no, config: Some(text), evacuated, membership, taken: Vec::new() })
     }
 }
 
--- a/mailroom/src/changes/tests.rs
+++ b/mailroom/src/changes/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::messages::{Ballot, Mail, Vector, Version};
+use crate::messages::{Ballot, Mail, Membership, Vector, Version};
 use crate::store::Store;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -161,7 +161,8 @@
     let document = |store: &Store| store.register.as_ref().and_then(|one| one.config.clone()).expect("one");
     let before = document(&reader);
     let voters = vec!["10.0.0.9:7600".parse().expect("an address")];
-    let after = Register { no: RegisterNo(3), voters: voters.clone(), ..register(2, &routes, 0) };
+    let membership = Membership { epoch: 2, voters, outgoing: Vec::new() };
+    let after = Register { no: RegisterNo(3), membership: membership.clone(), ..register(2, &routes, 0) };
     teller.set_register(Rc::new(after));
     let mut mail = tell(&teller, &reader);
     assert!(mail.register_changes.iter().all(|change| change.edits.is_empty()));
@@ -173,5 +174,5 @@
     mail.sure_ms = Some(0);
     assert!(reader.absorb(mail, START, START).register);
     assert_eq!((document(&reader).get(), reader.have().register), (before.get(), RegisterNo(3)));
-    assert_eq!(reader.register.as_ref().map(|register| register.voters.clone()), Some(voters));
+    assert_eq!(reader.register.as_ref().map(|register| register.membership.clone()), Some(membership));
 }
--- a/testletter/tests/bad_input.rs
+++ b/testletter/tests/bad_input.rs
@@ -67,18 +67,22 @@
     }
 }
 
-/// What must be as it was: the register at each voter, the voters, what each backend ran, and that the door
+/// A pull by a door that has nothing.
+const PULL: &str = r#"{"have":{"register":0,"list":{"ballot":0,"no":0},"ledger":{"ballot":0,"no":0}},"wait_ms":0,
+    "office":null,"lent":null,"reports":[]}"#;
+
+/// What must be as it was: the register at each postmaster, the members, what each backend ran, and that the door
 /// serves.
 fn state(town: &Town) -> Value {
     let register = |no: usize| {
-        let told = call(town.inside(no), "POST", "/vote", &[], r#""Recover""#).expect("answered");
+        let told = call(town.inside(no), "POST", "/pull", &[], PULL).expect("answered");
         let told: Value = serde_json::from_str(&told.body).expect("JSON");
-        told["Known"]["register"].clone()
+        told["register"].clone()
     };
-    let voters = |no: usize| call(town.inside(no), "GET", "/voters", &[], "").expect("answered").body;
+    let members = |no: usize| call(town.inside(no), "GET", "/membership", &[], "").expect("answered").body;
     let ran: Vec<_> = town.backends.iter().map(|backend| backend.ran().len()).collect();
     json!({"registers": (0..OFFICES).map(register).collect::<Vec<_>>(), "ran": ran,
-        "voters": (0..OFFICES).map(voters).collect::<Vec<_>>()})
+        "members": (0..OFFICES).map(members).collect::<Vec<_>>()})
 }
 
 fn town() -> Town {
@@ -174,8 +178,6 @@
     let at = valid.find("shop.example").expect("a host");
     garbled[at] = 0xff;
     let deep = [b"[".repeat(100_000), b"]".repeat(100_000)].concat();
-    let pull = r#"{"have":{"register":0,"list":{"ballot":0,"no":0},"ledger":{"ballot":0,"no":0}},"wait_ms":0,
-        "office":null,"lent":null,"reports":[]}"#;
     let lease = r#"{"Lease":{"ballot":99999999999999,"holder":"10.0.0.1:7600"}}"#;
     let changed = |text: &str, from: &str, to: &str| {
         assert!(text.contains(from), "{from}");
@@ -237,9 +239,9 @@
         ]);
     }
     for (port, path, whole) in [
-        (Port::Internal, "/pull", pull),
-        (Port::SorterBeside, "/pull", pull),
-        (Port::SorterOwn, "/pull", pull),
+        (Port::Internal, "/pull", PULL),
+        (Port::SorterBeside, "/pull", PULL),
+        (Port::SorterOwn, "/pull", PULL),
         (Port::Internal, "/vote", lease),
         (Port::Internal, "/lend", r#"{"ana":1}"#),
         (Port::SorterBeside, "/shuffle", r#"[{"ip":"10.0.0.1","region":"east","heard_ms":0}]"#),
@@ -259,12 +261,12 @@
             Port::Internal,
             "POST",
             "/pull",
-            changed(pull, "\"wait_ms\":0", "\"wait_ms\":-1"),
+            changed(PULL, "\"wait_ms\":0", "\"wait_ms\":-1"),
             400,
             "expected u64",
         ),
-        (Port::Internal, "POST", "/pull", changed(pull, "\"wait_ms\":0,", ""), 400, "wait_ms"),
-        (Port::Internal, "POST", "/pull", changed(pull, "[]", "[{}]"), 400, "missing field"),
+        (Port::Internal, "POST", "/pull", changed(PULL, "\"wait_ms\":0,", ""), 400, "wait_ms"),
+        (Port::Internal, "POST", "/pull", changed(PULL, "[]", "[{}]"), 400, "missing field"),
         (Port::Internal, "POST", "/vote", changed(lease, "Lease", "Seize"), 400, "unknown variant"),
         (Port::Internal, "POST", "/vote", changed(lease, "10.0.0.1:7600", "somewhere"), 400, "invalid"),
         (Port::Internal, "POST", "/lend", br#"{"ana":-1}"#.to_vec(), 400, "expected u32"),
@@ -281,7 +283,7 @@
     }
     let id = "Call-Id: seven\r\n";
     for port in [Port::Internal, Port::SorterBeside, Port::SorterOwn] {
-        let bytes = request("POST", "/pull", id, pull.as_bytes());
+        let bytes = request("POST", "/pull", id, PULL.as_bytes());
         missed.refused(port.of(&town), port, &bytes, (400, "call's id"));
     }
     let fields = "Attempt-Id: 1\r\nX-Api-Key: key-a\r\nRemaining-Milliseconds: 900\r\n";
