--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -19,7 +19,7 @@
 use vanewharf_franking::quota::Buckets;
 use vanewharf_franking::summing::Summing;
 use vanewharf_franking::voter::{Promise, Voter};
-use vanewharf_mailroom::call::{Said, serve};
+use vanewharf_mailroom::call::{Said, serve, serve_own};
 use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{Ballot, OfficeRow, Pull, Tokens, VoteRequest};
@@ -111,7 +111,7 @@
     let inside =
         premises.net.listen(me).map_err(|error| because(&format!("cannot listen on {me}"), error))?;
     let within = Rc::clone(&desk);
-    tokio::task::spawn_local(serve(inside, move |request| {
+    tokio::task::spawn_local(serve_own(inside, move |request| {
         let desk = Rc::clone(&within);
         async move { internal(&desk, &request).await }
     }));
