Move election, renewal and recovery into pure code; mend four faults the model found

Cause: the candidate's, the holder's and the recovering member's decisions stood in office.rs between awaits, where no model checker can drive them. A voter changed what it promised in memory, and when its disk refused that once, it answered the same request from memory and saved nothing: a crash then forgot an incarnation, and an old vote of the wiped member counted (15 steps, 3 members; seen on the code of itself). Now it keeps in mind that the promise is not on disk, and saves it with the next vote that goes by it. 2. `reconfigure` went by the holder's own disk: a change that was begun, given up on and kept by nobody else was concluded by the next call, kept by the new set alone (7 steps). Now `towards` goes by what is settled. 3. After a begun change that was kept, with the renewal by both short, the next call concluded with no renewal by both (5 steps to two holders). Now each conclusion renews first. 4. A candidate said to `/holds` that it held nothing while votes for that ballot were on their way; the voter that asked ended its quiet term and granted another (13 steps to two holders). Now who says no disowns the ballot for good (`Claim`).

Change: franking/src/election.rs has Term, Claim, Election, Keeping, Renewing, Recovering with tests; office.rs asks, feeds and does. Else as before, but that one with amnesia that has to count anew asks its seeds.

Seen to fail without the mechanism: a_promise_that_the_disk_refused..., a_change_that_is_not_settled..., who_says_that_it_holds_nothing..., voters_of_a_newer_register...

--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -2,6 +2,7 @@
 //! is as it is.
 
 pub mod allowance;
+pub mod election;
 pub mod evidence;
 pub mod membership;
 pub mod pocket;
--- a/franking/src/membership.rs
+++ b/franking/src/membership.rs
@@ -60,6 +60,16 @@
     Membership { epoch: membership.epoch + 1, voters: membership.voters.clone(), outgoing: Vec::new() }
 }
 
+/// The next step towards a set of voters, or none where that is reached. It goes by what is settled: a change that was begun
+/// and is kept by the holder alone, perhaps, must not be concluded, as no majority of the set before it knows of it.
+pub fn towards(settled: &Membership, voters: &BTreeSet<SocketAddr>) -> Option<Membership> {
+    if !settled.outgoing.is_empty() {
+        return Some(concluded(settled));
+    }
+    let reached = settled.voters.iter().copied().collect::<BTreeSet<_>>() == *voters;
+    (!reached).then(|| begun(settled, voters))
+}
+
 /// What each machine is known to have come back as, by all of these votes.
 pub fn incarnations<'a>(votes: impl Iterator<Item = (SocketAddr, &'a Cast)>) -> BTreeMap<SocketAddr, u64> {
     let mut newest = BTreeMap::new();
--- a/franking/src/membership/tests.rs
+++ b/franking/src/membership/tests.rs
@@ -167,3 +167,13 @@
     let all = following.candidates(&list(&[1, 2]), (addr(1), "z"), office, now);
     assert!(all.iter().all(|one| one.missing < LOST), "a new holder misses nobody yet");
 }
+
+#[test]
+fn a_change_that_is_not_settled_is_begun_again_and_never_concluded() {
+    let (old, wanted) = (members(1, &[1, 2, 3], &[]), set(&[1, 4, 5]));
+    let change = begun(&old, &wanted);
+    assert_eq!(towards(&old, &wanted), Some(change.clone()), "whatever the holder's own disk says");
+    assert_eq!(towards(&change, &wanted), Some(members(3, &[1, 4, 5], &[])));
+    assert_eq!(towards(&change, &set(&[2, 3, 4])), Some(concluded(&change)), "the one before comes first");
+    assert_eq!(towards(&concluded(&change), &wanted), None);
+}
--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -21,7 +21,7 @@
 pub const RENEWED: Duration = Duration::from_millis(400);
 
 /// What a voter has on disk.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Promise {
     pub ballot: Ballot,
     /// Whom the ballot was promised to.
@@ -40,13 +40,14 @@
     pub incarnations: BTreeMap<SocketAddr, u64>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Lease {
     ballot: Ballot,
     holder: SocketAddr,
     until: At,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Voter {
     promised: Ballot,
     /// Whom that was promised to.
@@ -62,6 +63,8 @@
     founders: Vec<SocketAddr>,
     incarnation: u64,
     incarnations: BTreeMap<SocketAddr, u64>,
+    /// The disk has refused what it promised last: that is saved with the next vote that goes by it.
+    unsaved: bool,
 }
 
 /// What is to be on disk before the vote is said.
@@ -119,6 +122,7 @@
             founders: promise.founders,
             incarnation: promise.incarnation,
             incarnations: promise.incarnations,
+            unsaved: false,
         }
     }
 
@@ -186,7 +190,7 @@
                 (self.promised, self.to) = (ballot, Some(holder));
                 self.lease = Some(Lease { ballot, holder, until: now.after(TERM) });
                 let vote = Vote::Granted { register: self.register.clone(), doors: self.doors };
-                Step { vote, save: Some(Save::Promise(self.record())) }
+                self.promise(vote, true)
             }
             VoteRequest::Renew { ballot, holder } => {
                 let taken = self.lease.is_some_and(|lease| lease.until > now && lease.holder != holder);
@@ -198,7 +202,7 @@
                 let joins = ballot > self.promised;
                 (self.promised, self.to) = (ballot, Some(holder));
                 self.lease = Some(Lease { ballot, holder, until: now.after(TERM) });
-                Step { vote: Vote::Accepted, save: joins.then(|| Save::Promise(self.record())) }
+                self.promise(Vote::Accepted, joins)
             }
             VoteRequest::Accept { register } => {
                 if register.ballot < self.promised || register.rank() < self.register.rank() {
@@ -223,11 +227,17 @@
                 }
                 self.incarnations.insert(member, incarnation);
                 let vote = Vote::Known { promised: self.promised, register: self.register.clone() };
-                Step { vote, save: (incarnation > known).then(|| Save::Promise(self.record())) }
+                self.promise(vote, incarnation > known)
             }
         }
     }
 
+    /// A vote that goes by a promise: new, or one that the disk refused when it was.
+    fn promise(&mut self, vote: Vote, news: bool) -> Step {
+        self.unsaved |= news;
+        Step { vote, save: self.unsaved.then(|| Save::Promise(self.record())) }
+    }
+
     /// The one it swore to before this start holds nothing any more, as it says itself.
     pub fn released(&mut self, ballot: Ballot, now: At) {
         if ballot == self.promised && self.lease.is_none() {
@@ -237,9 +247,12 @@
 
     /// It is on disk. What could not be saved is never said to be kept.
     pub fn saved(&mut self, save: Save) {
-        if let Save::Register(register) = save {
-            self.promised = self.promised.max(register.ballot);
-            self.register = *register;
+        match save {
+            Save::Promise(_) => self.unsaved = false,
+            Save::Register(register) => {
+                self.promised = self.promised.max(register.ballot);
+                self.register = *register;
+            }
         }
     }
 
@@ -252,7 +265,7 @@
         self.incarnations = recovered.incarnations.clone();
         // What it granted before it forgot.
         self.quiet_until = now.after(TERM);
-        self.amnesic = false;
+        (self.amnesic, self.unsaved) = (false, false);
     }
 }
 
--- a/franking/src/voter/tests.rs
+++ b/franking/src/voter/tests.rs
@@ -151,6 +151,21 @@
     assert!(one > 7 << 32 | 9 && other > one && other < 9 << 32);
 }
 
+#[test]
+fn a_promise_that_the_disk_refused_is_saved_with_the_next_vote_that_goes_by_it() {
+    let asked = VoteRequest::Recover { member: addr(2), incarnation: 7 << 32 };
+    let renewed = VoteRequest::Renew { ballot: Ballot(5 << 8), holder: addr(1) };
+    for request in [asked, renewed] {
+        let mut voter = voter_at(4 << 8, 6);
+        assert!(voter.hear(request.clone(), START).save.is_some(), "the disk then refuses it");
+        let Some(save) = voter.hear(request.clone(), START).save else {
+            panic!("said without being on disk")
+        };
+        voter.saved(save);
+        assert!(voter.hear(request, START).save.is_none(), "it is on disk");
+    }
+}
+
 #[test]
 fn ballots_of_two_machines_differ_wherever_they_are() {
     let at = |ip: [u8; 4]| SocketAddr::from((ip, 7600));
--- a/mailroom/src/clock.rs
+++ b/mailroom/src/clock.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 /// An instant of this process alone: what others are told is always a span.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct At(pub u64);
 
 impl At {
--- a/mailroom/src/messages.rs
+++ b/mailroom/src/messages.rs
@@ -4,14 +4,15 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
 use std::net::{IpAddr, SocketAddr};
 
 /// Grows with each holder of a lease that a majority granted; the low bits tell voters' tries apart.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Ballot(pub u64);
 
 /// The operator's orders in the order in which they hold.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RegisterNo(pub u64);
 
 /// The operator's register: the newest configuration, as it was sent, and the zones that are to get nothing.
@@ -47,6 +48,12 @@
         }
     }
 
+    /// All that it says; a configuration by its text.
+    fn content(&self) -> (Ballot, RegisterNo, Option<&str>, &BTreeSet<String>, &Membership) {
+        let config = self.config.as_ref().map(|config| config.get());
+        (self.ballot, self.no, config, &self.evacuated, &self.membership)
+    }
+
     /// Whether the two are alike to a door: its voters are not its business.
     pub fn says_the_same(&self, other: &Register) -> bool {
         let (one, two) = (self.config.as_deref(), other.config.as_deref());
@@ -59,6 +66,20 @@
     }
 }
 
+impl PartialEq for Register {
+    fn eq(&self, other: &Register) -> bool {
+        self.content() == other.content()
+    }
+}
+
+impl Eq for Register {}
+
+impl Hash for Register {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.content().hash(state);
+    }
+}
+
 /// A version of what one holder after the other makes known.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Version {
@@ -259,7 +280,7 @@
 }
 
 /// What a would-be holder asks of a voter.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum VoteRequest {
     /// For a lease under a ballot of its own.
     Lease { ballot: Ballot, holder: SocketAddr },
@@ -274,7 +295,7 @@
     Recover { member: SocketAddr, incarnation: u64 },
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Vote {
     Granted {
         register: Register,
@@ -306,7 +327,7 @@
 
 /// A vote, with the incarnation of who casts it, and what that one knows of the others': a vote that a member cast before
 /// it lost its disk counts for nothing beside one that was cast by who knows of the loss.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Cast {
     pub incarnation: u64,
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -5,14 +5,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use vanewharf_franking::membership::{
-    Recovery, assents, begun, carries, concluded, everyone, hopeless, incarnations, newest, recovery,
+use vanewharf_franking::election::{
+    Claim, Election, Keeping, Outcome, Rank, Recovering, Renewal, Renewing, Term, Turn,
 };
-use vanewharf_franking::voter::{MARGIN, Promise, RENEWED, Save, TERM, Voter, above, incarnation_above};
+use vanewharf_franking::membership::{assents, carries, everyone, towards};
+use vanewharf_franking::voter::{Promise, RENEWED, Save, TERM, Voter, above};
 use vanewharf_mailroom::call::Caller;
 use vanewharf_mailroom::clock::{At, Steady};
 use vanewharf_mailroom::config::Config;
@@ -41,28 +43,6 @@
 
 type Commands = mpsc::UnboundedSender<Command>;
 
-/// A lease in hand.
-#[derive(Clone, Copy, Debug)]
-struct Term {
-    ballot: Ballot,
-    until: At,
-    /// What was kept before is kept under this ballot too, so that orders may be taken.
-    settled: bool,
-}
-
-/// What came of asking for another term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Renewal {
-    Carried,
-    /// Too few answered, or assented.
-    Short,
-    /// A voter has promised a higher ballot.
-    Overtaken,
-}
-
-/// By which registers are told apart.
-type Rank = (Ballot, RegisterNo);
-
 /// What all tasks of this process know of the office.
 pub struct Office {
     pub me: SocketAddr,
@@ -76,6 +56,7 @@
     /// By how many doors, as far as those know who granted the lease in hand.
     doors: Cell<u32>,
     term: Cell<Option<Term>>,
+    claim: Cell<Claim>,
     callers: RefCell<BTreeMap<SocketAddr, Vec<Caller>>>,
     /// No number is given twice under one ballot.
     next: Cell<RegisterNo>,
@@ -105,6 +86,7 @@
             commands,
             doors: Cell::new(0),
             term: Cell::new(None),
+            claim: Cell::default(),
             callers: RefCell::default(),
             next: Cell::new(RegisterNo(0)),
             leaving: Cell::new(false),
@@ -149,7 +131,7 @@
     /// Whether this process holds the lease now and may act by it.
     pub fn holds(&self) -> bool {
         let now = self.now();
-        self.term.get().is_some_and(|term| term.settled && term.until > now)
+        self.term.get().is_some_and(|term| term.serves(now))
     }
 
     /// What the register in hand says.
@@ -250,13 +232,13 @@
         cast
     }
 
-    /// Asks these at once; ends when enough have spoken, or all.
-    async fn poll(
+    /// Asks these at once; ends when what they say decides it, or with nothing once all have spoken or are silent.
+    async fn poll<T>(
         self: &Rc<Self>,
         voters: &BTreeSet<SocketAddr>,
         request: VoteRequest,
-        enough: impl Fn(&[(SocketAddr, Cast)]) -> bool,
-    ) -> Vec<(SocketAddr, Cast)> {
+        mut hear: impl FnMut(SocketAddr, Cast) -> ControlFlow<T>,
+    ) -> Option<T> {
         let (said, mut votes) = mpsc::unbounded_channel();
         for &voter in voters {
             let (office, request, said) = (Rc::clone(self), request.clone(), said.clone());
@@ -265,19 +247,22 @@
             });
         }
         drop(said);
-        let mut all = Vec::new();
         while let Some((voter, cast)) = votes.recv().await {
-            all.extend(cast.map(|cast| (voter, cast)));
-            if enough(&all) {
-                break;
+            if let Some(ControlFlow::Break(decided)) = cast.map(|cast| hear(voter, cast)) {
+                return Some(decided);
             }
         }
-        all
+        None
     }
 
     async fn release(self: &Rc<Self>, set: &Membership, ballot: Ballot) {
-        let enough = |votes: &[(SocketAddr, Cast)]| carries(set, &assents(votes));
-        self.poll(&everyone(set), VoteRequest::Release { ballot }, enough).await;
+        let mut votes = Vec::new();
+        let request = VoteRequest::Release { ballot };
+        self.poll(&everyone(set), request, |voter, cast| {
+            votes.push((voter, cast));
+            if carries(set, &assents(&votes)) { ControlFlow::Break(()) } else { ControlFlow::Continue(()) }
+        })
+        .await;
     }
 
     /// Tries for the lease whenever nobody holds it.
@@ -300,38 +285,27 @@
             }
             let ballot = above(seen.max(self.voter.borrow().promised()), self.me);
             let asked = self.now();
+            self.claim.set(Claim::on(ballot));
             let request = VoteRequest::Lease { ballot, holder: self.me };
-            let (mut set, mut known) = self.newest_set();
-            let carried = |set: &Membership, votes: &[_]| carries(set, &assents(votes));
-            let mut votes = self.poll(&everyone(&set), request.clone(), |votes| carried(&set, votes)).await;
-            let mut found = newest(&votes);
-            // The register that is found may have other voters: their majority is needed, too.
-            while carried(&set, &votes) && found.rank() > known {
-                (set, known) = (found.membership.clone(), found.rank());
-                let asked: BTreeSet<_> = votes.iter().map(|(voter, _)| *voter).collect();
-                let others = everyone(&set).difference(&asked).copied().collect();
-                let enough = |more: &[_]| carried(&set, &[&votes[..], more].concat());
-                let more = self.poll(&others, request.clone(), enough).await;
-                votes.extend(more);
-                found = newest(&votes);
-            }
-            let refused = votes.iter().filter_map(|(_, cast)| match cast.vote {
-                Vote::Refused { promised, .. } => Some(promised),
-                _ => None,
-            });
-            seen = refused.max().unwrap_or_default().max(seen);
-            // One that has left must not lead.
-            if !carried(&set, &votes) || !set.voters.contains(&self.me) {
-                self.release(&set, ballot).await;
+            let (set, known) = self.newest_set();
+            let mut ask = everyone(&set);
+            let mut election = Election::begin(self.me, set, known);
+            let found = loop {
+                let hear = |voter, cast| election.hear(voter, cast);
+                match self.poll(&ask, request.clone(), hear).await {
+                    Some(Outcome::Ask(others)) => ask = others,
+                    Some(Outcome::Won(found)) => break Some(*found),
+                    Some(Outcome::Left) | None => break None,
+                }
+            };
+            seen = election.overtaken_by().max(seen);
+            let Some(found) = found.filter(|_| self.claim.get().stands(ballot)) else {
+                self.release(election.set(), ballot).await;
                 sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
                 continue;
-            }
-            let doors = votes.iter().filter_map(|(_, cast)| match cast.vote {
-                Vote::Granted { doors, .. } => Some(doors),
-                _ => None,
-            });
-            self.doors.set(doors.max().unwrap_or(0));
-            self.term.set(Some(Term { ballot, until: asked.after(TERM - MARGIN), settled: false }));
+            };
+            self.doors.set(election.doors());
+            self.term.set(Some(Term::won(ballot, asked)));
             self.hold(ballot, found).await;
             self.term.set(None);
             spdlog::info!("the lease under ballot {} has ended", ballot.0);
@@ -361,7 +335,7 @@
             if self.renew(ballot).await == Renewal::Overtaken {
                 break;
             }
-            if self.term.get().is_none_or(|term| term.until <= self.now()) {
+            if self.term.get().is_none_or(|term| !term.lasts(self.now())) {
                 break;
             }
         }
@@ -372,19 +346,19 @@
     async fn renew(self: &Rc<Self>, ballot: Ballot) -> Renewal {
         let (asked, set) = (self.now(), self.membership());
         let request = VoteRequest::Renew { ballot, holder: self.me };
-        let votes = self.poll(&everyone(&set), request, |votes| carries(&set, &assents(votes))).await;
-        let higher = |(_, cast): &(SocketAddr, Cast)| match cast.vote {
-            Vote::Refused { promised, .. } => promised > ballot,
-            _ => false,
-        };
-        if !carries(&set, &assents(&votes)) {
-            return if votes.iter().any(higher) { Renewal::Overtaken } else { Renewal::Short };
+        let mut renewing = Renewing::begin(ballot, set);
+        let voters = everyone(renewing.set());
+        self.poll(&voters, request, |voter, cast| renewing.hear(voter, cast)).await;
+        if !self.claim.get().stands(ballot) {
+            return Renewal::Overtaken;
         }
-        if let Some(term) = self.term.get().filter(|term| term.ballot == ballot) {
-            let until = asked.after(TERM - MARGIN).max(term.until);
-            self.term.set(Some(Term { until, ..term }));
+        let outcome = renewing.outcome();
+        if outcome == Renewal::Carried
+            && let Some(term) = self.term.get().filter(|term| term.ballot == ballot)
+        {
+            self.term.set(Some(term.renewed(asked)));
         }
-        Renewal::Carried
+        outcome
     }
 
     fn settle(&self, register: Register) {
@@ -402,8 +376,8 @@
 
     /// Whether a majority of those that it names has it on disk; tried again and again until then, or the lease ends.
     async fn kept(self: &Rc<Self>, register: &Register) -> bool {
-        let set = register.membership.clone();
-        let voters: BTreeSet<_> = everyone(&self.membership()).union(&everyone(&set)).copied().collect();
+        let named = everyone(&register.membership);
+        let voters: BTreeSet<_> = everyone(&self.membership()).union(&named).copied().collect();
         let (said, mut votes) = mpsc::unbounded_channel();
         let mut trying = Vec::new();
         for &voter in &voters {
@@ -423,25 +397,22 @@
             }));
         }
         drop(said);
-        let mut all = Vec::new();
-        let carried = |all: &[(SocketAddr, Cast)]| carries(&set, &assents(all));
+        let mut keeping = Keeping::begin(register);
         let counting = async {
             while let Some((voter, cast)) = votes.recv().await {
-                all.push((voter, cast));
-                let against = all.iter().filter(|(_, cast)| matches!(cast.vote, Vote::Refused { .. }));
-                let against = against.map(|(voter, _)| *voter).collect();
-                if carried(&all) || hopeless(&set, &against) {
-                    break;
+                if let ControlFlow::Break(carried) = keeping.hear(voter, cast) {
+                    return carried;
                 }
             }
+            false
         };
-        let _ = timeout(KEPT_BY, counting).await;
+        let carried = timeout(KEPT_BY, counting).await.unwrap_or(false);
         // Those that lag behind are told all the same, for as long as one more try lasts.
         tokio::task::spawn_local(async move {
             sleep(SLOW).await;
             trying.iter().for_each(tokio::task::JoinHandle::abort);
         });
-        carried(&all)
+        carried
     }
 
     /// Makes a register the one in force; false where it is not certain to be.
@@ -461,29 +432,31 @@
         true
     }
 
+    /// The set of the register in force.
+    fn settled_set(&self) -> Membership {
+        self.feed.store().register.as_ref().map(|register| register.membership.clone()).unwrap_or_default()
+    }
+
     /// Another set of voters by joint consensus: first both sets decide, then the new one alone. A voter leaves only when a
     /// majority of the new set has all that was kept.
     pub async fn reconfigure(self: &Rc<Self>, voters: BTreeSet<SocketAddr>) -> bool {
-        let change = |to: &dyn Fn(&Membership) -> Membership| {
-            let membership = to(&self.membership());
-            self.acknowledge(|register| Register { membership, ..register.clone() })
-        };
         // One that a holder before this one began is concluded first.
-        if !self.membership().outgoing.is_empty() && !change(&concluded).await {
-            return false;
-        }
-        if self.membership().voters.iter().copied().collect::<BTreeSet<_>>() == voters {
-            return true;
-        }
-        // Between the two the lease is renewed by both sets: a holder that went by votes of the old one alone could be
-        // overtaken by one whom the new one elects.
-        let done = change(&|now| begun(now, &voters)).await
-            && self.renew(self.ballot()).await == Renewal::Carried
-            && change(&concluded).await;
-        if done {
-            spdlog::info!("epoch {}: the voters are {:?}", self.membership().epoch, voters);
+        while let Some(membership) = towards(&self.settled_set(), &voters) {
+            // Between the two the lease is renewed by both sets: a holder that went by votes of the old one alone could
+            // be overtaken by one whom the new one elects.
+            let concludes = membership.outgoing.is_empty();
+            if concludes && self.renew(self.ballot()).await != Renewal::Carried {
+                return false;
+            }
+            if !self.acknowledge(|register| Register { membership, ..register.clone() }).await {
+                return false;
+            }
+            if concludes {
+                let now = self.membership();
+                spdlog::info!("epoch {}: the voters are {:?}", now.epoch, now.voters);
+            }
         }
-        done
+        true
     }
 
     /// What the holder made known is kept here too, where it is newer than what this disk has.
@@ -503,10 +476,12 @@
         }
     }
 
-    /// Whether this process still holds what was promised to it under that ballot.
+    /// Whether this process still holds what was promised to it under that ballot; where not, it never will.
     pub fn holds_by(&self, ballot: Ballot) -> bool {
-        let now = self.now();
-        self.term.get().is_some_and(|term| term.ballot == ballot && term.until > now)
+        let mut claim = self.claim.get();
+        let held = claim.asked(ballot, self.term.get(), self.now());
+        self.claim.set(claim);
+        held
     }
 
     /// After a restart the one that was promised to may still hold its lease; one that says otherwise need not be waited
@@ -533,50 +508,33 @@
     /// A voter with amnesia asks those who have a say what they promised and accepted, and promises that again: a machine
     /// that lost its disk is a new member of its old name until then.
     pub async fn recover(self: Rc<Self>, disk: Disk) {
-        let (mut told, mut heard) = (BTreeMap::new(), 0);
+        let mut recovering = Recovering::begin(self.me, self.seeds.clone(), self.premises.life());
         let mut hear: BTreeSet<_> = self.seeds.iter().copied().filter(|seed| *seed != self.me).collect();
-        let mut incarnation = incarnation_above(heard, self.premises.life());
         while self.voter.borrow().amnesic() {
+            let incarnation = recovering.incarnation();
             let request = VoteRequest::Recover { member: self.me, incarnation };
-            for (member, cast) in self.poll(&hear, request, |_| false).await {
-                if let Vote::Outlived { incarnation } = cast.vote {
-                    heard = incarnation.max(heard);
-                }
-                told.insert(member, cast);
-            }
-            if heard > incarnation {
-                // What was told counts only for an incarnation that is above all others.
-                incarnation = incarnation_above(heard, self.premises.life());
-                told.clear();
-                continue;
-            }
-            match recovery(self.me, &self.seeds, &told) {
-                Recovery::Done { promised, register } => {
-                    let known = incarnations(told.iter().map(|(member, cast)| (*member, cast)));
-                    let founders = register.membership.voters.clone();
-                    let holder = None;
-                    let promise = Promise {
-                        ballot: promised,
-                        holder,
-                        founders,
-                        doors: 0,
-                        incarnation,
-                        incarnations: known,
-                    };
+            self.poll(&hear, request, |member, cast| {
+                recovering.hear(member, cast);
+                ControlFlow::<()>::Continue(())
+            })
+            .await;
+            match recovering.turn(self.premises.life()) {
+                Turn::Restore(promise, register) => {
                     while !(disk.save(Record::Register, &*register).await.is_ok()
-                        && disk.save(Record::Promise, &promise).await.is_ok())
+                        && disk.save(Record::Promise, &*promise).await.is_ok())
                     {
                         sleep(AGAIN).await;
                     }
                     let no = register.no;
                     self.voter.borrow_mut().restore(&promise, *register, self.now());
-                    spdlog::warn!("recovered register {} from {} others", no.0, told.len());
+                    spdlog::warn!("recovered register {} from {} others", no.0, recovering.known().len());
                 }
-                Recovery::Hear(missing) => {
-                    // Seeds that were down may be up again, and what was told long ago may be no news.
-                    hear = missing.into_iter().chain(self.seeds.iter().copied()).collect();
-                    hear.remove(&self.me);
-                    sleep(AGAIN).await;
+                Turn::Ask(others) => {
+                    hear = others;
+                    // One that counts anew asks anew at once.
+                    if recovering.incarnation() == incarnation {
+                        sleep(AGAIN).await;
+                    }
                 }
             }
         }
