--- /dev/null
+++ b/franking/tests/model/liveness.rs
@@ -0,0 +1,57 @@
+//! From any state on, with all members up and every message delivered: whether a holder comes about.
+
+use crate::machine::*;
+use vanewharf_mailroom::messages::Register;
+
+/// So many tries have to do.
+const TRIES: usize = 40;
+
+impl Lease {
+    /// Deterministic: the oldest message first, and what cannot be heard is passed over.
+    pub fn deliver_all(&self, mut state: State) -> State {
+        for _ in 0..400 {
+            let delivered = state.net.iter().find_map(|one| self.step(&state, Action::Deliver(one.clone())));
+            match delivered {
+                Some(next) => state = next,
+                None => return state,
+            }
+        }
+        state
+    }
+
+    pub fn goes_on(&self, state: &State) -> bool {
+        let mut state = state.clone();
+        state.left = Budget { releases: 200, ..Budget::none() };
+        for _ in 0..TRIES {
+            while let Some(down) = state.members.iter().position(|member| !member.up) {
+                state = self.step(&state, Action::Restart(down)).expect("it is down");
+            }
+            state = self.deliver_all(state);
+            let values = state.values();
+            let serving = |place: &usize| {
+                let member = &state.members[*place];
+                let has = |store: &Register| values.is_subset(&store.evacuated);
+                let serves = member.term.is_some_and(|term| term.serves(self.now(&state, *place)));
+                serves && (values.is_empty() || member.store.as_ref().is_some_and(has))
+            };
+            if (0..self.members).any(|place| serving(&place)) {
+                return true;
+            }
+            let tries = |place: &usize| {
+                let (member, now) = (&state.members[*place], self.now(&state, *place));
+                let lapsed = member.term.is_none_or(|term| !term.lasts(now));
+                lapsed && member.membership().voters.contains(&addr(*place)) && member.voter.vacant(now)
+            };
+            let next = (0..self.members).find(|place| tries(place)).map_or(Action::Tick, Action::Try);
+            let tried = matches!(next, Action::Try(_));
+            state = self.step(&state, next).expect("time goes on");
+            if tried {
+                state = self.deliver_all(state);
+                if !state.members.iter().any(|member| member.term.is_some_and(|term| term.settled)) {
+                    state = self.step(&state, Action::Tick).expect("time goes on");
+                }
+            }
+        }
+        false
+    }
+}
--- /dev/null
+++ b/franking/tests/model/steps.rs
@@ -0,0 +1,581 @@
+//! What may happen next, and what comes of it.
+
+use crate::machine::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::ops::ControlFlow;
+use vanewharf_franking::election::{Claim, Election, Keeping, Recovering, Renewing, Term};
+use vanewharf_franking::election::{Outcome, Renewal, Turn};
+use vanewharf_franking::membership::everyone;
+use vanewharf_franking::membership::towards;
+use vanewharf_franking::voter::{Promise, Voter};
+use vanewharf_franking::voter::{Save, TERM, above};
+use vanewharf_mailroom::clock::At;
+use vanewharf_mailroom::messages::Vote;
+use vanewharf_mailroom::messages::{Ballot, Cast, Register, RegisterNo, VoteRequest};
+
+impl Lease {
+    pub fn possible(&self, state: &State, actions: &mut Vec<Action>) {
+        let left = &state.left;
+        if left.ticks > 0 {
+            actions.push(Action::Tick);
+        }
+        let lost = state.members.iter().filter(|member| !member.sound()).count();
+        for (place, member) in state.members.iter().enumerate() {
+            if !member.up {
+                actions.push(Action::Restart(place));
+                continue;
+            }
+            let now = self.now(state, place);
+            // Whoever comes next is lost only when those before are back.
+            if lost < self.losses || lost == self.losses && !member.sound() {
+                if left.crashes > 0 {
+                    actions.push(Action::Crash(place));
+                }
+                if left.wipes > 0 {
+                    actions.push(Action::Wipe(place));
+                }
+            }
+            let lapsed = member.term.is_none_or(|term| !term.lasts(now));
+            let voter = member.membership().voters.contains(&addr(place));
+            if left.tries > 0 && voter && lapsed && member.voter.vacant(now) {
+                actions.push(Action::Try(place));
+            }
+            if left.inquiries > 0
+                && member.promise.as_ref().is_some_and(|promise| promise.holder.is_some())
+                && member.voter.holder(now).is_none()
+                && !member.voter.vacant(now)
+            {
+                actions.push(Action::Inquire(place));
+            }
+            if left.timeouts > 0 && (member.keeping.is_some() || member.election.is_some()) {
+                actions.push(Action::TimeOut(place));
+            }
+            let Some(term) = member.term else {
+                continue;
+            };
+            if left.renewals > 0 {
+                actions.push(Action::Renew(place));
+            }
+            if left.leaves > 0 {
+                actions.push(Action::Leave(place));
+            }
+            if member.keeping.is_some() || !term.serves(now) {
+                continue;
+            }
+            if left.values > 0 {
+                actions.push(Action::Propose(place));
+            }
+            let outgoing = !member.membership().outgoing.is_empty();
+            let settled = !member.settled_set().outgoing.is_empty();
+            let change: Vec<_> = self.change.iter().map(|place| addr(*place)).collect();
+            if left.changes > 0 && !settled && member.settled_set().voters != change && !change.is_empty() {
+                actions.push(Action::Begin(place));
+            }
+            let renewed = !member.unrenewed || self.has(Planted::NoRenewalByBoth);
+            let may = if self.has(Planted::ConcludedUnkept) { outgoing } else { settled && renewed };
+            if left.conclusions > 0 && may {
+                actions.push(Action::Conclude(place));
+            }
+        }
+        for envelope in &state.net {
+            let to = if envelope.vote.is_some() { envelope.owner } else { envelope.voter };
+            if !state.members[to].up {
+                continue;
+            }
+            actions.push(Action::Deliver(envelope.clone()));
+            if self.prompt && !matches!(envelope.request, VoteRequest::Release { .. }) {
+                actions.push(Action::Mute(envelope.clone()));
+            }
+            if left.repeats > 0 && envelope.vote.is_none() {
+                actions.push(Action::Repeat(envelope.clone()));
+            }
+            if left.refusals > 0 && envelope.vote.is_none() {
+                actions.push(Action::Refuse(envelope.clone()));
+            }
+        }
+    }
+
+    pub fn step(&self, state: &State, action: Action) -> Option<State> {
+        let mut next = state.clone();
+        match action {
+            Action::Tick => {
+                next.left.ticks = next.left.ticks.saturating_sub(1);
+                next.tick += 1;
+            }
+            Action::Try(place) => self.try_for_it(&mut next, place),
+            Action::Renew(place) => self.renew(&mut next, place),
+            Action::Propose(place) => {
+                next.left.values -= 1;
+                let value = format!("v{}", self.budget.values - next.left.values);
+                self.order(&mut next, place, Purpose::Order, |register| {
+                    register.evacuated.insert(value);
+                });
+            }
+            Action::Begin(place) => {
+                next.left.changes -= 1;
+                self.reconfigure(&mut next, place, Purpose::Begin);
+            }
+            Action::Conclude(place) => {
+                next.left.conclusions -= 1;
+                self.reconfigure(&mut next, place, Purpose::Order);
+            }
+            Action::Leave(place) => {
+                next.left.leaves -= 1;
+                if let Some(term) = next.members[place].term.take() {
+                    self.release(&mut next, place, term.ballot);
+                }
+            }
+            Action::Crash(place) => {
+                next.left.crashes -= 1;
+                self.end(&mut next, place);
+            }
+            Action::Wipe(place) => {
+                next.left.wipes -= 1;
+                self.end(&mut next, place);
+                (next.members[place].promise, next.members[place].register) = (None, None);
+            }
+            Action::Restart(place) => self.restart(&mut next, place),
+            Action::Inquire(place) => {
+                next.left.inquiries -= 1;
+                self.inquire(&mut next, place);
+            }
+            Action::TimeOut(place) => {
+                next.left.timeouts -= 1;
+                next.members[place].keeping = None;
+                if let Some((_, ballot, _, election)) = next.members[place].election.take() {
+                    self.lose(&mut next, place, ballot, &election);
+                }
+            }
+            Action::Deliver(envelope) => {
+                let at = next.net.iter().position(|one| *one == envelope)?;
+                next.net.remove(at);
+                self.deliver(&mut next, envelope, false);
+            }
+            Action::Repeat(envelope) => {
+                next.left.repeats -= 1;
+                self.deliver(&mut next, envelope, false);
+            }
+            Action::Mute(envelope) => {
+                let at = next.net.iter().position(|one| *one == envelope)?;
+                next.net.remove(at);
+                self.voter_hears(&mut next, &envelope, false);
+            }
+            Action::Refuse(envelope) => {
+                let at = next.net.iter().position(|one| *one == envelope)?;
+                next.net.remove(at);
+                next.left.refusals -= 1;
+                self.deliver(&mut next, envelope, true);
+            }
+        }
+        self.forget_the_over(&mut next);
+        next.tidy();
+        (next != *state).then_some(next)
+    }
+
+    /// Votes of rounds that are over are heard by nobody, and what is below a promise that cannot be lost does nothing.
+    fn forget_the_over(&self, state: &mut State) {
+        let (members, wipes) = (&state.members, state.left.wipes);
+        state.net.retain(|one| {
+            let owner = &members[one.owner];
+            let rounds = [
+                owner.election.as_ref().map(|now| now.0),
+                owner.renewing.as_ref().map(|now| now.0),
+                owner.keeping.as_ref().map(|now| now.0),
+                owner.recovering.as_ref().map(|now| now.0),
+            ];
+            if owner.up && rounds.contains(&Some(one.round)) {
+                return true;
+            }
+            let promised = members[one.voter].promise.as_ref().map_or(Ballot(0), |promise| promise.ballot);
+            let past = |ballot: Ballot| wipes == 0 && ballot < promised;
+            one.vote.is_none()
+                && match &one.request {
+                    VoteRequest::Lease { ballot, .. } => !past(*ballot) && (wipes > 0 || *ballot != promised),
+                    VoteRequest::Renew { ballot, .. } => !past(*ballot),
+                    VoteRequest::Accept { register } => !past(register.ballot),
+                    VoteRequest::Release { .. } => true,
+                    VoteRequest::Recover { .. } => false,
+                }
+        });
+    }
+
+    fn ask(
+        &self,
+        state: &mut State,
+        owner: usize,
+        voters: &BTreeSet<SocketAddr>,
+        request: VoteRequest,
+    ) -> u8 {
+        let round = state.members[owner].rounds + 1;
+        state.members[owner].rounds = round;
+        self.ask_besides(state, owner, round, voters, request);
+        round
+    }
+
+    fn ask_besides(
+        &self,
+        state: &mut State,
+        owner: usize,
+        round: u8,
+        voters: &BTreeSet<SocketAddr>,
+        request: VoteRequest,
+    ) {
+        for voter in voters {
+            let (voter, request) = (place(*voter), request.clone());
+            state.net.push(Envelope { owner, round, voter, request, vote: None });
+        }
+    }
+
+    fn try_for_it(&self, state: &mut State, place: usize) {
+        state.left.tries = state.left.tries.saturating_sub(1);
+        let now = self.now(state, place);
+        let member = &mut state.members[place];
+        let name = if self.has(Planted::BallotsNotUnique) { addr(9) } else { addr(place) };
+        let ballot = above(member.seen.max(member.voter.promised()), name);
+        member.claim = Claim::on(ballot);
+        let (set, known) = member.newest_set();
+        (member.term, member.keeping, member.renewing, member.unrenewed) = (None, None, None, false);
+        let voters = everyone(&set);
+        let election = Election::begin(addr(place), set, known);
+        let request = VoteRequest::Lease { ballot, holder: addr(place) };
+        let round = self.ask(state, place, &voters, request);
+        state.members[place].election = Some((round, ballot, now, election));
+    }
+
+    fn renew(&self, state: &mut State, place: usize) {
+        state.left.renewals = state.left.renewals.saturating_sub(1);
+        let Some(term) = state.members[place].term else {
+            return;
+        };
+        let (asked, set) = (self.now(state, place), state.members[place].membership());
+        let request = VoteRequest::Renew { ballot: term.ballot, holder: addr(place) };
+        let round = self.ask(state, place, &everyone(&set), request);
+        state.members[place].renewing = Some((round, asked, Renewing::begin(term.ballot, set)));
+    }
+
+    /// As `Office::acknowledge`.
+    fn order(&self, state: &mut State, place: usize, purpose: Purpose, change: impl FnOnce(&mut Register)) {
+        let member = &mut state.members[place];
+        let mut register = member.store.clone().unwrap_or_else(Register::none);
+        change(&mut register);
+        (register.ballot, register.no) = (member.term.expect("it holds the lease").ballot, member.next);
+        member.next = RegisterNo(member.next.0 + 1);
+        self.keep(state, place, purpose, register);
+    }
+
+    /// One step of `Office::reconfigure`.
+    fn reconfigure(&self, state: &mut State, place: usize, purpose: Purpose) {
+        let member = &state.members[place];
+        let newest = self.has(Planted::ConcludedUnkept);
+        let settled = if newest { member.membership() } else { member.settled_set() };
+        let voters = self.change.iter().map(|place| addr(*place)).collect();
+        let Some(mut membership) = towards(&settled, &voters) else {
+            return;
+        };
+        if self.has(Planted::ChangeWithoutOutgoing) {
+            membership.outgoing.clear();
+        }
+        self.order(state, place, purpose, |register| register.membership = membership);
+    }
+
+    /// As `Office::kept`.
+    fn keep(&self, state: &mut State, place: usize, purpose: Purpose, register: Register) {
+        let keeping = Keeping::begin(&register);
+        let mut voters = everyone(&state.members[place].membership());
+        voters.extend(everyone(&register.membership));
+        let round = self.ask(state, place, &voters, VoteRequest::Accept { register: register.clone() });
+        state.members[place].keeping = Some((round, purpose, register, keeping));
+    }
+
+    fn release(&self, state: &mut State, place: usize, ballot: Ballot) {
+        let voters = everyone(&state.members[place].membership());
+        self.ask(state, place, &voters, VoteRequest::Release { ballot });
+    }
+
+    /// Nobody has to wait for the end of votes that were for nothing.
+    fn lose(&self, state: &mut State, place: usize, ballot: Ballot, election: &Election) {
+        if state.left.releases > 0 {
+            state.left.releases -= 1;
+            self.ask(state, place, &everyone(election.set()), VoteRequest::Release { ballot });
+        }
+    }
+
+    fn end(&self, state: &mut State, place: usize) {
+        let member = &mut state.members[place];
+        member.up = false;
+        (member.election, member.term, member.renewing, member.keeping) = (None, None, None, None);
+        (member.store, member.recovering, member.unrenewed) = (None, None, false);
+        (member.seen, member.claim, member.next) = (Ballot(0), Claim::default(), RegisterNo(0));
+        state.net.retain(|one| !(one.owner == place && (one.vote.is_some() || one.voter == place)));
+    }
+
+    fn restart(&self, state: &mut State, place: usize) {
+        let now = self.now(state, place);
+        let seeds = self.seeds();
+        let wiped = u64::from(self.budget.wipes - state.left.wipes);
+        let member = &mut state.members[place];
+        member.up = true;
+        member.voter = Voter::start(member.promise.as_ref(), member.register.clone(), &seeds, false, now);
+        if self.has(Planted::NoQuietTerm) {
+            member.voter.released(member.voter.promised(), now);
+        }
+        if member.voter.amnesic() {
+            self.recover(state, place, wiped);
+        }
+    }
+
+    pub fn recover(&self, state: &mut State, place: usize, chance: u64) {
+        let recovering = Recovering::begin(addr(place), self.seeds(), chance);
+        let request = VoteRequest::Recover { member: addr(place), incarnation: recovering.incarnation() };
+        let others = self.seeds().into_iter().filter(|seed| *seed != addr(place)).collect();
+        let round = self.ask(state, place, &others, request);
+        state.members[place].recovering = Some((round, recovering));
+    }
+
+    /// As `Office::inquire` and `Office::holds_by`; asked and answered at once.
+    fn inquire(&self, state: &mut State, asker: usize) {
+        let Some(Promise { ballot, holder: Some(holder), .. }) = state.members[asker].promise.clone() else {
+            return;
+        };
+        let (now, then) = (self.now(state, asker), self.now(state, place(holder)));
+        let holder = &mut state.members[place(holder)];
+        let mut claim = holder.claim;
+        if !holder.up || claim.asked(ballot, holder.term, then) {
+            return;
+        }
+        if !self.has(Planted::NotDisowned) {
+            holder.claim = claim;
+        }
+        state.members[asker].voter.released(ballot, now);
+    }
+
+    fn deliver(&self, state: &mut State, envelope: Envelope, refused: bool) {
+        match envelope.vote.clone() {
+            None => {
+                let cast = self.voter_hears(state, &envelope, refused);
+                if matches!(envelope.request, VoteRequest::Release { .. }) {
+                    return;
+                }
+                if self.prompt {
+                    self.count(state, envelope, cast);
+                } else {
+                    state.net.push(Envelope { vote: Some(cast), ..envelope });
+                }
+            }
+            Some(cast) => self.count(state, envelope, cast),
+        }
+    }
+
+    fn count(&self, state: &mut State, envelope: Envelope, mut cast: Cast) {
+        if self.has(Planted::IncarnationsNotCounted) {
+            (cast.incarnation, cast.incarnations) = (0, BTreeMap::new());
+        }
+        if state.members[envelope.owner].up {
+            self.owner_hears(state, envelope, cast);
+        }
+    }
+
+    /// As `Office::own`: on disk first.
+    fn voter_hears(&self, state: &mut State, envelope: &Envelope, refused: bool) -> Cast {
+        let now = self.now(state, envelope.voter);
+        let forgets = self.has(Planted::RefusalForgotten);
+        let early = self.has(Planted::PromiseBeforeDisk) && state.tick > 0;
+        let member = &mut state.members[envelope.voter];
+        let step = member.voter.hear(envelope.request.clone(), now);
+        let mut vote = step.vote;
+        match step.save {
+            Some(save) if refused => {
+                vote = Vote::Unable;
+                if forgets {
+                    // What the voter did before it kept in mind that its disk lacks something.
+                    member.voter.saved(Save::Promise(member.voter.record()));
+                }
+                let _ = save;
+            }
+            Some(save) => {
+                match &save {
+                    Save::Promise(_) if early => {}
+                    Save::Promise(promise) => member.promise = Some(promise.clone()),
+                    Save::Register(register) => member.register = Some(Register::clone(register)),
+                }
+                member.voter.saved(save);
+            }
+            None => {}
+        }
+        member.voter.cast(vote)
+    }
+
+    fn owner_hears(&self, state: &mut State, envelope: Envelope, cast: Cast) {
+        let Envelope { owner, round, voter, request, .. } = envelope;
+        let (me, from) = (owner, addr(voter));
+        let member = &mut state.members[me];
+        if let Some((_, ballot, asked, mut election)) = member.election.take_if(|now| now.0 == round) {
+            let outcome = election.hear(from, cast);
+            member.seen = member.seen.max(election.overtaken_by());
+            match outcome {
+                ControlFlow::Continue(()) => {
+                    // One in which all have spoken is lost, and its votes with it.
+                    let waits = state.net.iter().any(|one| one.owner == me && one.round == round);
+                    if waits {
+                        state.members[me].election = Some((round, ballot, asked, election));
+                    } else {
+                        self.lose(state, me, ballot, &election);
+                    }
+                }
+                ControlFlow::Break(Outcome::Ask(others)) => {
+                    // Those that have not spoken are asked again; what they say to the first time is not heard.
+                    state.net.retain(|one| !(one.owner == me && one.round == round && one.vote.is_some()));
+                    let again = self.ask(state, me, &others, request);
+                    state.members[me].election = Some((again, ballot, asked, election));
+                }
+                ControlFlow::Break(Outcome::Won(found)) if member.claim.stands(ballot) => {
+                    self.win(state, me, ballot, asked, *found);
+                }
+                ControlFlow::Break(Outcome::Won(_) | Outcome::Left) => {
+                    self.lose(state, me, ballot, &election)
+                }
+            }
+        } else if let Some((_, asked, mut renewing)) = member.renewing.take_if(|now| now.0 == round) {
+            match renewing.hear(from, cast) {
+                ControlFlow::Break(()) => {
+                    let both = renewing.set() == &member.settled_set();
+                    let claim = member.claim;
+                    if let Some(term) = member.term.filter(|term| claim.stands(term.ballot)) {
+                        member.term = Some(self.lasting(term.renewed(asked), asked));
+                        member.unrenewed &= !both;
+                    }
+                }
+                ControlFlow::Continue(()) => {
+                    let waits = state.net.iter().any(|one| one.owner == me && one.round == round);
+                    if waits {
+                        member.renewing = Some((round, asked, renewing));
+                    } else if renewing.outcome() == Renewal::Overtaken {
+                        member.term = None;
+                    }
+                }
+            }
+        } else if let Some((_, purpose, register, mut keeping)) = member.keeping.take_if(|now| now.0 == round)
+        {
+            if !matches!(cast.vote, Vote::Accepted | Vote::Refused { .. }) {
+                member.keeping = Some((round, purpose, register, keeping));
+                state.net.push(Envelope { owner, round, voter, request, vote: None });
+                return;
+            }
+            match keeping.hear(from, cast) {
+                ControlFlow::Continue(()) => member.keeping = Some((round, purpose, register, keeping)),
+                ControlFlow::Break(true) => self.carried(state, me, purpose, register),
+                ControlFlow::Break(false) => {}
+            }
+        } else if let Some((_, mut recovering)) = member.recovering.take_if(|now| now.0 == round) {
+            self.told(state, (me, round), (voter, request), &mut recovering, cast);
+        }
+    }
+
+    fn lasting(&self, term: Term, asked: At) -> Term {
+        if self.has(Planted::NoMargin) { Term { until: asked.after(TERM), ..term } } else { term }
+    }
+
+    fn win(&self, state: &mut State, me: usize, ballot: Ballot, asked: At, found: Register) {
+        // All that a holder before this one acknowledged.
+        if !state.values().is_subset(&found.evacuated) {
+            state.broken = Some(FOUND);
+        }
+        state.won.insert(ballot, found.evacuated.clone());
+        let member = &mut state.members[me];
+        member.term = Some(self.lasting(Term::won(ballot, asked), asked));
+        member.next = RegisterNo(found.no.0 + 1);
+        let register = Register { ballot, ..found };
+        if register.no == RegisterNo(0) {
+            self.carried(state, me, Purpose::Settle, register);
+        } else {
+            self.keep(state, me, Purpose::Settle, register);
+        }
+    }
+
+    /// A majority has it on disk: as the ends of `Office::acknowledge` and `Office::settle`.
+    fn carried(&self, state: &mut State, me: usize, purpose: Purpose, register: Register) {
+        let now = self.now(state, me);
+        let member = &mut state.members[me];
+        let Some(term) = member.term.filter(|term| term.ballot == register.ballot) else {
+            return;
+        };
+        match purpose {
+            Purpose::Settle => member.term = Some(Term { settled: true, ..term }),
+            _ if !term.serves(now) => return,
+            Purpose::Begin => member.unrenewed = true,
+            Purpose::Order => {}
+        }
+        if purpose != Purpose::Settle {
+            let later = |(ballot, found): (&Ballot, &BTreeSet<String>)| {
+                *ballot > register.ballot && !register.evacuated.is_subset(found)
+            };
+            if state.won.iter().any(later) {
+                state.broken = Some(FOUND);
+            }
+            let content = (register.evacuated.clone(), register.membership.clone());
+            let before = state.acknowledged.insert(register.no, content.clone());
+            if before.is_some_and(|before| before != content) {
+                state.broken = Some(ONE_VALUE);
+            }
+        }
+        state.members[me].store = Some(register);
+    }
+
+    fn told(
+        &self,
+        state: &mut State,
+        (me, round): (usize, u8),
+        (voter, request): (usize, VoteRequest),
+        recovering: &mut Recovering,
+        cast: Cast,
+    ) {
+        let now = self.now(state, me);
+        let believed = match &cast.vote {
+            Vote::Known { promised, register } if self.has(Planted::FirstSeedBelieved) => {
+                let membership = register.membership.clone();
+                let incarnation = recovering.incarnation();
+                let blank = Voter::start(None, None, &membership.voters, true, now).record();
+                let promise = Promise { ballot: *promised, incarnation, ..blank };
+                Some(Turn::Restore(Box::new(promise), Box::new(register.clone())))
+            }
+            _ => None,
+        };
+        let known = matches!(cast.vote, Vote::Known { .. });
+        let before = recovering.incarnation();
+        recovering.hear(addr(voter), cast);
+        let chance = u64::from(self.budget.wipes - state.left.wipes);
+        match believed.unwrap_or_else(|| recovering.turn(chance)) {
+            Turn::Restore(promise, register) => {
+                let member = &mut state.members[me];
+                (member.promise, member.register) = (Some(*promise.clone()), Some(*register.clone()));
+                member.voter.restore(&promise, *register, now);
+                if self.has(Planted::NoQuietTerm) {
+                    member.voter.released(member.voter.promised(), now);
+                }
+            }
+            Turn::Ask(others) => {
+                let member = addr(me);
+                if recovering.incarnation() != before {
+                    // What others say to the incarnation before is heard no more.
+                    let incarnation = recovering.incarnation();
+                    let request = VoteRequest::Recover { member, incarnation };
+                    let again = self.ask(state, me, &others, request);
+                    state.members[me].recovering = Some((again, recovering.clone()));
+                    return;
+                }
+                let asked = |other: &SocketAddr| {
+                    state.net.iter().any(|one| one.owner == me && one.voter == place(*other))
+                };
+                let spoke = recovering.known();
+                let others: BTreeSet<_> = others
+                    .into_iter()
+                    .filter(|other| !asked(other) && !spoke.contains(other))
+                    .filter(|other| !(known && *other == addr(voter)))
+                    .collect();
+                self.ask_besides(state, me, round, &others, request);
+                state.members[me].recovering = Some((round, recovering.clone()));
+            }
+        }
+    }
+}
