--- a/postmaster/src/lib.rs
+++ b/postmaster/src/lib.rs
@@ -20,7 +20,6 @@
 use vanewharf_franking::summing::Summing;
 use vanewharf_franking::voter::{Promise, Voter};
 use vanewharf_mailroom::call::{Said, serve, serve_own};
-use vanewharf_mailroom::clock::Steady;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{Ballot, OfficeRow, Pull, Tokens, VoteRequest};
 use vanewharf_mailroom::premises::Premises;
@@ -66,7 +65,7 @@
     }
     let disk = Disk::start(folder, &found);
 
-    let steady = Steady::start();
+    let steady = premises.steady();
     let feed = Feed::new(steady);
     let me = settings.office(settings.ip);
     let promise: Option<Promise> = found.record(Record::Promise);
