--- a/franking/tests/model/machine.rs
+++ b/franking/tests/model/machine.rs
@@ -31,7 +31,7 @@
 }
 
 /// How often each thing may happen.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Budget {
     pub ticks: u8,
     pub tries: u8,
@@ -72,6 +72,27 @@
     RefusalForgotten,
 }
 
+impl Budget {
+    pub const fn none() -> Budget {
+        Budget {
+            ticks: 0,
+            tries: 0,
+            renewals: 0,
+            values: 0,
+            changes: 0,
+            conclusions: 0,
+            leaves: 0,
+            crashes: 0,
+            wipes: 0,
+            inquiries: 0,
+            repeats: 0,
+            refusals: 0,
+            timeouts: 0,
+            releases: 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Lease {
     pub members: usize,
@@ -84,6 +105,14 @@
     pub change: Vec<usize>,
     /// Whether member 0 holds the lease at the start.
     pub held: bool,
+    /// How many ticks ago it was granted.
+    pub since: u8,
+    /// Whether it has begun that change, and a bare majority of both sets keeps it: itself and those that stand first.
+    pub begun: bool,
+    /// Votes are heard as soon as they are cast, or never: fewer states for the larger shapes. None is late.
+    pub prompt: bool,
+    /// Whether it is tried from each state that a holder comes about.
+    pub live: bool,
     pub planted: Option<Planted>,
 }
 
@@ -92,7 +121,20 @@
     pub fn of(members: usize, budget: Budget) -> Lease {
         let clocks = vec![FAST; members];
         let (losses, change) = ((members - 1) / 2, Vec::new());
-        Lease { members, founders: members, clocks, budget, losses, change, held: true, planted: None }
+        Lease {
+            members,
+            founders: members,
+            clocks,
+            budget,
+            losses,
+            change,
+            held: true,
+            since: 0,
+            begun: false,
+            prompt: false,
+            live: false,
+            planted: None,
+        }
     }
 
     pub fn has(&self, planted: Planted) -> bool {
@@ -212,6 +254,8 @@
     TimeOut(usize),
     Deliver(Envelope),
     Repeat(Envelope),
+    /// The vote is lost; where votes are late this is one that stays on its way.
+    Mute(Envelope),
     /// The request comes, and the voter's disk refuses.
     Refuse(Envelope),
 }
@@ -312,7 +356,7 @@
         };
         let mut state = State {
             tick: 0,
-            left: Budget::default(),
+            left: Budget::none(),
             members: (0..self.members).map(member).collect(),
             net: Vec::new(),
             won: BTreeMap::new(),
@@ -331,9 +375,22 @@
                 state = self.step(&state, Action::Deliver(vote)).expect("it counts");
             }
             state.net.clear();
+        }
+        if self.begun {
+            state.left = Budget { changes: 1, ..Budget::none() };
+            state = self.step(&state, Action::Begin(0)).expect("it holds the lease");
+            while state.members[0].settled_set().outgoing.is_empty() {
+                state = self.step(&state, Action::Deliver(state.net[0].clone())).expect("it is kept");
+                while let Some(vote) = state.net.iter().find(|one| one.vote.is_some()).cloned() {
+                    state = self.step(&state, Action::Deliver(vote)).expect("it counts");
+                }
+            }
+            state.net.clear();
+        }
+        if self.held {
             assert!(state.members[0].term.is_some_and(|term| term.settled), "member 0 holds the lease");
         }
-        state.left = self.budget;
+        (state.left, state.tick) = (self.budget, self.since);
         vec![state]
     }
 
@@ -353,6 +410,7 @@
             Property::always(ONE_VALUE, |_, state: &State| state.broken != Some(ONE_VALUE)),
             Property::always(LEFT, |model, state| model.left(state)),
             Property::always(READ, |model, state| model.read(state)),
+            Property::always(LIVE, |model, state| !model.live || model.goes_on(state)),
         ]
     }
 }
@@ -385,6 +443,7 @@
         let step = match action {
             Action::Deliver(one) => asks(one),
             Action::Repeat(one) => format!("{} (and will again)", asks(one)),
+            Action::Mute(one) => format!("{}, and its vote is lost", asks(one)),
             Action::Refuse(one) => format!("{}, and its disk refuses", asks(one)),
             other => format!("{other:?}"),
         };
--- a/franking/tests/model/steps.rs
+++ b/franking/tests/model/steps.rs
@@ -12,7 +12,7 @@
 use vanewharf_franking::voter::{Save, TERM, above};
 use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::messages::Vote;
-use vanewharf_mailroom::messages::{Ballot, Cast, Membership, Register, RegisterNo, VoteRequest};
+use vanewharf_mailroom::messages::{Ballot, Cast, Register, RegisterNo, VoteRequest};
 
 impl Lease {
     pub fn possible(&self, state: &State, actions: &mut Vec<Action>) {
@@ -84,6 +84,9 @@
                 continue;
             }
             actions.push(Action::Deliver(envelope.clone()));
+            if self.prompt && !matches!(envelope.request, VoteRequest::Release { .. }) {
+                actions.push(Action::Mute(envelope.clone()));
+            }
             if left.repeats > 0 && envelope.vote.is_none() {
                 actions.push(Action::Repeat(envelope.clone()));
             }
@@ -153,6 +156,11 @@
                 next.left.repeats -= 1;
                 self.deliver(&mut next, envelope, false);
             }
+            Action::Mute(envelope) => {
+                let at = next.net.iter().position(|one| *one == envelope)?;
+                next.net.remove(at);
+                self.voter_hears(&mut next, &envelope, false);
+            }
             Action::Refuse(envelope) => {
                 let at = next.net.iter().position(|one| *one == envelope)?;
                 next.net.remove(at);
@@ -346,16 +354,25 @@
         match envelope.vote.clone() {
             None => {
                 let cast = self.voter_hears(state, &envelope, refused);
-                if !matches!(envelope.request, VoteRequest::Release { .. }) {
-                    state.net.push(Envelope { vote: Some(cast), ..envelope });
+                if matches!(envelope.request, VoteRequest::Release { .. }) {
+                    return;
                 }
-            }
-            Some(mut cast) => {
-                if self.has(Planted::IncarnationsNotCounted) {
-                    (cast.incarnation, cast.incarnations) = (0, BTreeMap::new());
+                if self.prompt {
+                    self.count(state, envelope, cast);
+                } else {
+                    state.net.push(Envelope { vote: Some(cast), ..envelope });
                 }
-                self.owner_hears(state, envelope, cast);
             }
+            Some(cast) => self.count(state, envelope, cast),
+        }
+    }
+
+    fn count(&self, state: &mut State, envelope: Envelope, mut cast: Cast) {
+        if self.has(Planted::IncarnationsNotCounted) {
+            (cast.incarnation, cast.incarnations) = (0, BTreeMap::new());
+        }
+        if state.members[envelope.owner].up {
+            self.owner_hears(state, envelope, cast);
         }
     }
 
