--- a/franking/src/lib.rs
+++ b/franking/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod allowance;
 pub mod election;
 pub mod evidence;
+pub mod group;
 pub mod membership;
 pub mod pocket;
 pub mod quota;
--- a/franking/src/membership.rs
+++ b/franking/src/membership.rs
@@ -162,6 +162,12 @@
     pub keeping_up: Duration,
 }
 
+/// Whether a majority of these keeps up at this moment.
+pub fn sound(voters: &BTreeSet<SocketAddr>, candidates: &[Candidate]) -> bool {
+    let here = candidates.iter().filter(|one| voters.contains(&one.office) && one.missing < UNHEARD);
+    here.count() >= majority(voters.len())
+}
+
 /// The set that should follow, one step at a time, or nothing. Never an even number: a set of four bears no more losses
 /// than one of three. A lost voter gives way only to one that keeps up, so that what can be borne does not lessen on the
 /// way: by joint consensus the old set's majority is needed meanwhile, which is there already, and never the newcomer.
@@ -210,14 +216,15 @@
             let last = set.iter().copied().filter(|one| !voters.contains(one)).max();
             set.retain(|one| Some(*one) != last);
         }
-        if set.len() > voters.len() {
+        if set.len() > voters.len() && sound(&set, candidates) {
             return Some(set);
         }
     }
     if let Some(gone) = voters.iter().copied().find(|office| lost(office)) {
         let rest: BTreeSet<_> = voters.iter().copied().filter(|office| *office != gone).collect();
         let one = with(&rest, &spare)?;
-        return Some(rest.into_iter().chain([one]).collect());
+        // A set that could not conclude the change is not begun.
+        return Some(rest.into_iter().chain([one]).collect()).filter(|set| sound(set, candidates));
     }
     // Where all is calm, no zone is to hold more voters than it must.
     let calm =
@@ -293,8 +300,10 @@
             .heard
             .iter()
             .map(|(ip, heard)| {
-                let missing = heard.sound.map_or(held, |sound| now.since(sound.max(self.began)));
-                let sound = heard.sound.is_some() && missing < UNHEARD;
+                // One that was never sound is no candidate, however new the lease is.
+                let never = held.max(UNHEARD);
+                let missing = heard.sound.map_or(never, |sound| now.since(sound.max(self.began)));
+                let sound = missing < UNHEARD;
                 let keeping_up = if sound { now.since(heard.since) } else { Duration::ZERO };
                 Candidate { office: office(*ip), zone: heard.zone.clone(), missing, keeping_up }
             })
@@ -305,7 +314,7 @@
         for &office in voters {
             if !all.iter().any(|one| one.office == office) {
                 let (zone, keeping_up) = (String::new(), Duration::ZERO);
-                all.push(Candidate { office, zone, missing: held, keeping_up });
+                all.push(Candidate { office, zone, missing: held.max(UNHEARD), keeping_up });
             }
         }
         all
--- a/franking/src/membership/tests.rs
+++ b/franking/src/membership/tests.rs
@@ -163,8 +163,10 @@
     assert!(of(3).missing > Duration::from_secs(2) && of(3).keeping_up.is_zero(), "{:?}", of(3));
     assert!(of(4).missing > LOST && of(5).missing > LOST, "as long as the lease is held");
     assert!(of(1).missing.is_zero());
+    assert!(sound(&set(&[1, 2, 3]), &all) && !sound(&set(&[1, 3, 4]), &all) && !sound(&set(&[1, 5]), &all));
     following.begin(now);
     let all = following.candidates(&list(&[1, 2]), (addr(1), "z"), office, now);
+    assert!(!sound(&set(&[1, 2]), &all), "nor does it trust in one that it has not heard");
     assert!(all.iter().all(|one| one.missing < LOST), "a new holder misses nobody yet");
 }
 
--- a/franking/tests/model/machine.rs
+++ b/franking/tests/model/machine.rs
@@ -153,8 +153,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Purpose {
     Settle,
-    Order,
+    Value,
     Begin,
+    Conclude,
 }
 
 /// One process with its disk; what is not on it is gone with the process.
@@ -171,6 +172,8 @@
     pub election: Option<(u8, Ballot, At, Election)>,
     pub term: Option<Term>,
     pub next: RegisterNo,
+    /// The last that was proposed for the operator's orders, certain or not: the next one holds what it changed.
+    pub proposed: Option<Register>,
     pub renewing: Option<(u8, At, Renewing)>,
     pub keeping: Option<(u8, Purpose, Register, Keeping)>,
     /// What it makes known: settled.
@@ -347,6 +350,7 @@
                 election: None,
                 term: None,
                 next: RegisterNo(0),
+                proposed: None,
                 renewing: None,
                 keeping: None,
                 store: None,
--- a/franking/tests/model/steps.rs
+++ b/franking/tests/model/steps.rs
@@ -108,7 +108,7 @@
             Action::Propose(place) => {
                 next.left.values -= 1;
                 let value = format!("v{}", self.budget.values - next.left.values);
-                self.order(&mut next, place, Purpose::Order, |register| {
+                self.order(&mut next, place, Purpose::Value, |register| {
                     register.evacuated.insert(value);
                 });
             }
@@ -118,7 +118,7 @@
             }
             Action::Conclude(place) => {
                 next.left.conclusions -= 1;
-                self.reconfigure(&mut next, place, Purpose::Order);
+                self.reconfigure(&mut next, place, Purpose::Conclude);
             }
             Action::Leave(place) => {
                 next.left.leaves -= 1;
@@ -254,12 +254,18 @@
         state.members[place].renewing = Some((round, asked, Renewing::begin(term.ballot, set)));
     }
 
-    /// As `Office::acknowledge`.
+    /// As `Office::newest`, `propose` and `acknowledge`.
     fn order(&self, state: &mut State, place: usize, purpose: Purpose, change: impl FnOnce(&mut Register)) {
         let member = &mut state.members[place];
-        let mut register = member.store.clone().unwrap_or_else(Register::none);
+        let ballot = member.term.expect("it holds the lease").ballot;
+        let settled = member.store.clone().unwrap_or_else(Register::none);
+        let newer = |one: &Register| one.ballot == ballot && one.rank() > settled.rank();
+        let mut register = member.proposed.clone().filter(newer).unwrap_or(settled);
         change(&mut register);
-        (register.ballot, register.no) = (member.term.expect("it holds the lease").ballot, member.next);
+        (register.ballot, register.no) = (ballot, member.next);
+        if purpose == Purpose::Value {
+            member.proposed = Some(register.clone());
+        }
         member.next = RegisterNo(member.next.0 + 1);
         self.keep(state, place, purpose, register);
     }
@@ -306,6 +312,7 @@
         member.up = false;
         (member.election, member.term, member.renewing, member.keeping) = (None, None, None, None);
         (member.store, member.recovering, member.unrenewed) = (None, None, false);
+        member.proposed = None;
         (member.seen, member.claim, member.next) = (Ballot(0), Claim::default(), RegisterNo(0));
         state.net.retain(|one| !(one.owner == place && (one.vote.is_some() || one.voter == place)));
     }
@@ -504,7 +511,7 @@
             Purpose::Settle => member.term = Some(Term { settled: true, ..term }),
             _ if !term.serves(now) => return,
             Purpose::Begin => member.unrenewed = true,
-            Purpose::Order => {}
+            Purpose::Value | Purpose::Conclude => {}
         }
         if purpose != Purpose::Settle {
             let later = |(ballot, found): (&Ballot, &BTreeSet<String>)| {
--- a/mailroom/src/changes.rs
+++ b/mailroom/src/changes.rs
@@ -216,7 +216,7 @@
             let size = size(&change.edits);
             self.keep(Some((change, size)));
         }
-        Some(Register { ballot, no, config: Some(text), evacuated, membership })
+        Some(Register { ballot, no, config: Some(text), evacuated, membership, taken: Vec::new() })
     }
 }
 
--- a/mailroom/src/messages.rs
+++ b/mailroom/src/messages.rs
@@ -24,6 +24,9 @@
     pub config: Option<Box<RawValue>>,
     pub evacuated: BTreeSet<String>,
     pub membership: Membership,
+    /// The last configurations that were taken, in their order; for postmasters alone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub taken: Vec<Taken>,
 }
 
 /// Who grants leases and keeps the register. A change goes by joint consensus: while there are outgoing voters, a majority
@@ -37,6 +40,14 @@
     pub outgoing: Vec<SocketAddr>,
 }
 
+/// A configuration that was taken: one that is sent again is told by this from another one under its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Taken {
+    pub revision: u64,
+    /// Of its text as it was sent.
+    pub digest: u64,
+}
+
 impl Register {
     pub fn none() -> Register {
         Register {
@@ -45,6 +56,7 @@
             config: None,
             evacuated: BTreeSet::new(),
             membership: Membership::default(),
+            taken: Vec::new(),
         }
     }
 
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -10,14 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
-use vanewharf_franking::membership::{Following, next, wanted};
+use vanewharf_franking::membership::{Candidate, Following, next, wanted};
 use vanewharf_franking::quota::{Buckets, Quota};
 use vanewharf_franking::summing::{Summing, for_doors, homes};
 use vanewharf_mailroom::call::{Caller, Failed};
 use vanewharf_mailroom::config::Config;
 use vanewharf_mailroom::feed::Feed;
 use vanewharf_mailroom::messages::{
-    DoorRow, Follower, Lent, List, Mail, Neighbour, OfficeRow, Pull, RegisterNo, Tokens, Version,
+    DoorRow, Follower, Lent, List, Mail, Membership, Neighbour, OfficeRow, Pull, RegisterNo, Tokens, Version,
 };
 use vanewharf_mailroom::premises::Premises;
 use vanewharf_mailroom::settings::Settings;
@@ -245,6 +245,15 @@
         }
     }
 
+    /// Who votes, and who may, as the holder sees it.
+    pub fn candidates(&self) -> (Membership, Vec<Candidate>) {
+        let membership = self.office.membership();
+        let me = (self.office.me, self.settings.zone.as_str());
+        let (office, now) = (|ip| self.settings.office(ip), self.feed.now());
+        let known = self.following.borrow().candidates(&membership.voters, me, office, now);
+        (membership, known)
+    }
+
     /// The set of voters, as it should be: enlarged to what the losses to be borne want, a lost voter replaced by a machine
     /// that keeps up, one change after the other.
     pub async fn tend_membership(self: Rc<Self>, orders: Orders) {
@@ -259,10 +268,7 @@
             if !holds {
                 continue;
             }
-            let membership = self.office.membership();
-            let me = (self.office.me, self.settings.zone.as_str());
-            let office = |ip| self.settings.office(ip);
-            let known = self.following.borrow().candidates(&membership.voters, me, office, now);
+            let (membership, known) = self.candidates();
             let voters = match membership.outgoing.is_empty() {
                 // What another holder began.
                 false => Some(membership.voters.iter().copied().collect()),
--- a/postmaster/src/public.rs
+++ b/postmaster/src/public.rs
@@ -4,9 +4,12 @@
 use crate::orders::{Done, Order, Orders};
 use serde_json::json;
 use serde_json::value::RawValue;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 use vanewharf_frames::Request;
+use vanewharf_franking::group::Change;
+use vanewharf_franking::membership::sound;
 use vanewharf_franking::summing::resolved;
 use vanewharf_mailroom::call::Said;
 use vanewharf_mailroom::config::Config;
@@ -23,24 +26,30 @@
     let segments: Vec<_> = path.split('/').skip(1).collect();
     let order = match (request.method(), segments.as_slice()) {
         ("GET", ["-", "resolution"]) => return resolution(desk, query),
+        ("GET", ["-", "Configuration.Read"]) => return said(desk, request, orders.read()),
         ("POST", ["-", "Configuration.Replace"]) => replace(request.body()),
-        ("GET", ["-", "Configuration.Read"]) => Ok(Order::Read),
         ("POST", ["-", "Evacuation.Begin", zone]) => evacuate(desk, zone, true),
         ("POST", ["-", "Evacuation.Finish", zone]) => evacuate(desk, zone, false),
-        ("POST", ["-", "Voters.Replace", out, into]) => replace_voter(desk, out, into),
+        ("POST", ["-", "Voters.Replace", out, into]) => replace_voter(desk, request, out, into),
         (_, ["-", ..]) => Err(Said::status(404, "there is no such call")),
         _ => Err(Said::status(404, "calls begin with /-/")),
     };
-    let done = match order {
-        Ok(order) => orders.give(order).await,
-        Err(said) => return said,
-    };
+    match order {
+        Ok(order) => said(desk, request, orders.give(order).await),
+        Err(said) => said,
+    }
+}
+
+fn said(desk: &Desk, request: &Request, done: Done) -> Said {
     match done {
         Done::Acknowledged => Said::json(&json!({})),
         Done::Configuration(Some(config)) => {
             Said { status: 200, fields: Vec::new(), body: config.get().as_bytes().to_vec() }
         }
         Done::Configuration(None) => Said::status(404, "no configuration was sent yet"),
+        Done::Conflict { held } => {
+            Said::status(409, &format!("another configuration was taken under its number; r{held} is held"))
+        }
         Done::Uncertain => Said::status(503, "not certain to hold; send it again"),
         Done::NotHere => elsewhere(desk, request),
     }
@@ -63,34 +72,49 @@
     let config = Config::of(body).map_err(|fault| Said::status(400, &fault.to_string()))?;
     let text = String::from_utf8(body.to_vec()).map_err(|_| Said::status(400, "it is no text"))?;
     let raw = RawValue::from_string(text).map_err(|error| Said::status(400, &error.to_string()))?;
-    Ok(Order::Replace { revision: config.revision, config: raw })
+    Ok(Order::Change(Change::Replace { revision: config.revision, config: raw }))
 }
 
 fn evacuate(desk: &Desk, zone: &str, begin: bool) -> Result<Order, Said> {
     if !desk.settings.zones.contains_key(zone) {
         return Err(Said::status(404, &format!("the zone {zone} is not known")));
     }
-    Ok(Order::Evacuate { zone: zone.to_owned(), begin })
+    Ok(Order::Change(Change::Evacuate { zone: zone.to_owned(), begin }))
 }
 
-/// By the addresses of machines.
-fn replace_voter(desk: &Desk, out: &str, into: &str) -> Result<Order, Said> {
+/// By the addresses of machines. The one that takes orders knows who keeps up; no change is begun that these could not
+/// conclude.
+fn replace_voter(desk: &Desk, request: &Request, out: &str, into: &str) -> Result<Order, Said> {
     let office = |text: &str| {
         let ip =
             text.parse().map_err(|_| Said::status(400, &format!("{text} is no address of a machine")))?;
         Ok(desk.settings.office(ip))
     };
     let (out, into) = (office(out)?, office(into)?);
-    let store = desk.feed.store();
-    let rows = store.ledger.iter().flat_map(|ledger| &ledger.offices);
-    let voters = desk.office.membership().voters;
-    let here = rows.map(|row| desk.settings.office(row.ip)).any(|office| office == into);
-    let why = match () {
-        () if voters.contains(&into) && !voters.contains(&out) => return Ok(Order::Voters { out, into }),
-        () if !voters.contains(&out) => format!("{out} is no voter; they are {voters:?}"),
-        () if out == into => format!("{out} cannot take its own place"),
-        () if !here => format!("no postmaster is heard of at {into}"),
-        () => return Ok(Order::Voters { out, into }),
+    if !desk.office.holds() {
+        return Err(elsewhere(desk, request));
+    }
+    let (membership, candidates) = desk.candidates();
+    let mut voters: BTreeSet<_> = membership.voters.iter().copied().collect();
+    let why = match (voters.contains(&out), voters.contains(&into)) {
+        _ if !membership.outgoing.is_empty() => {
+            return Err(Said::status(503, "another change of the voters is under way; send it again"));
+        }
+        (false, true) => return Err(Said::json(&json!({}))),
+        (false, false) => format!("{out} is no voter; they are {voters:?}"),
+        (true, true) if out == into => format!("{out} cannot take its own place"),
+        (true, true) => format!("{into} is a voter already; the set must not shrink"),
+        (true, false) if !sound(&[into].into(), &candidates) => {
+            format!("no postmaster that keeps up is heard of at {into}")
+        }
+        (true, false) => {
+            voters.remove(&out);
+            voters.insert(into);
+            if !sound(&voters, &candidates) {
+                return Err(Said::status(503, "too few of the new voters keep up now; send it again"));
+            }
+            return Ok(Order::Reconfigure { epoch: membership.epoch, voters });
+        }
     };
     Err(Said::status(409, &why))
 }
--- a/testletter/tests/whole.rs
+++ b/testletter/tests/whole.rs
@@ -66,8 +66,10 @@
     assert_eq!(replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/first/")), 200);
     assert_eq!(
         replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/second/")),
-        200
+        409,
+        "two operators must not both be confirmed under one number"
     );
+    assert_eq!(replace(&town, 3, |config| config["routes"]["r-read"]["path_prefix"] = json!("/first/")), 200);
     assert_eq!(replace(&town, 2, |_| {}), 200, "older, and changes nothing");
     town.until_status(0, "/first/x", Some("key-a"), 200);
     assert_eq!(town.ask(0, "GET", "/second/x", Some("key-a")).expect("answered").status(), 404);
@@ -198,6 +200,9 @@
         })
     };
     assert_eq!(voters(&town, 3, 3), 409, "it is no voter");
+    assert_eq!(voters(&town, 0, 1), 409, "two voters do not become one: the set must not shrink");
+    let set = membership(&town, 1).expect("it answers");
+    assert!(set.voters.len() == 3 && set.outgoing.is_empty(), "{set:?}");
     town.until("the fourth is heard of", || (voters(&town, 0, 3) == 200).then_some(()));
     assert_eq!(voters(&town, 0, 3), 200, "again changes nothing");
     town.kill(1);
