--- a/franking/src/election.rs
+++ b/franking/src/election.rs
@@ -69,6 +69,32 @@
     }
 }
 
+/// Asks whether a lease would be granted, before any ballot is promised.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Canvass {
+    set: Membership,
+    votes: Vec<(SocketAddr, Cast)>,
+}
+
+impl Canvass {
+    pub fn begin(set: Membership) -> Canvass {
+        Canvass { set, votes: Vec::new() }
+    }
+
+    /// Ends where a majority is willing, with the highest ballot that any of those has promised who spoke.
+    pub fn hear(&mut self, voter: SocketAddr, cast: Cast) -> ControlFlow<Ballot> {
+        self.votes.push((voter, cast));
+        if !carries(&self.set, &assents(&self.votes)) {
+            return ControlFlow::Continue(());
+        }
+        let promised = self.votes.iter().filter_map(|(_, cast)| match cast.vote {
+            Vote::Willing { promised } | Vote::Refused { promised, .. } => Some(promised),
+            _ => None,
+        });
+        ControlFlow::Break(promised.max().unwrap_or_default())
+    }
+}
+
 /// A try for the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Election {
@@ -209,13 +235,13 @@
 
     /// By those that have spoken.
     pub fn outcome(&self) -> Renewal {
+        if carries(&self.set, &assents(&self.votes)) {
+            return Renewal::Carried;
+        }
         let higher = |(_, cast): &(SocketAddr, Cast)| match cast.vote {
             Vote::Refused { promised, .. } => promised > self.ballot,
             _ => false,
         };
-        if carries(&self.set, &assents(&self.votes)) {
-            return Renewal::Carried;
-        }
         if self.votes.iter().any(higher) { Renewal::Overtaken } else { Renewal::Short }
     }
 }
--- a/franking/src/membership.rs
+++ b/franking/src/membership.rs
@@ -87,7 +87,7 @@
 /// Who assents: without those whose vote was cast before they lost their disk, as far as another voter knows of that.
 pub fn assents(votes: &[(SocketAddr, Cast)]) -> BTreeSet<SocketAddr> {
     let newest = incarnations(votes.iter().map(|(voter, cast)| (*voter, cast)));
-    let yes = |cast: &Cast| matches!(cast.vote, Vote::Granted { .. } | Vote::Accepted);
+    let yes = |cast: &Cast| matches!(cast.vote, Vote::Granted { .. } | Vote::Willing { .. } | Vote::Accepted);
     let counts =
         |(voter, cast): &&(SocketAddr, Cast)| yes(cast) && newest.get(voter) == Some(&cast.incarnation);
     votes.iter().filter(counts).map(|(voter, _)| *voter).collect()
--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -176,15 +176,23 @@
         !self.amnesic && now >= self.quiet_until && self.holder(now).is_none()
     }
 
+    /// Whether another one holds the lease.
+    fn taken(&self, holder: SocketAddr, now: At) -> bool {
+        self.lease.is_some_and(|lease| lease.until > now && lease.holder != holder)
+    }
+
     pub fn hear(&mut self, vote_request: VoteRequest, now: At) -> Step {
         if self.amnesic {
             return Step::say(Vote::Amnesic { seeds: self.seeds.clone() });
         }
         let refused = Vote::Refused { promised: self.promised, holder: self.holder(now) };
         match vote_request {
+            VoteRequest::PreVote { holder } => {
+                let willing = Vote::Willing { promised: self.promised };
+                Step::say(if self.taken(holder, now) || now < self.quiet_until { refused } else { willing })
+            }
             VoteRequest::Lease { ballot, holder } => {
-                let taken = self.lease.is_some_and(|lease| lease.until > now && lease.holder != holder);
-                if ballot <= self.promised || taken || now < self.quiet_until {
+                if ballot <= self.promised || self.taken(holder, now) || now < self.quiet_until {
                     return Step::say(refused);
                 }
                 (self.promised, self.to) = (ballot, Some(holder));
@@ -193,8 +201,8 @@
                 self.promise(vote, true)
             }
             VoteRequest::Renew { ballot, holder } => {
-                let taken = self.lease.is_some_and(|lease| lease.until > now && lease.holder != holder);
-                if ballot < self.promised || ballot > self.promised && (taken || now < self.quiet_until) {
+                let barred = self.taken(holder, now) || now < self.quiet_until;
+                if ballot < self.promised || ballot > self.promised && barred {
                     return Step::say(refused);
                 }
                 // Promise to before a restart, too: nobody else can have been granted it since. One that heard
@@ -205,7 +213,9 @@
                 self.promise(Vote::Accepted, joins)
             }
             VoteRequest::Accept { register } => {
-                if register.ballot < self.promised || register.rank() < self.register.rank() {
+                // One that names nobody to keep it is none.
+                let unsound = register.membership.epoch == 0;
+                if unsound || register.ballot < self.promised || register.rank() < self.register.rank() {
                     return Step::say(refused);
                 }
                 // A holder gives a number once, so it is the same register told again.
@@ -245,6 +255,13 @@
         }
     }
 
+    /// What is certain to be in force, as its holder makes it known: it is kept whatever has been promised since, as it was
+    /// decided before. Nobody counts this as a vote.
+    pub fn learn(&self, register: &Register) -> Option<Save> {
+        let newer = !self.amnesic && register.membership.epoch > 0 && register.rank() > self.register.rank();
+        newer.then(|| Save::Register(Box::new(register.clone())))
+    }
+
     /// It is on disk. What could not be saved is never said to be kept.
     pub fn saved(&mut self, save: Save) {
         match save {
--- a/franking/tests/model/machine.rs
+++ b/franking/tests/model/machine.rs
@@ -50,6 +50,8 @@
     pub refusals: u8,
     /// Rounds that are given up on, as they take too long.
     pub timeouts: u8,
+    /// Settled registers that a member learns from another that makes them known.
+    pub learns: u8,
     /// Lost elections after which the votes are released.
     pub releases: u8,
 }
@@ -90,6 +92,7 @@
             refusals: 0,
             timeouts: 0,
             releases: 0,
+            learns: 0,
         }
     }
 }
@@ -258,6 +261,8 @@
     /// A restarted voter asks whom it had promised to whether that one still holds the lease.
     Inquire(usize),
     TimeOut(usize),
+    /// The first learns what the second makes known.
+    Learn(usize, usize),
     Deliver(Envelope),
     Repeat(Envelope),
     /// The vote is lost; where votes are late this is one that stays on its way.
@@ -428,6 +433,7 @@
         let asks = |one: &Envelope| {
             let what = match &one.request {
                 VoteRequest::Lease { ballot, .. } => format!("Lease under {}", short(*ballot)),
+                VoteRequest::PreVote { .. } => "PreVote".to_owned(),
                 VoteRequest::Renew { ballot, .. } => format!("Renew under {}", short(*ballot)),
                 VoteRequest::Release { ballot } => format!("Release of {}", short(*ballot)),
                 VoteRequest::Recover { incarnation, .. } => format!("Recover as incarnation {incarnation:x}"),
--- a/franking/tests/model/main.rs
+++ b/franking/tests/model/main.rs
@@ -164,6 +164,9 @@
     all = { "3 members, all but changes", 8, Lease {
         prompt: true, budget: Budget { wipes: 1, repeats: 1, refusals: 1, inquiries: 1, ..MIXED }, ..apart()
     } },
+    learns = { "3 members, late votes, registers learnt", 9, Lease {
+        budget: Budget { learns: 1, ..MIXED }, ..apart()
+    } },
     swapped = { "3 members, one swapped", 9, Lease {
         prompt: true, budget: Budget { changes: 1, conclusions: 1, renewals: 1, tries: 1, ..NONE }, ..swap()
     } },
--- a/mailroom/src/messages.rs
+++ b/mailroom/src/messages.rs
@@ -294,6 +294,9 @@
 /// What a would-be holder asks of a voter.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum VoteRequest {
+    /// Whether a lease would be granted now. Nothing is promised by it: one that cannot win, as it is cut off, would else
+    /// come back with a promise that bars it from all that those decide who hold the lease.
+    PreVote { holder: SocketAddr },
     /// For a lease under a ballot of its own.
     Lease { ballot: Ballot, holder: SocketAddr },
     /// To hold on for another term.
@@ -315,6 +318,10 @@
         #[serde(default)]
         doors: u32,
     },
+    /// It would grant a lease under a ballot above that.
+    Willing {
+        promised: Ballot,
+    },
     Accepted,
     /// What it has promised and accepted.
     Known {
--- a/mailroom/src/premises.rs
+++ b/mailroom/src/premises.rs
@@ -1,6 +1,7 @@
 //! What a program finds where it runs: the network, a disk and chance. On a machine these are the system's own; the lab
 //! stands in for all three, so that the same programs run there on a network, a clock and disks that it makes up.
 
+use crate::clock::Steady;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
@@ -34,6 +35,9 @@
     fn dial(&self, to: SocketAddr) -> Later<'static, io::Result<Stream>>;
 
     fn listen(&self, at: SocketAddr) -> io::Result<Box<dyn Ear>>;
+
+    /// Another number each time, for what must be told apart from all others of its kind on this network.
+    fn life(&self) -> u64;
 }
 
 /// One thing done to a disk.
@@ -71,11 +75,23 @@
     /// None where the machine has no disk.
     pub folder: Option<Rc<dyn Folder>>,
     chance: Rc<RefCell<SmallRng>>,
+    /// How fast its steady clock runs.
+    rate: f64,
 }
 
 impl Premises {
     pub fn new(net: Rc<dyn Net>, folder: Option<Rc<dyn Folder>>, seed: u64) -> Premises {
-        Premises { net, folder, chance: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))) }
+        Premises { net, folder, chance: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))), rate: 1.0 }
+    }
+
+    /// The same with a steady clock that is fast or slow.
+    pub fn at_rate(self, rate: f64) -> Premises {
+        Premises { rate, ..self }
+    }
+
+    /// The process' clock, from now on.
+    pub fn steady(&self) -> Steady {
+        Steady::at_rate(self.rate)
     }
 
     /// The machine's own.
@@ -121,6 +137,10 @@
         socket.bind(at)?;
         Ok(Box::new(socket.listen(BACKLOG)?))
     }
+
+    fn life(&self) -> u64 {
+        rand::random()
+    }
 }
 
 impl Ear for TcpListener {
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use vanewharf_franking::election::{
-    Claim, Election, Keeping, Outcome, Rank, Recovering, Renewal, Renewing, Term, Turn,
+    Canvass, Claim, Election, Keeping, Outcome, Rank, Recovering, Renewal, Renewing, Term, Turn,
 };
 use vanewharf_franking::membership::{assents, carries, everyone, towards};
 use vanewharf_franking::voter::{Promise, RENEWED, Save, TERM, Voter, above};
@@ -39,6 +39,8 @@
     Hear(VoteRequest, oneshot::Sender<Cast>),
     /// Quotas are divided by so many doors.
     Count(u32),
+    /// What a holder has made known.
+    Learn(Rc<Register>),
 }
 
 type Commands = mpsc::UnboundedSender<Command>;
@@ -63,6 +65,8 @@
     /// The last register that was proposed for the operator's orders, certain or not.
     proposed: RefCell<Option<Register>>,
     leaving: Cell<bool>,
+    /// The highest ballot that a voter who was asked has promised to another: below it that one takes part in nothing.
+    barred: Cell<Ballot>,
     /// The configuration of the register in hand, read once.
     config: RefCell<(RegisterNo, Option<Rc<Config>>)>,
 }
@@ -93,6 +97,7 @@
             next: Cell::new(RegisterNo(0)),
             proposed: RefCell::default(),
             leaving: Cell::new(false),
+            barred: Cell::default(),
             config: RefCell::default(),
         });
         tokio::task::spawn_local(Rc::clone(&office).own(heard, disk));
@@ -174,11 +179,12 @@
                 Command::Hear(vote_request, reply) => (vote_request, reply),
                 Command::Count(doors) => {
                     let save = self.voter.borrow_mut().count(doors);
-                    if let Some(save) = save
-                        && let Err(error) = self.save(&disk, &save).await
-                    {
-                        spdlog::warn!("the count of doors is not on disk: {}", error);
-                    }
+                    self.note(&disk, save, "the count of doors").await;
+                    continue;
+                }
+                Command::Learn(register) => {
+                    let save = self.voter.borrow().learn(&register);
+                    self.note(&disk, save, "a register that is in force").await;
                     continue;
                 }
             };
@@ -198,6 +204,17 @@
         }
     }
 
+    /// What nobody waits for.
+    async fn note(&self, disk: &Disk, save: Option<Save>, what: &str) {
+        let Some(save) = save else {
+            return;
+        };
+        match self.save(disk, &save).await {
+            Ok(()) => self.voter.borrow_mut().saved(save),
+            Err(error) => spdlog::warn!("{} is not on disk: {}", what, error),
+        }
+    }
+
     async fn save(&self, disk: &Disk, save: &Save) -> std::io::Result<()> {
         match save {
             Save::Promise(promise) => disk.save(Record::Promise, promise).await,
@@ -228,6 +245,14 @@
     }
 
     async fn ask(&self, voter: SocketAddr, request: &VoteRequest, within: Duration) -> Option<Cast> {
+        let cast = self.asked(voter, request, within).await?;
+        if let Vote::Refused { promised, .. } = cast.vote {
+            self.barred.set(promised.max(self.barred.get()));
+        }
+        Some(cast)
+    }
+
+    async fn asked(&self, voter: SocketAddr, request: &VoteRequest, within: Duration) -> Option<Cast> {
         if voter == self.me {
             return timeout(within, self.vote(request.clone())).await.ok();
         }
@@ -273,9 +298,9 @@
         .await;
     }
 
-    /// Tries for the lease whenever nobody holds it.
+    /// Tries for the lease whenever nobody holds it, or when a voter has promised more than the lease in hand.
     async fn seek(self: Rc<Self>) {
-        let mut seen = Ballot(0);
+        let mut again = false;
         loop {
             let place = self.membership().voters.iter().position(|voter| *voter == self.me);
             let chance = self.premises.draw(60);
@@ -283,19 +308,28 @@
                 sleep(WATCH * 5).await;
                 continue;
             };
-            sleep(WATCH / 2).await;
-            if !self.voter.borrow().vacant(self.now()) || self.leaving.get() {
-                continue;
+            if !std::mem::take(&mut again) {
+                sleep(WATCH / 2).await;
+                if !self.voter.borrow().vacant(self.now()) || self.leaving.get() {
+                    continue;
+                }
+                sleep(STAGGER * place as u32 + Duration::from_millis(chance)).await;
+                if !self.voter.borrow().vacant(self.now()) {
+                    continue;
+                }
             }
-            sleep(STAGGER * place as u32 + Duration::from_millis(chance)).await;
-            if !self.voter.borrow().vacant(self.now()) {
+            let (set, known) = self.newest_set();
+            let mut canvass = Canvass::begin(set.clone());
+            let request = VoteRequest::PreVote { holder: self.me };
+            let promised = self.poll(&everyone(&set), request, |voter, cast| canvass.hear(voter, cast)).await;
+            let Some(promised) = promised else {
+                sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
                 continue;
-            }
-            let ballot = above(seen.max(self.voter.borrow().promised()), self.me);
+            };
+            let ballot = above(promised.max(self.barred.get()).max(self.voter.borrow().promised()), self.me);
             let asked = self.now();
             self.claim.set(Claim::on(ballot));
             let request = VoteRequest::Lease { ballot, holder: self.me };
-            let (set, known) = self.newest_set();
             let mut ask = everyone(&set);
             let mut election = Election::begin(self.me, set, known);
             let found = loop {
@@ -306,7 +340,6 @@
                     Some(Outcome::Left) | None => break None,
                 }
             };
-            seen = election.overtaken_by().max(seen);
             let Some(found) = found.filter(|_| self.claim.get().stands(ballot)) else {
                 self.release(election.set(), ballot).await;
                 sleep(Duration::from_millis(50 + self.premises.draw(200))).await;
@@ -314,15 +347,18 @@
             };
             self.doors.set(election.doors());
             self.term.set(Some(Term::won(ballot, asked)));
-            self.hold(ballot, found).await;
+            again = self.hold(ballot, found).await;
             self.term.set(None);
             spdlog::info!("the lease under ballot {} has ended", ballot.0);
-            self.release(&self.membership(), ballot).await;
+            if !again {
+                self.release(&self.membership(), ballot).await;
+            }
         }
     }
 
-    /// Holds on for as long as a majority renews; stops before the lease ends.
-    async fn hold(self: &Rc<Self>, ballot: Ballot, found: Register) {
+    /// Holds on for as long as a majority renews; stops before the lease ends. True where it should be had again at once,
+    /// under a higher ballot: a voter that has promised one takes no part any more.
+    async fn hold(self: &Rc<Self>, ballot: Ballot, found: Register) -> bool {
         spdlog::info!("holds the lease under ballot {}, found register {}", ballot.0, found.no.0);
         self.next.set(RegisterNo(found.no.0 + 1));
         let settling = {
@@ -334,20 +370,25 @@
                 }
             })
         };
-        loop {
+        let again = loop {
             sleep(RENEWED).await;
             // One that has left the set hands the lease over.
             if self.leaving.get() || !self.membership().voters.contains(&self.me) {
-                break;
+                break false;
             }
             if self.renew(ballot).await == Renewal::Overtaken {
-                break;
+                break false;
             }
             if self.term.get().is_none_or(|term| !term.lasts(self.now())) {
-                break;
+                break false;
             }
-        }
+            if self.barred.get() > ballot {
+                spdlog::info!("a voter has promised ballot {}", self.barred.get().0);
+                break true;
+            }
+        };
         settling.abort();
+        again
     }
 
     /// For another term, by all who have a say now.
@@ -466,11 +507,6 @@
         true
     }
 
-    /// The set of the register in force.
-    fn settled_set(&self) -> Membership {
-        self.feed.store().register.as_ref().map(|register| register.membership.clone()).unwrap_or_default()
-    }
-
     /// A later one was proposed, which holds all that this one does.
     fn superseded(&self, no: RegisterNo) -> bool {
         self.next.get().0 > no.0 + 1
@@ -485,6 +521,11 @@
         }
     }
 
+    /// The set of the register in force.
+    fn settled_set(&self) -> Membership {
+        self.feed.store().register.as_ref().map(|register| register.membership.clone()).unwrap_or_default()
+    }
+
     /// Another set of voters by joint consensus: first both sets decide, then the new one alone. A voter leaves only when a
     /// majority of the new set has all that was kept.
     pub async fn reconfigure(self: &Rc<Self>, voters: BTreeSet<SocketAddr>) -> bool {
@@ -508,11 +549,12 @@
     }
 
     /// What the holder made known is kept here too, where it is newer than what this disk has.
-    pub async fn adopt(&self) {
+    pub fn adopt(&self) {
         let register = self.feed.store().register.clone();
         let newer = |register: &Rc<Register>| register.rank() > self.voter.borrow().register().rank();
         if let Some(register) = register.filter(newer) {
-            self.vote(VoteRequest::Accept { register: Register::clone(&register) }).await;
+            // The owner ends with the program only.
+            let _ = self.commands.send(Command::Learn(register));
         }
     }
 
