--- a/franking/tests/model/machine.rs
+++ b/franking/tests/model/machine.rs
@@ -1,7 +1,8 @@
-//! The voters, the lease and the change of members as a state machine for the model checker. Every decision is the
-//! product's own code (`Voter`, `membership`, `election`); what is written here is what the owner of the network does with
-//! it (`postmaster/src/office.rs`), and all that may go wrong on the way: messages come in any order, late, twice or never,
-//! disks refuse, machines end and come back with their disk or without, and clocks run apart.
+//! The voters, the lease and the change of members as a state machine for the model checker. Every decision
+//! is the product's own code (`Voter`, `membership`, `election`); what is written here is what the owner of
+//! the network does with it (`postmaster/src/office.rs`), and all that may go wrong on the way: messages come
+//! in any order, late, twice or never, disks refuse, machines end and come back with their disk or without,
+//! and clocks run apart.
 
 use stateright::{Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,8 +13,8 @@
 use vanewharf_mailroom::clock::At;
 use vanewharf_mailroom::messages::{Ballot, Cast, Membership, Register, RegisterNo, VoteRequest};
 
-/// What a member's clock goes on in one tick of true time, in tenths of a millisecond. Two slow ticks are a holder's whole
-/// lease and two fast ones a voter's, so that these two are as far apart as the margin bears.
+/// What a member's clock goes on in one tick of true time, in tenths of a millisecond. Two slow ticks are a
+/// holder's whole lease and two fast ones a voter's, so that these two are as far apart as the margin bears.
 pub const SLOW: u64 = 6250;
 pub const FAST: u64 = 7500;
 
@@ -49,6 +50,8 @@
     pub refusals: u8,
     /// Rounds that are given up on, as they take too long.
     pub timeouts: u8,
+    /// Settled registers that a member learns from another that makes them known.
+    pub learns: u8,
     /// Lost elections after which the votes are released.
     pub releases: u8,
 }
@@ -89,6 +92,7 @@
             refusals: 0,
             timeouts: 0,
             releases: 0,
+            learns: 0,
         }
     }
 }
@@ -107,7 +111,8 @@
     pub held: bool,
     /// How many ticks ago it was granted.
     pub since: u8,
-    /// Whether it has begun that change, and a bare majority of both sets keeps it: itself and those that stand first.
+    /// Whether it has begun that change, and a bare majority of both sets keeps it: itself and those that
+    /// stand first.
     pub begun: bool,
     /// Votes are heard as soon as they are cast, or never: fewer states for the larger shapes. None is late.
     pub prompt: bool,
@@ -153,8 +158,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Purpose {
     Settle,
-    Order,
+    Value,
     Begin,
+    Conclude,
 }
 
 /// One process with its disk; what is not on it is gone with the process.
@@ -171,6 +177,9 @@
     pub election: Option<(u8, Ballot, At, Election)>,
     pub term: Option<Term>,
     pub next: RegisterNo,
+    /// The last that was proposed for the operator's orders, certain or not: the next one holds what it
+    /// changed.
+    pub proposed: Option<Register>,
     pub renewing: Option<(u8, At, Renewing)>,
     pub keeping: Option<(u8, Purpose, Register, Keeping)>,
     /// What it makes known: settled.
@@ -252,6 +261,8 @@
     /// A restarted voter asks whom it had promised to whether that one still holds the lease.
     Inquire(usize),
     TimeOut(usize),
+    /// The first learns what the second makes known.
+    Learn(usize, usize),
     Deliver(Envelope),
     Repeat(Envelope),
     /// The vote is lost; where votes are late this is one that stays on its way.
@@ -277,8 +288,8 @@
         state.members.iter().enumerate().filter(holds).count() <= 1
     }
 
-    /// Those with a say and without it could elect one that lacks it. One with an empty disk has no say before it has heard
-    /// of it; one that is down counts by its disk.
+    /// Those with a say and without it could elect one that lacks it. One with an empty disk has no say
+    /// before it has heard of it; one that is down counts by its disk.
     fn kept(&self, state: &State) -> bool {
         let Some((_, (_, membership))) = state.acknowledged.last_key_value() else {
             return true;
@@ -347,6 +358,7 @@
                 election: None,
                 term: None,
                 next: RegisterNo(0),
+                proposed: None,
                 renewing: None,
                 keeping: None,
                 store: None,
@@ -367,7 +379,7 @@
             // By a bare majority: the holder and those that stand last.
             state = self.step(&state, Action::Try(0)).expect("nobody holds it");
             let asked = state.net.clone();
-            let grants = |one: &&Envelope| one.voter == 0 || one.voter > self.founders / 2;
+            let grants = |one: &&Envelope| one.voter == 0 || one.voter > (self.founders - 1) / 2;
             for envelope in asked.iter().filter(grants) {
                 state = self.step(&state, Action::Deliver(envelope.clone())).expect("it grants");
             }
--- a/franking/tests/model/steps.rs
+++ b/franking/tests/model/steps.rs
@@ -38,7 +38,9 @@
             }
             let lapsed = member.term.is_none_or(|term| !term.lasts(now));
             let voter = member.membership().voters.contains(&addr(place));
-            if left.tries > 0 && voter && lapsed && member.voter.vacant(now) {
+            // A holder may want its own lease anew, under a higher ballot.
+            let may = member.voter.vacant(now) || member.term.is_some() && !lapsed;
+            if left.tries > 0 && voter && may {
                 actions.push(Action::Try(place));
             }
             if left.inquiries > 0
@@ -51,6 +53,12 @@
             if left.timeouts > 0 && (member.keeping.is_some() || member.election.is_some()) {
                 actions.push(Action::TimeOut(place));
             }
+            if left.learns > 0 && !member.voter.amnesic() {
+                let known = |(_, other): &(usize, &Member)| other.up && other.store.is_some();
+                let others = state.members.iter().enumerate().filter(known);
+                let others = others.filter(|(other, _)| *other != place);
+                actions.extend(others.map(|(other, _)| Action::Learn(place, other)));
+            }
             let Some(term) = member.term else {
                 continue;
             };
@@ -108,7 +116,7 @@
             Action::Propose(place) => {
                 next.left.values -= 1;
                 let value = format!("v{}", self.budget.values - next.left.values);
-                self.order(&mut next, place, Purpose::Order, |register| {
+                self.order(&mut next, place, Purpose::Value, |register| {
                     register.evacuated.insert(value);
                 });
             }
@@ -118,7 +126,7 @@
             }
             Action::Conclude(place) => {
                 next.left.conclusions -= 1;
-                self.reconfigure(&mut next, place, Purpose::Order);
+                self.reconfigure(&mut next, place, Purpose::Conclude);
             }
             Action::Leave(place) => {
                 next.left.leaves -= 1;
@@ -147,6 +155,19 @@
                     self.lose(&mut next, place, ballot, &election);
                 }
             }
+            Action::Learn(place, from) => {
+                next.left.learns -= 1;
+                let register = next.members[from].store.clone()?;
+                let member = &mut next.members[place];
+                if let Some(save) = member.voter.learn(&register) {
+                    member.register = Some(register.clone());
+                    member.voter.saved(save);
+                }
+                // As `Store::set_register`.
+                if member.store.as_ref().is_none_or(|mine| register.no > mine.no) {
+                    member.store = Some(register);
+                }
+            }
             Action::Deliver(envelope) => {
                 let at = next.net.iter().position(|one| *one == envelope)?;
                 next.net.remove(at);
@@ -173,7 +194,8 @@
         (next != *state).then_some(next)
     }
 
-    /// Votes of rounds that are over are heard by nobody, and what is below a promise that cannot be lost does nothing.
+    /// Votes of rounds that are over are heard by nobody, and what is below a promise that cannot be lost
+    /// does nothing.
     fn forget_the_over(&self, state: &mut State) {
         let (members, wipes) = (&state.members, state.left.wipes);
         state.net.retain(|one| {
@@ -254,12 +276,18 @@
         state.members[place].renewing = Some((round, asked, Renewing::begin(term.ballot, set)));
     }
 
-    /// As `Office::acknowledge`.
+    /// As `Office::newest`, `propose` and `acknowledge`.
     fn order(&self, state: &mut State, place: usize, purpose: Purpose, change: impl FnOnce(&mut Register)) {
         let member = &mut state.members[place];
-        let mut register = member.store.clone().unwrap_or_else(Register::none);
+        let ballot = member.term.expect("it holds the lease").ballot;
+        let settled = member.store.clone().unwrap_or_else(Register::none);
+        let newer = |one: &Register| one.ballot == ballot && one.rank() > settled.rank();
+        let mut register = member.proposed.clone().filter(newer).unwrap_or(settled);
         change(&mut register);
-        (register.ballot, register.no) = (member.term.expect("it holds the lease").ballot, member.next);
+        (register.ballot, register.no) = (ballot, member.next);
+        if purpose == Purpose::Value {
+            member.proposed = Some(register.clone());
+        }
         member.next = RegisterNo(member.next.0 + 1);
         self.keep(state, place, purpose, register);
     }
@@ -306,6 +334,7 @@
         member.up = false;
         (member.election, member.term, member.renewing, member.keeping) = (None, None, None, None);
         (member.store, member.recovering, member.unrenewed) = (None, None, false);
+        member.proposed = None;
         (member.seen, member.claim, member.next) = (Ballot(0), Claim::default(), RegisterNo(0));
         state.net.retain(|one| !(one.owner == place && (one.vote.is_some() || one.voter == place)));
     }
@@ -385,13 +414,12 @@
         let step = member.voter.hear(envelope.request.clone(), now);
         let mut vote = step.vote;
         match step.save {
-            Some(save) if refused => {
+            Some(_) if refused => {
                 vote = Vote::Unable;
                 if forgets {
                     // What the voter did before it kept in mind that its disk lacks something.
                     member.voter.saved(Save::Promise(member.voter.record()));
                 }
-                let _ = save;
             }
             Some(save) => {
                 match &save {
@@ -424,7 +452,8 @@
                     }
                 }
                 ControlFlow::Break(Outcome::Ask(others)) => {
-                    // Those that have not spoken are asked again; what they say to the first time is not heard.
+                    // Those that have not spoken are asked again; what they say to the first time is not
+                    // heard.
                     state.net.retain(|one| !(one.owner == me && one.round == round && one.vote.is_some()));
                     let again = self.ask(state, me, &others, request);
                     state.members[me].election = Some((again, ballot, asked, election));
@@ -504,7 +533,7 @@
             Purpose::Settle => member.term = Some(Term { settled: true, ..term }),
             _ if !term.serves(now) => return,
             Purpose::Begin => member.unrenewed = true,
-            Purpose::Order => {}
+            Purpose::Value | Purpose::Conclude => {}
         }
         if purpose != Purpose::Settle {
             let later = |(ballot, found): (&Ballot, &BTreeSet<String>)| {
