Renew leases beside a disk that hangs; let a holder that has the lease again go on where it stood

Brought about in lab/tests/cut.rs: with one voter's disk hanging while another asks to be recovered, the new sync of its incarnation held the hanging voter's renewals up, so that nobody had the lease until the disk was well. The test failed (no holder 1 s after) and passes. Change: a recovery's promise, the count of doors and learned registers are saved beside the voter's queue; a renewal of what is promised is answered while a save is under way; what is unsaved is kept apart for ballot and incarnations. Learned registers never go back. A change of the set that could not be kept is not tried again for 3 s.

--- a/franking/src/membership.rs
+++ b/franking/src/membership.rs
@@ -244,6 +244,8 @@
 #[derive(Debug, Default)]
 pub struct Following {
     began: At,
+    /// When the lease was lost, while it is.
+    ended: Option<At>,
     heard: BTreeMap<IpAddr, Heard>,
 }
 
@@ -260,9 +262,27 @@
 }
 
 impl Following {
+    /// The lease is had. Had again soon, what was known of others counts on, without the time between in which nobody
+    /// followed: who was lost before is not waited for once more.
     pub fn begin(&mut self, now: At) {
-        self.began = now;
-        self.heard.clear();
+        match self.ended.take().map(|ended| now.since(ended)).filter(|between| *between < RESUMED) {
+            Some(between) => {
+                self.began = self.began.after(between);
+                for heard in self.heard.values_mut() {
+                    heard.sound = heard.sound.map(|sound| sound.after(between));
+                    (heard.since, heard.set) = (heard.since.after(between), heard.set.after(between));
+                }
+            }
+            None => {
+                self.began = now;
+                self.heard.clear();
+            }
+        }
+    }
+
+    /// The lease is lost.
+    pub fn end(&mut self, now: At) {
+        self.ended = Some(now);
     }
 
     /// It pulls, and says what is on its disk; `settled` is what it should have soon.
@@ -324,6 +344,8 @@
 /// A follower pulls more often than this.
 const UNHEARD: Duration = Duration::from_millis(1200);
 const FORGOTTEN: Duration = Duration::from_secs(60);
+/// A holder that has the lease again by then goes on where it stood.
+const RESUMED: Duration = Duration::from_secs(10);
 
 #[cfg(test)]
 mod tests;
--- a/franking/src/membership/tests.rs
+++ b/franking/src/membership/tests.rs
@@ -179,3 +179,31 @@
     assert_eq!(towards(&change, &set(&[2, 3, 4])), Some(concluded(&change)), "the one before comes first");
     assert_eq!(towards(&concluded(&change), &wanted), None);
 }
+
+#[test]
+fn a_holder_that_has_the_lease_again_soon_misses_whom_it_missed_before() {
+    let (mut following, ip) = (Following::default(), |no: u8| IpAddr::from([10, 0, 0, no]));
+    let office = |ip| SocketAddr::new(ip, 7600);
+    let kept = Some((Ballot(1), RegisterNo(1)));
+    let hear = |following: &mut Following, no: u8, now: At| {
+        let row = OfficeRow { ip: ip(no), zone: "z".to_owned() };
+        following.hear(&Follower { row, kept }, RegisterNo(1), now);
+    };
+    let after = |span: u64| START.after(Duration::from_millis(span));
+    following.begin(START);
+    (0..20).for_each(|turn| hear(&mut following, 2, after(turn * 100)));
+    following.end(after(2_000));
+    following.begin(after(7_000));
+    hear(&mut following, 2, after(7_100));
+    let missing = |following: &Following, no: u8, now: At| {
+        let all = following.candidates(&list(&[1, 2, 3]), (addr(1), "z"), office, now);
+        let one = all.into_iter().find(|one| one.office == addr(no)).expect("it is known");
+        (one.missing, one.keeping_up)
+    };
+    assert!(missing(&following, 3, after(8_100)).0 >= LOST, "2 s before and 1.1 s now");
+    let (absent, keeping_up) = missing(&following, 2, after(8_100));
+    assert!(absent < LOST && keeping_up > TRUSTED, "it was there all along: {absent:?} {keeping_up:?}");
+    following.end(after(8_200));
+    following.begin(after(8_200 + 11_000));
+    assert!(missing(&following, 3, after(8_200 + 11_100)).0 < LOST, "too long ago");
+}
--- a/franking/src/voter.rs
+++ b/franking/src/voter.rs
@@ -63,8 +63,14 @@
     founders: Vec<SocketAddr>,
     incarnation: u64,
     incarnations: BTreeMap<SocketAddr, u64>,
-    /// The disk has refused what it promised last: that is saved with the next vote that goes by it.
-    unsaved: bool,
+    /// What is not on disk yet, as that refused it or is slow: saved with the next vote that goes by it.
+    unsaved: Unsaved,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+struct Unsaved {
+    ballot: bool,
+    incarnations: bool,
 }
 
 /// What is to be on disk before the vote is said.
@@ -122,7 +128,7 @@
             founders: promise.founders,
             incarnation: promise.incarnation,
             incarnations: promise.incarnations,
-            unsaved: false,
+            unsaved: Unsaved::default(),
         }
     }
 
@@ -162,6 +168,11 @@
         self.promised
     }
 
+    /// Where it has promised a ballot, and that is on disk.
+    pub fn promised_on_disk(&self) -> Option<Ballot> {
+        (!self.amnesic && !self.unsaved.ballot).then_some(self.promised)
+    }
+
     pub fn register(&self) -> &Register {
         &self.register
     }
@@ -198,7 +209,8 @@
                 (self.promised, self.to) = (ballot, Some(holder));
                 self.lease = Some(Lease { ballot, holder, until: now.after(TERM) });
                 let vote = Vote::Granted { register: self.register.clone(), doors: self.doors };
-                self.promise(vote, true)
+                self.unsaved.ballot = true;
+                Step { vote, save: Some(Save::Promise(self.record())) }
             }
             VoteRequest::Renew { ballot, holder } => {
                 let barred = self.taken(holder, now) || now < self.quiet_until;
@@ -210,7 +222,10 @@
                 let joins = ballot > self.promised;
                 (self.promised, self.to) = (ballot, Some(holder));
                 self.lease = Some(Lease { ballot, holder, until: now.after(TERM) });
-                self.promise(Vote::Accepted, joins)
+                // A lease goes by the ballot alone: it lasts also while the disk is slow to take anything else.
+                self.unsaved.ballot |= joins;
+                let save = self.unsaved.ballot.then(|| Save::Promise(self.record()));
+                Step { vote: Vote::Accepted, save }
             }
             VoteRequest::Accept { register } => {
                 // One that names nobody to keep it is none.
@@ -237,18 +252,14 @@
                 }
                 self.incarnations.insert(member, incarnation);
                 let vote = Vote::Known { promised: self.promised, register: self.register.clone() };
-                self.promise(vote, incarnation > known)
+                self.unsaved.incarnations |= incarnation > known;
+                let unsaved = self.unsaved.incarnations || self.unsaved.ballot;
+                Step { vote, save: unsaved.then(|| Save::Promise(self.record())) }
             }
         }
     }
 
-    /// A vote that goes by a promise: new, or one that the disk refused when it was.
-    fn promise(&mut self, vote: Vote, news: bool) -> Step {
-        self.unsaved |= news;
-        Step { vote, save: self.unsaved.then(|| Save::Promise(self.record())) }
-    }
-
-    /// The one it swore to before this start holds nothing any more, as it says itself.
+    /// The one it promised to before this start holds nothing any more, as it says itself.
     pub fn released(&mut self, ballot: Ballot, now: At) {
         if ballot == self.promised && self.lease.is_none() {
             self.quiet_until = self.quiet_until.min(now);
@@ -265,7 +276,13 @@
     /// It is on disk. What could not be saved is never said to be kept.
     pub fn saved(&mut self, save: Save) {
         match save {
-            Save::Promise(_) => self.unsaved = false,
+            Save::Promise(saved) => {
+                // A later one may be on its way.
+                self.unsaved.ballot &= saved.ballot != self.promised;
+                self.unsaved.incarnations &= saved.incarnations != self.incarnations;
+            }
+            // Of two that are on their way the newer one stands.
+            Save::Register(register) if register.rank() < self.register.rank() => {}
             Save::Register(register) => {
                 self.promised = self.promised.max(register.ballot);
                 self.register = *register;
@@ -282,7 +299,7 @@
         self.incarnations = recovered.incarnations.clone();
         // What it granted before it forgot.
         self.quiet_until = now.after(TERM);
-        (self.amnesic, self.unsaved) = (false, false);
+        (self.amnesic, self.unsaved) = (false, Unsaved::default());
     }
 }
 
--- a/lab/tests/cut.rs
+++ b/lab/tests/cut.rs
@@ -10,6 +10,7 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
+use vanewharf_lab::system::disk::{Health, Left};
 use vanewharf_lab::system::many::each;
 use vanewharf_lab::system::net::Place;
 use vanewharf_lab::system::town::{Backend, LAG};
@@ -378,3 +379,26 @@
         assert!(told.values().all(|one| one == first), "{told:?}");
     });
 }
+
+/// One voter has lost its disk and asks to be recovered, which another has to write down on a disk that hangs: the lease
+/// needs no disk, so it is renewed all the time, and doors go on hearing of the list.
+#[test]
+fn a_disk_that_hangs_while_another_voter_recovers_costs_no_lease() {
+    vanewharf_mailroom::log::silence();
+    play(async {
+        let (world, _, holder) = at_work(3, 2, 11).await;
+        let (wiped, hangs) = ((holder + 1) % 3, (holder + 2) % 3);
+        world.machines[hangs].disk.iter().for_each(|disk| disk.turn(Health::Hangs));
+        world.lose_power(wiped, Left::Nothing);
+        world.machines[wiped].disk.iter().for_each(|disk| disk.wipe());
+        world.boot(wiped);
+        let hung = Instant::now();
+        while hung.elapsed() < Duration::from_secs(8) {
+            assert_eq!(world.holders(), 1, "{:?} after", hung.elapsed());
+            sleep(Duration::from_millis(50)).await;
+        }
+        world.machines[hangs].disk.iter().for_each(|disk| disk.turn(Health::Well));
+        sleep(CONTACT).await;
+        assert_eq!(world.holders(), 1);
+    });
+}
--- a/postmaster/src/duties.rs
+++ b/postmaster/src/duties.rs
@@ -3,7 +3,7 @@
 
 use crate::cloud;
 use crate::office::Office;
-use crate::orders::{Order, Orders};
+use crate::orders::{Done, Order, Orders};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -29,6 +29,8 @@
 const GATHERED: Duration = Duration::from_millis(1500);
 /// How often it is seen whether a voter is missing.
 const TENDED: Duration = Duration::from_millis(250);
+/// A change that could not be kept is not tried again before.
+const HELD_OFF: Duration = Duration::from_secs(3);
 /// How many doors one that knows none is told of.
 const NEIGHBOURS: usize = 4;
 /// How soon a duty is taken up with the lease.
@@ -262,10 +264,11 @@
         loop {
             sleep(TENDED).await;
             let (holds, now) = (self.office.holds(), self.feed.now());
-            if holds && !std::mem::replace(&mut held, holds) {
-                self.following.borrow_mut().begin(now);
+            match (std::mem::replace(&mut held, holds), holds) {
+                (false, true) => self.following.borrow_mut().begin(now),
+                (true, false) => self.following.borrow_mut().end(now),
+                _ => {}
             }
-            held = holds;
             if !holds {
                 continue;
             }
@@ -277,7 +280,11 @@
             };
             if let Some(voters) = voters {
                 spdlog::info!("the voters are to be {:?} after epoch {}", voters, membership.epoch);
-                orders.give(Order::Reconfigure { epoch: membership.epoch, voters }).await;
+                let done = orders.give(Order::Reconfigure { epoch: membership.epoch, voters }).await;
+                // Operators' orders wait while a change of the set is tried.
+                if let Done::Uncertain = done {
+                    sleep(HELD_OFF).await;
+                }
             }
         }
     }
--- a/postmaster/src/office.rs
+++ b/postmaster/src/office.rs
@@ -3,7 +3,7 @@
 
 use crate::disk::{Disk, Record};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::ops::ControlFlow;
 use std::rc::Rc;
@@ -174,29 +174,55 @@
             spdlog::warn!("the folder cannot be synced: {}", error);
             sleep(AGAIN).await;
         }
-        while let Some(command) = heard.recv().await {
+        let mut waiting = VecDeque::new();
+        loop {
+            let command = match waiting.pop_front() {
+                Some(command) => command,
+                None => match heard.recv().await {
+                    Some(command) => command,
+                    None => return,
+                },
+            };
             let (vote_request, reply) = match command {
                 Command::Hear(vote_request, reply) => (vote_request, reply),
                 Command::Count(doors) => {
                     let save = self.voter.borrow_mut().count(doors);
-                    self.note(&disk, save, "the count of doors").await;
+                    self.note(&disk, save, "the count of doors");
                     continue;
                 }
                 Command::Learn(register) => {
                     let save = self.voter.borrow().learn(&register);
-                    self.note(&disk, save, "a register that is in force").await;
+                    self.note(&disk, save, "a register that is in force");
                     continue;
                 }
             };
+            let recovers = matches!(vote_request, VoteRequest::Recover { .. });
             let step = self.voter.borrow_mut().hear(vote_request, self.now());
             let mut vote = step.vote;
+            // Nobody's lease waits until a slow disk has taken what another one's recovery wants written down: what is
+            // known counts at once, and is told when it is on disk.
+            if let Some(save) = step.save.as_ref().filter(|_| recovers).cloned() {
+                let (office, disk) = (Rc::clone(&self), disk.clone());
+                tokio::task::spawn_local(async move {
+                    let kept = office.kept_on(&disk, save).await;
+                    let cast = office.voter.borrow().cast(if kept { vote } else { Vote::Unable });
+                    let _ = reply.send(cast);
+                });
+                continue;
+            }
             if let Some(save) = step.save {
-                match self.save(&disk, &save).await {
-                    Ok(()) => self.voter.borrow_mut().saved(save),
-                    Err(error) => {
-                        spdlog::warn!("nothing is promised, as the disk takes nothing: {}", error);
-                        vote = Vote::Unable;
+                let saving = self.kept_on(&disk, save);
+                tokio::pin!(saving);
+                // A lease that is renewed needs no disk.
+                let kept = loop {
+                    tokio::select! {
+                        biased;
+                        kept = &mut saving => break kept,
+                        Some(command) = heard.recv() => waiting.extend(self.renewed(command)),
                     }
+                };
+                if !kept {
+                    vote = Vote::Unable;
                 }
             }
             let cast = self.voter.borrow().cast(vote);
@@ -204,15 +230,44 @@
         }
     }
 
+    /// Whether the disk has it now.
+    async fn kept_on(&self, disk: &Disk, save: Save) -> bool {
+        match self.save(disk, &save).await {
+            Ok(()) => self.voter.borrow_mut().saved(save),
+            Err(error) => {
+                spdlog::warn!("nothing is promised, as the disk takes nothing: {}", error);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Answers what asks for another term of a lease that is promised; whatever else it is has to wait.
+    fn renewed(&self, command: Command) -> Option<Command> {
+        let promised = self.voter.borrow().promised_on_disk();
+        match command {
+            Command::Hear(request @ VoteRequest::Renew { .. }, reply) if matches!(request, VoteRequest::Renew { ballot, .. } if Some(ballot) == promised) =>
+            {
+                let step = self.voter.borrow_mut().hear(request, self.now());
+                let _ = reply.send(self.voter.borrow().cast(step.vote));
+                None
+            }
+            command => Some(command),
+        }
+    }
+
     /// What nobody waits for.
-    async fn note(&self, disk: &Disk, save: Option<Save>, what: &str) {
+    fn note(self: &Rc<Self>, disk: &Disk, save: Option<Save>, what: &'static str) {
         let Some(save) = save else {
             return;
         };
-        match self.save(disk, &save).await {
-            Ok(()) => self.voter.borrow_mut().saved(save),
-            Err(error) => spdlog::warn!("{} is not on disk: {}", what, error),
-        }
+        let (office, disk) = (Rc::clone(self), disk.clone());
+        tokio::task::spawn_local(async move {
+            match office.save(&disk, &save).await {
+                Ok(()) => office.voter.borrow_mut().saved(save),
+                Err(error) => spdlog::warn!("{} is not on disk: {}", what, error),
+            }
+        });
     }
 
     async fn save(&self, disk: &Disk, save: &Save) -> std::io::Result<()> {
