--- a/franking/tests/model/main.rs
+++ b/franking/tests/model/main.rs
@@ -1,4 +1,4 @@
-//! The model checker over voters, lease and change of members; docs/hardening-model.md tells what is
+//! The model checker over voters, lease and change of members; docs/hardening.md tells what is
 //! modelled. What is small runs with all tests, to its end; the rest by hand, in release mode, with `--ignored
 //! --nocapture`, `MODEL_THREADS=4` and, to go further than the table says, `MODEL_DEPTH`.
 
