--- a/lab/src/system/net.rs
+++ b/lab/src/system/net.rs
@@ -37,7 +37,8 @@
     /// Bytes a second that a machine sends at most, and when it has sent what it was given so far.
     narrow: BTreeMap<IpAddr, (u64, Instant)>,
     /// From one to another; the way back is its own.
-    cuts: BTreeSet<(IpAddr, IpAddr)>,
+    /// How many cuts there are of each way: it is healed with the last.
+    cuts: BTreeMap<(IpAddr, IpAddr), usize>,
     ears: BTreeMap<SocketAddr, Rc<RefCell<Queue>>>,
     lanes: Vec<Weak<RefCell<Lane>>>,
     /// Per sending machine.
@@ -77,7 +78,7 @@
 
 impl Map {
     fn open(&self, from: IpAddr, to: IpAddr) -> bool {
-        !self.dark.contains(&to) && !self.dark.contains(&from) && !self.cuts.contains(&(from, to))
+        !self.dark.contains(&to) && !self.dark.contains(&from) && !self.cuts.contains_key(&(from, to))
     }
 
     /// One way, without the little that chance adds.
@@ -141,12 +142,16 @@
     }
 
     pub fn cut(&self, from: IpAddr, to: IpAddr) {
-        self.map.borrow_mut().cuts.insert((from, to));
+        *self.map.borrow_mut().cuts.entry((from, to)).or_default() += 1;
     }
 
     pub fn heal(&self, from: IpAddr, to: IpAddr) {
         let mut map = self.map.borrow_mut();
-        map.cuts.remove(&(from, to));
+        let left = map.cuts.get(&(from, to)).map_or(0, |cuts| cuts - 1);
+        match left {
+            0 => drop(map.cuts.remove(&(from, to))),
+            left => drop(map.cuts.insert((from, to), left)),
+        }
         map.wake_all();
     }
 
--- a/lab/src/system/world.rs
+++ b/lab/src/system/world.rs
@@ -417,7 +417,9 @@
 
     pub fn befalls(&self, whom: Whom) {
         let mut troubles = self.troubles.borrow_mut();
-        if !troubles.iter().any(|trouble| trouble.whom == whom && trouble.ended.is_none()) {
+        // Of two cuts of the same machines each has its own end.
+        let cut = matches!(whom, Whom::Parted(_));
+        if cut || !troubles.iter().any(|trouble| trouble.whom == whom && trouble.ended.is_none()) {
             troubles.push(Trouble { begun: Instant::now(), ended: None, whom });
         }
     }
@@ -426,7 +428,8 @@
         let now = Instant::now();
         let mut troubles = self.troubles.borrow_mut();
         let open = troubles.iter_mut().filter(|trouble| trouble.whom == *whom && trouble.ended.is_none());
-        open.for_each(|trouble| trouble.ended = Some(now));
+        let ended = if let Whom::Parted(_) = whom { 1 } else { usize::MAX };
+        open.take(ended).for_each(|trouble| trouble.ended = Some(now));
     }
 
     /// Processor time that a kind of program took on this machine.
