Log the requests that a proxy ends on, and a voter's register that goes back on disk

A request counts as open from its last byte until its answer is written (open_requests); at the end of the shutdown the proxy logs each that is open: how long after the signal it was read, how long it was open, whether its answer was known. A voter logs when a register reaches the disk after a newer one did. No decision changes.

--- a/programs/controller/src/replica/voter_task.rs
+++ b/programs/controller/src/replica/voter_task.rs
@@ -218,11 +218,25 @@
         let _ = reply.send(self.voter.borrow().response(vote));
     }
 
+    /// Saves are carried out in the order of their requests, so the disk's newest copy is the one that was saved last.
+    fn log_register_regression(&self, saved: &Register) {
+        let accepted = self.voter.borrow().register().rank();
+        if saved.rank() < accepted {
+            spdlog::error!(
+                "an older register was written over a newer one; a restart would forget the newer one",
+                kv: { event = "register_regressed", saved:? = saved.rank(), accepted:? = accepted }
+            );
+        }
+    }
+
     /// Persists a write, and notes in the voter that it is durable.
     async fn persist(&self, storage: &Storage, write: DurableWrite) -> Result<(), StorageError> {
         match &write {
             DurableWrite::VoterRecord(record) => storage.save(Record::Voter, record).await?,
-            DurableWrite::Register(register) => storage.save(Record::Register, register).await?,
+            DurableWrite::Register(register) => {
+                storage.save(Record::Register, register).await?;
+                self.log_register_regression(register);
+            }
         }
         self.voter.borrow_mut().mark_persisted(write);
         Ok(())
--- a/programs/gateway/src/client_connection.rs
+++ b/programs/gateway/src/client_connection.rs
@@ -8,6 +8,7 @@
 use crate::dialect::{Admission, ForwardingOptions};
 use crate::messages::{NewRequest, RouterMessage};
 use crate::open_ids::OpenId;
+use crate::open_requests::OpenRequest;
 use crate::resources::{SMALL_BUFFER_BYTES, SocketGuard};
 use crate::shared::Shared;
 use bytes::BytesMut;
@@ -48,9 +49,18 @@
     /// None where the client has closed the connection.
     request: Option<Result<Request, ReadError>>,
     at: Ticks,
+    /// Present where a whole request was read: it stays open until its answer is written.
+    open: Option<OpenRequest>,
 }
 
 impl ReadResult {
+    /// What was read now.
+    fn new(request: Option<Result<Request, ReadError>>, shared: &Shared) -> ReadResult {
+        let at = shared.clock.now();
+        let open = matches!(request, Some(Ok(_))).then(|| shared.open_requests.open(at));
+        ReadResult { request, at, open }
+    }
+
     fn is_connection_lost(&self) -> bool {
         matches!(self.request, None | Some(Err(ReadError::Io(_) | ReadError::UnexpectedEof)))
     }
@@ -104,7 +114,7 @@
                 Some(Ok(request)) => request,
             };
             self.first_request_deadline = None;
-            if !self.handle_request(request, read.at, &mut read_ahead).await {
+            if !self.handle_request(request, read.at, read.open, &mut read_ahead).await {
                 return;
             }
             self.release_write_buffer();
@@ -116,6 +126,7 @@
         &mut self,
         request: Request,
         at: Ticks,
+        open: Option<OpenRequest>,
         read_ahead: &mut Option<ReadResult>,
     ) -> bool {
         let close = request.closes_connection();
@@ -135,6 +146,7 @@
                 let Some(answer) = self.route(request, arrival, open_id, read_ahead).await else {
                     return false;
                 };
+                open.iter().for_each(OpenRequest::begin_answer);
                 self.message_bytes = answer.memory_bytes();
                 // A request that was read ahead is accepted, and is answered before the connection ends.
                 let close = close || self.shared.resources.is_draining() && read_ahead.is_none();
@@ -228,9 +240,9 @@
         guard.set_buffer_bytes(*message_bytes + unread_bytes + framed.write_buffer().capacity());
         if read.is_pending() && unread_bytes > SMALL_BUFFER_BYTES && shared.resources.is_memory_short() {
             let request = Some(Err(ReadError::OutOfMemory));
-            return Poll::Ready(ReadResult { request, at: shared.clock.now() });
+            return Poll::Ready(ReadResult::new(request, shared));
         }
-        read.map(|request| ReadResult { request, at: shared.clock.now() })
+        read.map(|request| ReadResult::new(request, shared))
     }
 
     async fn read(&mut self) -> ReadResult {
@@ -265,7 +277,7 @@
         match timeout_at(deadline, self.read()).await {
             Ok(read) => Some(read),
             Err(_) if shared.resources.is_draining() => None,
-            Err(_) => Some(ReadResult { request: Some(Err(ReadError::TimedOut)), at: shared.clock.now() }),
+            Err(_) => Some(ReadResult::new(Some(Err(ReadError::TimedOut)), &shared)),
         }
     }
 
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod listener;
 pub mod messages;
 mod open_ids;
+pub mod open_requests;
 mod operator_config;
 mod peers;
 mod platform_config;
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::dialect::HttpDialect;
 use crate::messages::RouterMessage;
 use crate::open_ids::OpenIds;
+use crate::open_requests::OpenRequests;
 use crate::resources::Resources;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -23,6 +24,8 @@
     pub timeouts: ConnectionTimeouts,
     /// The ids of the requests that are in flight.
     pub open_ids: OpenIds,
+    /// The requests that were read and have no answer yet.
+    pub open_requests: OpenRequests,
     router: mpsc::UnboundedSender<RouterMessage>,
     last_txn: Cell<u64>,
 }
@@ -36,8 +39,16 @@
         timeouts: ConnectionTimeouts,
         router: mpsc::UnboundedSender<RouterMessage>,
     ) -> Shared {
-        let (open_ids, last_txn) = (OpenIds::default(), Cell::new(0));
-        Shared { clock, resources, dialect, timeouts, open_ids, router, last_txn }
+        Shared {
+            clock,
+            resources,
+            dialect,
+            timeouts,
+            open_ids: OpenIds::default(),
+            open_requests: OpenRequests::default(),
+            router,
+            last_txn: Cell::new(0),
+        }
     }
 
     /// Queues a message for the router. The router ends with the process only, so a failure needs no handling.
--- a/programs/proxy/src/server.rs
+++ b/programs/proxy/src/server.rs
@@ -17,6 +17,7 @@
 use vanewharf_gateway::clock::Clock;
 use vanewharf_gateway::listener::accept_clients;
 use vanewharf_gateway::messages::{BackendUpdate, RouterMessage};
+use vanewharf_gateway::open_requests::OpenRequestState;
 use vanewharf_gateway::resources::{ResourceLimits, Resources};
 use vanewharf_gateway::router::Router;
 use vanewharf_gateway::shared::Shared;
@@ -38,6 +39,7 @@
 const ACCEPT_SHARE: f64 = 0.7;
 /// Share of the grace period after which the process ends even if clients are still connected.
 const DRAIN_SHARE: f64 = 0.95;
+const TICKS_PER_MS: i64 = Ticks::SECOND.0 / 1000;
 /// Time for the last answers to leave the socket buffers.
 const FLUSH_PAUSE: Duration = Duration::from_millis(10);
 
@@ -70,8 +72,10 @@
         _ = end => {}
         ended = &mut routing => return Err(ProxyError::RouteEnded(ended)),
     }
+    let shutdown_at = shared.clock.now();
     status.draining.set(true);
     drain(&shared.resources, accepting, &stop_accepting, settings.limits_table.grace_period).await;
+    log_unanswered(&shared, shutdown_at);
     Ok(())
 }
 
@@ -138,3 +142,19 @@
     let _ = timeout_at(deadline, all_closed).await;
     sleep(FLUSH_PAUSE).await;
 }
+
+/// Logs each request that the process ends on, with what tells why: when it was read, and whether it had been decided.
+fn log_unanswered(shared: &Shared, shutdown_at: Ticks) {
+    let now = shared.clock.now();
+    for OpenRequestState { read_at, stage } in shared.open_requests.states() {
+        spdlog::error!(
+            "the process ends on a request that has no answer",
+            kv: {
+                event = "request_unanswered",
+                read_after_shutdown_ms = (read_at - shutdown_at).0 / TICKS_PER_MS,
+                open_ms = (now - read_at).0 / TICKS_PER_MS,
+                stage:? = stage
+            }
+        );
+    }
+}
