--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -117,6 +117,20 @@
         self.machines[machine].programs.iter_mut().for_each(|(_, process)| *process = None);
     }
 
+    /// Asks all programs of a machine to shut down in order, as SIGTERM would. They stay the machine's until it is killed.
+    pub fn shut_down_machine(&mut self, machine: usize) {
+        let processes =
+            self.machines[machine].programs.iter_mut().filter_map(|(_, process)| process.as_mut());
+        processes.for_each(Process::shut_down);
+    }
+
+    /// Whether all programs of a machine have ended by themselves.
+    pub fn has_ended(&self, machine: usize) -> bool {
+        let mut processes =
+            self.machines[machine].programs.iter().filter_map(|(_, process)| process.as_ref());
+        processes.all(Process::has_ended)
+    }
+
     /// Kills only the agent, so that the proxy on the same machine gets no updates.
     pub fn kill_agent(&mut self, proxy: usize) {
         let programs = &mut self.machines[self.controllers + proxy].programs;
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -25,6 +25,8 @@
 /// A running program. Dropping it kills the program and waits for its thread.
 pub(crate) struct Process {
     kill: Option<oneshot::Sender<()>>,
+    /// Taken once the program was asked to shut down.
+    shutdown: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -32,8 +34,22 @@
     /// Starts a program with these settings.
     pub(crate) fn start(program: Program, settings: Settings) -> Process {
         let (kill, killed) = oneshot::channel::<()>();
-        let thread = thread::spawn(move || run_until_killed(program, settings, killed));
-        Process { kill: Some(kill), thread: Some(thread) }
+        let (shutdown, signalled) = oneshot::channel();
+        let thread = thread::spawn(move || run_until_killed(program, settings, signalled, killed));
+        Process { kill: Some(kill), shutdown: Some(shutdown), thread: Some(thread) }
+    }
+
+    /// Asks the program to shut down in order, as SIGTERM would.
+    pub(crate) fn shut_down(&mut self) {
+        if let Some(shutdown) = self.shutdown.take() {
+            // A program that has ended already needs no signal.
+            let _ = shutdown.send(());
+        }
+    }
+
+    /// Whether the program has ended by itself.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 }
 
@@ -46,14 +62,17 @@
     }
 }
 
-fn run_until_killed(program: Program, settings: Settings, killed: oneshot::Receiver<()>) {
+fn run_until_killed(
+    program: Program,
+    settings: Settings,
+    shutdown: ShutdownSignal,
+    killed: oneshot::Receiver<()>,
+) {
     let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
     let Ok(runtime) = runtime else {
         return;
     };
     runtime.block_on(async move {
-        // Held until the end: dropping the sender would ask the program to shut down.
-        let (shutdown_sender, shutdown) = oneshot::channel();
         // Cancel safety: whichever branch loses is dropped for good, and nothing is awaited after it.
         tokio::select! {
             _ = killed => {}
@@ -61,7 +80,6 @@
                 eprintln!("{error}");
             },
         }
-        drop(shutdown_sender);
     });
 }
 
--- a/programs/controller/src/replica/voter_task.rs
+++ b/programs/controller/src/replica/voter_task.rs
@@ -242,3 +242,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
