Write a voter's records in the order in which they were decided

Cause: what a voter wrote in the background (a register that it learned, the count of proxies, a member's incarnation) was handed to the disk by a spawned task, so a vote decided after it could be written first. The disk's newest copy was then the older record: after a restart an acknowledged register, or a promise, was gone at that voter. With as many disks lost as may be, that voter can be the last one that had it. Class: a durable effect that is requested later than it is decided. Change: RecordWriter requests each write at its decision; tasks only wait. A voter accepts nothing older than what it has learned to be committed, also while that is being written (it could be counted against the committed register).

--- a/crates/consensus/src/voter.rs
+++ b/crates/consensus/src/voter.rs
@@ -21,7 +21,7 @@
 use crate::membership::initial_membership;
 use std::net::SocketAddr;
 use vanewharf_clock::Timestamp;
-use vanewharf_protocol::messages::{Ballot, Membership, Register, Vote, VoteResponse};
+use vanewharf_protocol::messages::{Ballot, Membership, Register, RegisterRank, Vote, VoteResponse};
 
 mod record;
 mod requests;
@@ -44,6 +44,9 @@
     record: VoterRecord,
     /// The newest accepted register. It is always on disk.
     register: Register,
+    /// The newest register that was learned to be committed; its write may be under way or have failed. Nothing older is
+    /// accepted: that could be counted for a majority which the committed register does not stand for.
+    learned_rank: RegisterRank,
     lease: Option<GrantedLease>,
     /// A lease that was granted before this start may last until then.
     grants_suspended_until: Timestamp,
@@ -82,6 +85,7 @@
         Voter {
             record,
             register,
+            learned_rank: RegisterRank::default(),
             lease: None,
             grants_suspended_until: if is_initial { now } else { now.after(LEASE_DURATION) },
             amnesic,
@@ -159,9 +163,14 @@
 
     /// Takes over a register that the leaseholder has published as committed, if it is newer than the accepted one. It was
     /// decided by a majority, so a promise made since does not stand against it. Returns what to write; this is no vote.
-    pub fn adopt_committed_register(&self, register: &Register) -> Option<DurableWrite> {
-        let is_newer = register.membership.epoch > 0 && register.rank() > self.register.rank();
-        (!self.amnesic && is_newer).then(|| DurableWrite::Register(Box::new(register.clone())))
+    pub fn adopt_committed_register(&mut self, register: &Register) -> Option<DurableWrite> {
+        // One that was learned before is written again: its write may have failed.
+        let is_newer = register.rank() > self.register.rank() && register.rank() >= self.learned_rank;
+        if self.amnesic || register.membership.epoch == 0 || !is_newer {
+            return None;
+        }
+        self.learned_rank = register.rank();
+        Some(DurableWrite::Register(Box::new(register.clone())))
     }
 
     /// Records that a write which this voter requested is on disk. Must not be called before it is: a voter votes by what it
@@ -188,6 +197,7 @@
     pub fn complete_recovery(&mut self, recovered: &VoterRecord, register: Register, now: Timestamp) {
         self.record = VoterRecord { ballot: recovered.ballot.max(register.ballot), ..recovered.clone() };
         self.register = register;
+        self.learned_rank = RegisterRank::default();
         self.grants_suspended_until = now.after(LEASE_DURATION);
         self.amnesic = false;
         self.unpersisted = UnpersistedFields::default();
--- a/crates/consensus/src/voter/requests.rs
+++ b/crates/consensus/src/voter/requests.rs
@@ -69,7 +69,7 @@
     fn handle_accept(&self, register: Register, now: Timestamp) -> VoterOutput {
         // No candidate could win with a register that names no voters.
         let names_no_membership = register.membership.epoch == 0;
-        let is_older = register.rank() < self.register.rank();
+        let is_older = register.rank() < self.register.rank().max(self.learned_rank);
         if names_no_membership || register.ballot < self.record.ballot || is_older {
             return self.refuse(now);
         }
--- a/crates/system-simulator/tests/simulation.rs
+++ b/crates/system-simulator/tests/simulation.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::Instant;
+use vanewharf_runtime::invariants::total_violations;
 use vanewharf_system_simulator::checker::{Observation, Rule, check};
 use vanewharf_system_simulator::configuration::TenantQuota;
 use vanewharf_system_simulator::disk::UnsyncedData;
@@ -31,6 +32,7 @@
         outcome.violations,
         outcome.events
     );
+    assert_eq!(total_violations(), 0, "invariants, by seed {} or one before it", outcome.seed);
 }
 
 #[test]
--- a/programs/controller/src/orders/executor.rs
+++ b/programs/controller/src/orders/executor.rs
@@ -13,6 +13,7 @@
 use tokio::time::{Instant, timeout};
 use vanewharf_consensus::{ChangeOutcome, OperatorChange, apply_changes};
 use vanewharf_protocol::messages::{Register, RegisterRank};
+use vanewharf_runtime::invariants::Invariant;
 
 /// A round that takes longer is not waited for by the next one.
 const SLOW_ROUND: Duration = Duration::from_millis(600);
@@ -96,9 +97,16 @@
         let is_committed =
             |round: &mut Round| round.rank.ballot == committed.ballot && round.rank <= committed;
         let rounds: Vec<Round> = self.rounds.extract_if(.., is_committed).collect();
+        Invariant::AcknowledgedIsCommitted.check(rounds.is_empty() || self.is_in_force(committed));
         rounds.into_iter().flat_map(|round| round.pending).for_each(PendingReply::send);
     }
 
+    /// Whether what this process has published as committed is that register or a newer one.
+    fn is_in_force(&self, rank: RegisterRank) -> bool {
+        let store = self.replica.publisher.store();
+        store.register.as_deref().is_some_and(|published| published.rank() >= rank)
+    }
+
     /// The next register of the chain contains the changes of this one, so that its round decides their outcomes.
     fn complete_uncertain_round(&mut self, uncertain: RegisterRank) {
         let is_uncertain = |round: &mut Round| round.rank == uncertain;
--- a/programs/controller/src/replica.rs
+++ b/programs/controller/src/replica.rs
@@ -4,7 +4,7 @@
 //! proposes. The decisions themselves are made by the state machines of `vanewharf_consensus`, which do no input or output;
 //! the modules below feed them and carry out what they decide:
 //!
-//! - [`voter_task`] handles the requests to the voter, one after the other, and persists what it promises,
+//! - [`voter_task`] handles the requests to the voter, one after the other, and [`record_writer`] persists what it promises,
 //! - [`vote_rpc`] sends vote requests to the other replicas,
 //! - [`election`] campaigns for the lease, and [`renewal`] renews it,
 //! - [`replication`] replicates registers to a majority of the voters,
@@ -16,6 +16,7 @@
 
 mod election;
 mod reconfiguration;
+mod record_writer;
 mod recovery;
 mod renewal;
 mod replication;
--- a/programs/controller/src/replica/voter_task.rs
+++ b/programs/controller/src/replica/voter_task.rs
@@ -4,8 +4,9 @@
 //! do not wait for a disk that is slow: renewals of the lease that the voter has promised already, which need no write, and
 //! everything while a recovery of another member is written, which is answered when that is done.
 
+use super::record_writer::{PendingWrite, RecordWriter};
 use super::{PERSIST_RETRY_INTERVAL, Replica};
-use crate::storage::{Record, Storage, StorageError};
+use crate::storage::{Storage, StorageError};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::{mpsc, oneshot};
@@ -28,14 +29,15 @@
 /// Owns the commands that wait for the disk.
 pub(super) struct VoterTask {
     replica: Rc<Replica>,
-    storage: Storage,
+    writer: RecordWriter,
     /// Commands that were received while a vote was being persisted.
     deferred: VecDeque<VoterCommand>,
 }
 
 impl VoterTask {
     pub(super) fn new(replica: Rc<Replica>, storage: Storage) -> VoterTask {
-        VoterTask { replica, storage, deferred: VecDeque::new() }
+        let writer = RecordWriter::new(Rc::clone(&replica), storage);
+        VoterTask { replica, writer, deferred: VecDeque::new() }
     }
 
     pub(super) async fn run(mut self, mut commands: mpsc::UnboundedReceiver<VoterCommand>) {
@@ -50,7 +52,7 @@
                     self.persist_in_background(write, "proxy count");
                 }
                 VoterCommand::PersistRegister(register) => {
-                    let write = self.replica.voter.borrow().adopt_committed_register(&register);
+                    let write = self.replica.voter.borrow_mut().adopt_committed_register(&register);
                     self.persist_in_background(write, "committed register");
                 }
             }
@@ -59,7 +61,7 @@
 
     /// Nothing is voted by records that a loss of power could still take away.
     async fn sync_storage(&self) {
-        while let Err(error) = self.storage.sync_directory().await {
+        while let Err(error) = self.writer.sync_directory().await {
             spdlog::warn!(
                 "fsync of the data directory failed; the voter does not start",
                 kv: { event = "directory_sync_failed", error: }
@@ -89,9 +91,13 @@
         let output = self.replica.voter.borrow_mut().handle_vote_request(request, now);
         match output.write {
             None => self.replica.send_vote(output.vote, reply),
-            Some(write) if is_recovery => self.reply_when_persisted(output.vote, write, reply),
+            Some(write) if is_recovery => {
+                let pending = self.writer.write(write);
+                self.reply_when_persisted(output.vote, pending, reply);
+            }
             Some(write) => {
-                let persisted = self.persist_while_renewing(write, commands).await;
+                let pending = self.writer.write(write);
+                let persisted = self.wait_while_renewing(pending, commands).await;
                 self.replica.send_vote(vote_if_persisted(output.vote, persisted), reply);
             }
         }
@@ -99,22 +105,21 @@
 
     /// What a recovering member makes known counts at once, and is answered when it is on disk. The lease does not wait for
     /// that.
-    fn reply_when_persisted(&self, vote: Vote, write: DurableWrite, reply: oneshot::Sender<VoteResponse>) {
+    fn reply_when_persisted(&self, vote: Vote, write: PendingWrite, reply: oneshot::Sender<VoteResponse>) {
         let replica = Rc::clone(&self.replica);
-        let storage = self.storage.clone();
         tokio::task::spawn_local(async move {
-            let persisted = replica.persist(&storage, write).await;
+            let persisted = write.wait().await;
             replica.send_vote(vote_if_persisted(vote, persisted), reply);
         });
     }
 
-    /// Persists a write. Meanwhile renewals are answered, and all other commands are deferred.
-    async fn persist_while_renewing(
+    /// Waits for a write. Meanwhile renewals are answered, and all other commands are deferred.
+    async fn wait_while_renewing(
         &mut self,
-        write: DurableWrite,
+        write: PendingWrite,
         commands: &mut mpsc::UnboundedReceiver<VoterCommand>,
     ) -> Result<(), StorageError> {
-        let persisting = self.replica.persist(&self.storage, write);
+        let persisting = write.wait();
         tokio::pin!(persisting);
         loop {
             // Cancel safety: `persisting` is polled by reference and goes on in the next iteration; `recv` loses no command
@@ -130,14 +135,13 @@
     }
 
     /// Persists what no vote depends on.
-    fn persist_in_background(&self, write: Option<DurableWrite>, what: &'static str) {
+    fn persist_in_background(&mut self, write: Option<DurableWrite>, what: &'static str) {
         let Some(write) = write else {
             return;
         };
-        let replica = Rc::clone(&self.replica);
-        let storage = self.storage.clone();
+        let pending = self.writer.write(write);
         tokio::task::spawn_local(async move {
-            if let Err(error) = replica.persist(&storage, write).await {
+            if let Err(error) = pending.wait().await {
                 spdlog::warn!(
                     "a record cannot be written to disk; it is written with the next vote or update",
                     kv: { event = "record_persist_failed", record = what, error: }
@@ -217,30 +221,6 @@
     fn send_vote(&self, vote: Vote, reply: oneshot::Sender<VoteResponse>) {
         let _ = reply.send(self.voter.borrow().response(vote));
     }
-
-    /// Saves are carried out in the order of their requests, so the disk's newest copy is the one that was saved last.
-    fn log_register_regression(&self, saved: &Register) {
-        let accepted = self.voter.borrow().register().rank();
-        if saved.rank() < accepted {
-            spdlog::error!(
-                "an older register was written over a newer one; a restart would forget the newer one",
-                kv: { event = "register_regressed", saved:? = saved.rank(), accepted:? = accepted }
-            );
-        }
-    }
-
-    /// Persists a write, and notes in the voter that it is durable.
-    async fn persist(&self, storage: &Storage, write: DurableWrite) -> Result<(), StorageError> {
-        match &write {
-            DurableWrite::VoterRecord(record) => storage.save(Record::Voter, record).await?,
-            DurableWrite::Register(register) => {
-                storage.save(Record::Register, register).await?;
-                self.log_register_regression(register);
-            }
-        }
-        self.voter.borrow_mut().mark_persisted(write);
-        Ok(())
-    }
 }
 
 #[cfg(test)]
--- a/programs/controller/src/replica/voter_task/tests.rs
+++ b/programs/controller/src/replica/voter_task/tests.rs
@@ -1,7 +1,7 @@
 //! What a voter's disk holds after writes that were decided close together.
 
 use super::*;
-use crate::storage::StoredRecords;
+use crate::storage::{Record, StoredRecords};
 use std::net::SocketAddr;
 use std::path::Path;
 use tokio::runtime::{Builder, LocalOptions};
@@ -103,3 +103,17 @@
     let promised = record.map(|record| (record.ballot, record.peer_incarnations.get(&seeds()[2]).copied()));
     assert_eq!(promised, Some((BALLOT, Some(INCARNATION))));
 }
+
+/// The voter adopts what is committed without having voted for it; what is older may have lost against it.
+#[test]
+fn a_register_older_than_one_that_was_learned_is_not_accepted_while_that_is_being_written() {
+    let stored = disk_after(|voter| async move {
+        let (learned, older) = (voter.register(5), voter.register(4));
+        voter.replica.publisher.update(|store| store.set_register(Rc::new(learned)));
+        voter.replica.persist_published_register();
+        let response = voter.replica.handle_vote_request(VoteRequest::Accept { register: older }).await;
+        assert!(matches!(response.vote, Vote::Refused { .. }), "{response:?}");
+    });
+    let register: Option<Register> = stored.decode(Record::Register);
+    assert_eq!(register.map(|register| register.revision), Some(Revision(5)));
+}
--- a/programs/controller/src/storage.rs
+++ b/programs/controller/src/storage.rs
@@ -52,6 +52,9 @@
     /// Writing a file, or a sync of it or of the directory, failed.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// The record is older than one that was to be written before it, and is not written.
+    #[error("the record is older than one that was to be written before it")]
+    Outdated,
     /// The task that writes records has ended, as it does with the program.
     #[error("the storage task has ended")]
     Stopped,
@@ -144,8 +147,16 @@
     /// # Cancel safety
     /// A write that was requested is carried out also where the caller stops waiting.
     pub async fn save<T: Serialize>(&self, record: Record, value: &T) -> Result<(), StorageError> {
+        self.begin_save(record, value)?.wait().await
+    }
+
+    /// Requests a write, which is carried out after all that were requested before.
+    ///
+    /// # Errors
+    /// Where the record has no JSON form or the task has ended; nothing was requested then.
+    pub fn begin_save<T: Serialize>(&self, record: Record, value: &T) -> Result<PendingSave, StorageError> {
         let body = serde_json::to_vec(value)?;
-        self.request(Operation::Write { record, body }).await
+        self.request(Operation::Write { record, body })
     }
 
     /// Syncs the directory: what was read at the start may have been written by a process that ended between the sync of
@@ -154,13 +165,31 @@
     /// # Errors
     /// Where the directory cannot be synced.
     pub async fn sync_directory(&self) -> Result<(), StorageError> {
-        self.request(Operation::SyncDirectory).await
+        self.request(Operation::SyncDirectory)?.wait().await
     }
 
-    async fn request(&self, operation: Operation) -> Result<(), StorageError> {
+    fn request(&self, operation: Operation) -> Result<PendingSave, StorageError> {
         let (reply, result) = oneshot::channel();
         self.requests.send(Request { operation, reply }).map_err(|_| StorageError::Stopped)?;
-        Ok(result.await.map_err(|_| StorageError::Stopped)??)
+        Ok(PendingSave { result })
+    }
+}
+
+/// An operation that was requested.
+pub struct PendingSave {
+    result: oneshot::Receiver<io::Result<()>>,
+}
+
+impl PendingSave {
+    /// Waits until the operation was carried out.
+    ///
+    /// # Errors
+    /// Where it failed: the record may or may not be on disk then; the copy that was durable before still is.
+    ///
+    /// # Cancel safety
+    /// The operation is carried out also where the caller stops waiting.
+    pub async fn wait(self) -> Result<(), StorageError> {
+        Ok(self.result.await.map_err(|_| StorageError::Stopped)??)
     }
 }
 
