Admit no request during a shutdown that may outlast it, and answer the rest at its end

Cause: the proxy accepts for 0.7 of grace_period after SIGTERM and ends at 0.95 of it, and took any request in that time, so one with 3 s to run that came after 3.2 s was cut off while its backend worked. Class: work is taken on with no regard to the time that is left to finish it, and the process ends on what is open. Change: during a shutdown a request is admitted only if its own deadline lies before the end (0.95 of the grace period); else it gets 503 and Retry-After, unrun, and another proxy serves it. What was in flight before and lasts longer is answered at 0.95 by what is known of it; the process ends at 0.98. Invariant AnsweredBeforeExit is checked at the end, counted and logged. Ruled out: an answer that was ready and not written (stage in the log), a wait for tokens (passed on within 0.1 s). Not taken: to end acceptance earlier, as clients hold the proxy's name for up to 4 s and a refused connection costs them more than an answer; to end later than 0.95, which only moves the cut.

--- a/crates/exchange/src/txns.rs
+++ b/crates/exchange/src/txns.rs
@@ -250,6 +250,12 @@
         removed
     }
 
+    /// The requests whose client waits for an answer, each with whether it may have run.
+    pub fn unanswered(&self) -> Vec<(TxnId, bool)> {
+        let unanswered = self.txns.iter().filter(|(_, txn)| !txn.is_answered());
+        unanswered.map(|(id, txn)| (*id, txn.may_have_run())).collect()
+    }
+
     /// Whether nothing is in flight.
     pub fn is_empty(&self) -> bool {
         self.txns.is_empty()
--- a/crates/testkit/tests/shutdown.rs
+++ b/crates/testkit/tests/shutdown.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::thread;
 use std::time::{Duration, Instant};
+use vanewharf_runtime::invariants::total_violations;
 use vanewharf_testkit::backend::{Behavior, FakeBackend};
 use vanewharf_testkit::cluster::{CONTROLLERS, TestCluster};
 use vanewharf_testkit::config::config;
@@ -102,9 +103,14 @@
             }
         }
     });
+    assert_ended_in_order(cluster);
+}
+
+fn assert_ended_in_order(cluster: &TestCluster) {
     cluster.wait_until("the machine's programs have ended", || {
         cluster.has_ended(CONTROLLERS + PROXY).then_some(())
     });
+    assert_eq!(total_violations(), 0, "invariants");
 }
 
 #[test]
@@ -126,4 +132,5 @@
     let answer = client.join().expect("the client does not panic");
     let answer = answer.unwrap_or_else(|error| panic!("no answer: {error}"));
     assert_eq!(answer.status(), 502, "it has run: {answer:?}");
+    assert_ended_in_order(&cluster);
 }
--- a/programs/gateway/src/client_connection.rs
+++ b/programs/gateway/src/client_connection.rs
@@ -12,7 +12,7 @@
 use crate::resources::{SMALL_BUFFER_BYTES, SocketGuard};
 use crate::shared::Shared;
 use bytes::BytesMut;
-use futures_util::StreamExt;
+use futures_util::{FutureExt, StreamExt};
 use std::future::poll_fn;
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -133,12 +133,12 @@
         let txn = self.shared.next_txn();
         match self.check(&request, at, txn) {
             Checked::Health => {
-                let close = close || self.shared.resources.is_draining();
+                let close = close || self.closes_for_drain(read_ahead);
                 write_plain(&mut self.framed, 200, "ok\n", close).await && !close
             }
             Checked::Refused(answer) => {
                 self.shared.resources.count(Counter::RequestsRejected);
-                let close = close || self.shared.resources.is_draining();
+                let close = close || self.closes_for_drain(read_ahead);
                 self.write_answer(&answer, close).await
             }
             Checked::Admitted(arrival, open_id) => {
@@ -148,13 +148,25 @@
                 };
                 open.iter().for_each(OpenRequest::begin_answer);
                 self.message_bytes = answer.memory_bytes();
-                // A request that was read ahead is accepted, and is answered before the connection ends.
-                let close = close || self.shared.resources.is_draining() && read_ahead.is_none();
+                let close = close || self.closes_for_drain(read_ahead);
                 self.write_answer(&answer, close).await
             }
         }
     }
 
+    /// Whether the connection ends with the next answer because the process shuts down. A request that has arrived already is
+    /// read first: it is answered before the connection ends.
+    fn closes_for_drain(&mut self, read_ahead: &mut Option<ReadResult>) -> bool {
+        if !self.shared.resources.is_draining() {
+            return false;
+        }
+        if read_ahead.is_none() {
+            // Cancel safe: what was read of an incomplete request stays in the codec.
+            *read_ahead = self.read().now_or_never();
+        }
+        read_ahead.is_none()
+    }
+
     fn check(&self, request: &Request, at: Ticks, txn: TxnId) -> Checked {
         let dialect = &self.shared.dialect;
         let arrival = match dialect.admit(request, at, txn) {
--- a/programs/gateway/src/messages.rs
+++ b/programs/gateway/src/messages.rs
@@ -62,6 +62,8 @@
     CloseIdleConnection,
     /// The shared quota counter's reply to one call.
     QuotaCounterReply(CounterKey, CounterReply),
+    /// The process is about to end: all requests are to be answered now, by what is known of them.
+    AnswerAll,
     /// A message of another gateway.
     PeerMessage(GatewayId, PeerMessage),
 }
--- a/programs/gateway/src/router.rs
+++ b/programs/gateway/src/router.rs
@@ -177,6 +177,7 @@
             RouterMessage::AttemptEnded(result) => self.handle_attempt_result(result, now),
             RouterMessage::BackendsChanged(update) => self.apply_backend_update(update),
             RouterMessage::CloseIdleConnection => self.pool.close_longest_idle(),
+            RouterMessage::AnswerAll => self.answer_all(),
             RouterMessage::PeerMessage(from, message) => {
                 self.events.push(Event::PeerMessageReceived { from, message })
             }
@@ -202,6 +203,20 @@
         self.events.push(Event::RequestArrived(arrival));
     }
 
+    /// Answers each request that has no answer yet: with a promise that it has not run, where no attempt may have reached a
+    /// backend, else without its outcome being known.
+    fn answer_all(&mut self) {
+        for (id, may_have_run) in self.txns.unanswered() {
+            self.conclude(
+                id,
+                match may_have_run {
+                    true => FinalAnswer::OutcomeUnknown,
+                    false => FinalAnswer::Declined { retry_after: None },
+                },
+            );
+        }
+    }
+
     fn update_pool(&mut self, update: &BackendUpdate) {
         for BackendEntry { listed, address } in update.entries() {
             self.pool.update_backend(listed, *address);
--- a/programs/gateway/tests/lifecycle.rs
+++ b/programs/gateway/tests/lifecycle.rs
@@ -44,6 +44,23 @@
     assert!(gateway.wait_for_exit().success());
 }
 
+#[test]
+fn answers_a_request_that_arrived_behind_a_rejected_one_while_draining() {
+    let backend = Backend::new("a", vec![ok("", "behind")]);
+    let mut gateway = Gateway::start(&[&backend]);
+    let rejected = look_request().replace("X-Plan: gold", "X-Plan: silver");
+    let (started, rest) = rejected.split_at(rejected.len() - 1);
+    let (mut idle, mut client) = (gateway.client(), gateway.client());
+    client.send(started);
+    gateway.signal("-TERM");
+    assert!(idle.is_closed_by_gateway(), "draining has begun");
+    client.send(&format!("{rest}{}", with_other_id(look_request())));
+    assert_eq!(client.read_answer().status(), 400);
+    assert_eq!(client.read_answer().body, b"behind");
+    assert!(client.is_closed_by_gateway());
+    assert!(gateway.wait_for_exit().success());
+}
+
 #[test]
 fn survives_a_closed_log_pipe() {
     let backend = Backend::new("a", vec![ok("", "seen")]);
--- a/programs/proxy/src/request_gate.rs
+++ b/programs/proxy/src/request_gate.rs
@@ -27,6 +27,8 @@
 const MAX_TIME_LEFT_MS: f64 = 1e9;
 /// `Retry-After` time of a proxy that has no configuration yet or whose authority over API keys has expired.
 const RETRY_AFTER_NOT_READY: Ticks = Ticks(1_000);
+/// `Retry-After` time of a proxy that shuts down: any other proxy can serve the request at once.
+const RETRY_AFTER_SHUTTING_DOWN: Ticks = Ticks(100);
 /// `Retry-After` time after a rejection for lack of capacity.
 const RETRY_AFTER_BUSY: Ticks = Ticks(1_500);
 /// Timeouts for clients until the first configuration arrives.
@@ -72,6 +74,10 @@
         }
         let span = time_left(request, &route.rule)?.min(route.rule.deadline);
         let expiry = now + to_ticks(span);
+        // It could be cut off by the end of this process; another proxy has the time for it.
+        if self.snapshot.admission_deadline.get().is_some_and(|deadline| expiry > deadline) {
+            return Err(Admission::RetryAfter(RETRY_AFTER_SHUTTING_DOWN));
+        }
         Ok(AuthorizedRequest { rule: route.rule, tenant: route.tenant, expiry, abandoned: false })
     }
 
--- a/programs/proxy/src/server.rs
+++ b/programs/proxy/src/server.rs
@@ -6,18 +6,19 @@
 use crate::readiness::Readiness;
 use crate::request_gate::RequestGate;
 use crate::snapshot::Snapshot;
+use crate::ticks::to_ticks;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use vanewharf_config::settings::Settings;
 use vanewharf_gateway::clock::Clock;
 use vanewharf_gateway::listener::accept_clients;
 use vanewharf_gateway::messages::{BackendUpdate, RouterMessage};
-use vanewharf_gateway::open_requests::OpenRequestState;
+use vanewharf_gateway::open_requests::{OpenRequestState, RequestStage};
 use vanewharf_gateway::resources::{ResourceLimits, Resources};
 use vanewharf_gateway::router::Router;
 use vanewharf_gateway::shared::Shared;
@@ -25,6 +26,7 @@
 use vanewharf_policy::interface::Ticks;
 use vanewharf_rpc::{RpcResponse, serve};
 use vanewharf_runtime::environment::Environment;
+use vanewharf_runtime::invariants::Invariant;
 use vanewharf_runtime::program::ShutdownSignal;
 
 /// Length of the operating system's queue of client connections to be accepted.
@@ -37,8 +39,11 @@
 /// Share of the grace period during which new connections are still accepted, because clients use an older list of
 /// proxies for a while.
 const ACCEPT_SHARE: f64 = 0.7;
-/// Share of the grace period after which the process ends even if clients are still connected.
-const DRAIN_SHARE: f64 = 0.95;
+/// Share of the grace period by which requests have to be over. None is admitted that may last longer, and what is then
+/// still in flight from before the shutdown is answered as it stands.
+const FINISH_SHARE: f64 = 0.95;
+/// Share of the grace period after which the process ends even if clients have not received their answers.
+const EXIT_SHARE: f64 = 0.98;
 const TICKS_PER_MS: i64 = Ticks::SECOND.0 / 1000;
 /// Time for the last answers to leave the socket buffers.
 const FLUSH_PAUSE: Duration = Duration::from_millis(10);
@@ -74,8 +79,10 @@
     }
     let shutdown_at = shared.clock.now();
     status.draining.set(true);
-    drain(&shared.resources, accepting, &stop_accepting, settings.limits_table.grace_period).await;
-    log_unanswered(&shared, shutdown_at);
+    let grace = settings.limits_table.grace_period;
+    snapshot.admission_deadline.set(Some(shutdown_at + to_ticks(grace.mul_f64(FINISH_SHARE))));
+    drain(&shared, accepting, &stop_accepting, grace).await;
+    check_answered(&shared, shutdown_at);
     Ok(())
 }
 
@@ -128,33 +135,43 @@
 }
 
 /// Closes each client connection after its next answer, and waits until all are closed or the grace period ends.
-async fn drain(resources: &Resources, accepting: JoinHandle<()>, stop_accepting: &Notify, grace: Duration) {
-    let deadline = Instant::now() + grace.mul_f64(DRAIN_SHARE);
-    resources.begin_drain();
-    sleep(grace.mul_f64(ACCEPT_SHARE)).await;
+async fn drain(shared: &Shared, accepting: JoinHandle<()>, stop_accepting: &Notify, grace: Duration) {
+    let shutdown_at = Instant::now();
+    let finish_at = shutdown_at + grace.mul_f64(FINISH_SHARE);
+    let exit_at = shutdown_at + grace.mul_f64(EXIT_SHARE);
+    shared.resources.begin_drain();
+    sleep_until(shutdown_at + grace.mul_f64(ACCEPT_SHARE)).await;
     stop_accepting.notify_one();
-    let _ = timeout_at(deadline, accepting).await;
-    let all_closed = async {
-        while resources.client_count() > 0 {
-            resources.socket_closed.notified().await;
-        }
-    };
-    let _ = timeout_at(deadline, all_closed).await;
+    let _ = timeout_at(finish_at, accepting).await;
+    let _ = timeout_at(finish_at, all_clients_closed(&shared.resources)).await;
+    shared.notify_router(RouterMessage::AnswerAll);
+    let _ = timeout_at(exit_at, all_clients_closed(&shared.resources)).await;
     sleep(FLUSH_PAUSE).await;
 }
 
-/// Logs each request that the process ends on, with what tells why: when it was read, and whether it had been decided.
-fn log_unanswered(shared: &Shared, shutdown_at: Ticks) {
+async fn all_clients_closed(resources: &Resources) {
+    while resources.client_count() > 0 {
+        resources.socket_closed.notified().await;
+    }
+}
+
+/// Checks that the process ends on no request that it has read and not decided, and logs each that has no answer: when it
+/// was read, and whether its answer was known.
+fn check_answered(shared: &Shared, shutdown_at: Ticks) {
     let now = shared.clock.now();
-    for OpenRequestState { read_at, stage } in shared.open_requests.states() {
+    let unanswered = shared.open_requests.states();
+    for OpenRequestState { read_at, stage } in &unanswered {
         spdlog::error!(
             "the process ends on a request that has no answer",
             kv: {
                 event = "request_unanswered",
-                read_after_shutdown_ms = (read_at - shutdown_at).0 / TICKS_PER_MS,
-                open_ms = (now - read_at).0 / TICKS_PER_MS,
+                read_after_shutdown_ms = (*read_at - shutdown_at).0 / TICKS_PER_MS,
+                open_ms = (now - *read_at).0 / TICKS_PER_MS,
                 stage:? = stage
             }
         );
     }
+    // A client that takes no bytes holds up its own answer alone.
+    let all_decided = unanswered.iter().all(|request| request.stage == RequestStage::Answering);
+    Invariant::AnsweredBeforeExit.check(all_decided);
 }
--- a/programs/proxy/src/snapshot.rs
+++ b/programs/proxy/src/snapshot.rs
@@ -33,6 +33,8 @@
     pub authorized: RefCell<BTreeMap<TxnId, AuthorizedRequest>>,
     /// When the current configuration was last attested to be the newest acknowledged one.
     pub attested_at: Cell<Option<Timestamp>>,
+    /// While the proxy shuts down: requests that may last longer than this are not admitted.
+    pub admission_deadline: Cell<Option<Ticks>>,
     /// The clock of [`Snapshot::attested_at`].
     pub clock: MonotonicClock,
     revocation_global: bool,
@@ -46,6 +48,7 @@
             tables: RefCell::default(),
             authorized: RefCell::default(),
             attested_at: Cell::new(None),
+            admission_deadline: Cell::new(None),
             clock,
             revocation_global: limits.revocation_global,
             revocation: limits.revocation,
