Answer the calls that a controller has read before it ends

A controller that got SIGTERM ended 0.6 s after it had given up its lease, whatever it had read: an operator's order whose round had no majority (5.5 s at most) ended without an answer. Now its servers drain: no further connections, idle ones closed, calls in flight answered, those that are not over at 0.7 of the grace period with 503 (send it again). Order in flight while the other two controllers are dead: connection closed unanswered before, 503 now (an_order_in_flight_at_a_controller_that_shuts_down_is_answered_as_uncertain fails without it). serve and serve_deduplicated are as before for programs without a drain.

--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -19,4 +19,6 @@
 pub use limits::MAX_BODY_BYTES;
 pub use publisher::Publisher;
 pub use response::RpcResponse;
-pub use server::{serve, serve_deduplicated};
+pub use server::{
+    ServerDrain, serve, serve_deduplicated, serve_deduplicated_until_drained, serve_until_drained,
+};
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -2,9 +2,11 @@
 
 mod connection;
 mod dispatcher;
+mod drain;
 
 use connection::ServerConnection;
 use dispatcher::Dispatcher;
+pub use drain::ServerDrain;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,7 +26,16 @@
     H: Fn(Request) -> F + 'static,
     F: Future<Output = RpcResponse>,
 {
-    accept_connections(listener, Dispatcher::new(handler)).await;
+    serve_until_drained(listener, handler, ServerDrain::default()).await;
+}
+
+/// Serves until the program shuts down; see [`ServerDrain::shut_down`].
+pub async fn serve_until_drained<H, F>(listener: Box<dyn Listener>, handler: H, drain: ServerDrain)
+where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = RpcResponse>,
+{
+    accept_connections(listener, Dispatcher::new(handler), drain).await;
 }
 
 /// Serves the system's own calls: one that arrives again is not handled again. Its response is that which was
@@ -34,23 +45,45 @@
     H: Fn(Request) -> F + 'static,
     F: Future<Output = RpcResponse>,
 {
-    accept_connections(listener, Dispatcher::with_deduplication(handler)).await;
+    serve_deduplicated_until_drained(listener, handler, ServerDrain::default()).await;
 }
 
-async fn accept_connections<H, F>(mut listener: Box<dyn Listener>, dispatcher: Dispatcher<H>)
-where
+/// Serves the system's own calls until the program shuts down; see [`serve_deduplicated`].
+pub async fn serve_deduplicated_until_drained<H, F>(
+    listener: Box<dyn Listener>,
+    handler: H,
+    drain: ServerDrain,
+) where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = RpcResponse>,
+{
+    accept_connections(listener, Dispatcher::with_deduplication(handler), drain).await;
+}
+
+async fn accept_connections<H, F>(
+    mut listener: Box<dyn Listener>,
+    dispatcher: Dispatcher<H>,
+    drain: ServerDrain,
+) where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = RpcResponse>,
 {
     let dispatcher = Rc::new(dispatcher);
     let connections = Rc::new(Cell::new(0));
     loop {
-        match listener.accept().await {
+        // Cancel safe: accept loses no connection.
+        let accepted = tokio::select! {
+            biased;
+            () = drain.begun() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok(stream) if connections.get() < MAX_CONNECTIONS => {
                 let (dispatcher, connections) = (Rc::clone(&dispatcher), Rc::clone(&connections));
+                let drain = drain.clone();
                 connections.set(connections.get() + 1);
                 tokio::task::spawn_local(async move {
-                    serve_connection(stream, &dispatcher).await;
+                    serve_connection(stream, &dispatcher, drain).await;
                     connections.set(connections.get() - 1);
                 });
             }
@@ -61,13 +94,14 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: Stream, dispatcher: &Dispatcher<H>)
+async fn serve_connection<H, F>(stream: Stream, dispatcher: &Dispatcher<H>, drain: ServerDrain)
 where
     H: Fn(Request) -> F,
     F: Future<Output = RpcResponse>,
 {
-    let mut connection = ServerConnection::new(stream);
+    let mut connection = ServerConnection::new(stream, drain.clone());
     while let Some(exchange) = connection.read_request().await {
+        let _open = drain.open_call();
         let is_open = match exchange {
             Ok(request) => connection.answer(request, dispatcher).await,
             Err(refusal) => connection.refuse(refusal).await,
--- a/crates/rpc/src/server/connection.rs
+++ b/crates/rpc/src/server/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of a client.
 
 use super::dispatcher::Dispatcher;
+use super::drain::ServerDrain;
 use crate::limits::{IDLE_TIMEOUT, MAX_BODY_BYTES, MAX_IDLE_BUFFER_BYTES, REQUEST_TIMEOUT, RESPONSE_TIMEOUT};
 use crate::response::RpcResponse;
 use bytes::BytesMut;
@@ -19,6 +20,7 @@
     framed: Framed<Stream, ServerCodec>,
     /// What arrived while the request before it was handled, one at most.
     read_ahead: Option<Result<Request, ReadError>>,
+    drain: ServerDrain,
 }
 
 /// How reading goes on from an idle connection.
@@ -30,17 +32,17 @@
 }
 
 impl ServerConnection {
-    pub(super) fn new(stream: Stream) -> ServerConnection {
+    pub(super) fn new(stream: Stream, drain: ServerDrain) -> ServerConnection {
         let framed = Framed::new(stream, ServerCodec::with_max_body(MAX_BODY_BYTES));
-        ServerConnection { framed, read_ahead: None }
+        ServerConnection { framed, read_ahead: None, drain }
     }
 
     /// The next request, or the response to one that is refused for its form. None where the connection has
-    /// ended or was idle for too long.
+    /// ended, was idle for too long, or is idle while the program shuts down.
     pub(super) async fn read_request(&mut self) -> Option<Result<Request, RpcResponse>> {
         let read = match self.read_ahead.take() {
             Some(read) => Some(read),
-            None => match timeout(IDLE_TIMEOUT, self.read_start()).await {
+            None => match timeout(IDLE_TIMEOUT, self.read_start_unless_draining()).await {
                 Ok(Start::Complete(read)) => read,
                 Ok(Start::Partial) => timeout(REQUEST_TIMEOUT, self.framed.next()).await.unwrap_or(None),
                 Err(_) => None,
@@ -52,6 +54,16 @@
         }
     }
 
+    async fn read_start_unless_draining(&mut self) -> Start {
+        let drain = self.drain.clone();
+        // Cancel safe: what was read of a request stays in the codec.
+        tokio::select! {
+            biased;
+            start = self.read_start() => start,
+            () = drain.begun() => Start::Complete(None),
+        }
+    }
+
     async fn read_start(&mut self) -> Start {
         poll_fn(|cx| match self.framed.poll_next_unpin(cx) {
             Poll::Ready(read) => Poll::Ready(Start::Complete(read)),
@@ -74,7 +86,16 @@
     {
         let closes = request.closes_connection();
         let call_id = request.field(CALL_ID).map(str::to_owned);
-        match self.unless_disconnected(dispatcher.dispatch(request)).await {
+        let drain = self.drain.clone();
+        // A call that is given up may have taken effect: it is answered as uncertain, and its future is dropped.
+        let response = tokio::select! {
+            biased;
+            response = self.unless_disconnected(dispatcher.dispatch(request)) => response,
+            () = drain.ending() => Some(RpcResponse::error(503, "the program ends; send it again")),
+        };
+        // A request that was read ahead is answered before the connection ends.
+        let closes = closes || self.drain.has_begun() && self.read_ahead.is_none();
+        match response {
             Some(response) => self.write(&response, call_id.as_deref(), closes).await,
             None => false,
         }
--- a/crates/rpc/tests/disconnected_clients.rs
+++ b/crates/rpc/tests/disconnected_clients.rs
@@ -1,33 +1,18 @@
 //! The server, on loopback: a client that disconnects is noticed, and one that sends further requests gets
 //! them answered.
 
+mod support;
+
 use std::cell::RefCell;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use support::on_loopback;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
-use tokio::task::LocalSet;
-use tokio::time::timeout;
 use vanewharf_http1::Request;
 use vanewharf_rpc::{RpcResponse, serve};
-use vanewharf_runtime::environment::{Environment, Listener};
-
-const DEADLINE: Duration = Duration::from_secs(20);
-
-fn on_loopback<F: Future<Output = ()>>(test: impl FnOnce(Box<dyn Listener>, SocketAddr) -> F) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    runtime.block_on(LocalSet::new().run_until(async {
-        let environment = Environment::of_machine(None).expect("no disk is needed");
-        // A port that was free a moment ago.
-        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr();
-        let address = free.expect("an address");
-        let listener = environment.network.listen(address).expect("it is free");
-        timeout(DEADLINE, test(listener, address)).await.expect("in time");
-    }));
-}
 
 fn request(path: &str) -> Vec<u8> {
     format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{{}}").into_bytes()
--- a/crates/testkit/tests/shutdown.rs
+++ b/crates/testkit/tests/shutdown.rs
@@ -1,14 +1,15 @@
-//! A proxy that is asked to shut down: whatever it has read of a request, the client gets an answer, and no request is
-//! broken off that was read after the signal.
+//! Programs that are asked to shut down: whoever sent a request that was read gets an answer, and a proxy breaks off no
+//! request that it has read after the signal.
 
 use std::io;
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 use vanewharf_runtime::invariants::total_violations;
 use vanewharf_testkit::backend::{Behavior, FakeBackend};
 use vanewharf_testkit::cluster::{CONTROLLERS, TestCluster};
 use vanewharf_testkit::config::config;
-use vanewharf_testkit::http::{Message, send_request};
+use vanewharf_testkit::http::{Message, read_message, send_request, write_message};
 
 const GRACE_PERIOD: Duration = Duration::from_secs(2);
 /// The proxy under test.
@@ -134,3 +135,37 @@
     assert_eq!(answer.status(), 502, "it has run: {answer:?}");
     assert_ended_in_order(&cluster);
 }
+
+fn holds_lease(cluster: &TestCluster, controller: usize) -> bool {
+    let read = send_request(cluster.controller_address(controller), "GET", "/-/Configuration.Read", &[], "");
+    read.is_ok_and(|answer| answer.status() == 200)
+}
+
+#[test]
+fn an_order_in_flight_at_a_controller_that_shuts_down_is_answered_as_uncertain() {
+    let mut cluster = TestCluster::start(0, |_| {});
+    assert_eq!(cluster.send_command("POST", "/-/Configuration.Replace", &config(1, |_| {})).status(), 200);
+    let leaseholder = cluster.wait_until("there is a leaseholder", || {
+        (0..CONTROLLERS).find(|controller| holds_lease(&cluster, *controller))
+    });
+    // Without the others no majority can accept the order.
+    let others: Vec<_> = (0..CONTROLLERS).filter(|controller| *controller != leaseholder).collect();
+    others.into_iter().for_each(|other| cluster.kill_machine(other));
+    let address = cluster.controller_address(leaseholder);
+    let mut operator = TcpStream::connect(address).expect("it listens");
+    let host = address.to_string();
+    write_message(
+        &mut operator,
+        "POST /-/Configuration.Replace HTTP/1.1",
+        &[("Host", &host)],
+        &config(2, |_| {}),
+    )
+    .expect("sent");
+    assert!(holds_lease(&cluster, leaseholder), "the order was read before this call, while the lease held");
+    cluster.shut_down_machine(leaseholder);
+    let answer = read_message(&mut operator).expect("the connection does not break");
+    let answer = answer.expect("an answer before the connection ends");
+    assert_eq!((answer.status(), answer.header("Connection")), (503, Some("close")), "{answer:?}");
+    cluster.wait_until("the controller has ended", || cluster.has_ended(leaseholder).then_some(()));
+    assert_eq!(total_violations(), 0, "invariants");
+}
--- a/programs/controller/src/lib.rs
+++ b/programs/controller/src/lib.rs
@@ -34,16 +34,18 @@
 use storage::{Record, Storage, StoredRecords};
 use thiserror::Error;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use vanewharf_config::document::DocumentError;
 use vanewharf_config::settings::Settings;
 use vanewharf_consensus::{StartKind, Voter, VoterRecord};
-use vanewharf_rpc::{Publisher, serve, serve_deduplicated};
+use vanewharf_rpc::{Publisher, ServerDrain, serve_deduplicated_until_drained, serve_until_drained};
 use vanewharf_runtime::environment::{Environment, Listener};
 use vanewharf_runtime::program::ShutdownSignal;
 
-/// How long requests that are in flight at the shutdown may take.
-const SHUTDOWN_GRACE: Duration = Duration::from_millis(600);
+/// How long further requests are accepted after the shutdown signal: callers learn late that this controller goes.
+const ACCEPT_AFTER_SHUTDOWN: Duration = Duration::from_millis(600);
+/// The share of the grace period after which calls in flight are answered as uncertain.
+const GIVE_UP_SHARE: f64 = 0.7;
 
 /// Why a controller cannot be started. Its text is printed to whoever starts the program.
 #[derive(Debug, Error)]
@@ -70,6 +72,8 @@
 /// A controller whose tasks run on the current local set.
 pub struct RunningController {
     replica: Rc<Replica>,
+    drain: ServerDrain,
+    grace_period: Duration,
 }
 
 impl RunningController {
@@ -78,10 +82,12 @@
         self.replica.holds_lease()
     }
 
-    /// Releases the lease, and waits until requests that are in flight have been answered.
+    /// Releases the lease, and answers all requests that are read within the grace period.
     pub async fn shut_down(&self) {
+        let give_up_at = Instant::now() + self.grace_period.mul_f64(GIVE_UP_SHARE);
         self.replica.shut_down().await;
-        sleep(SHUTDOWN_GRACE).await;
+        sleep(ACCEPT_AFTER_SHUTDOWN).await;
+        self.drain.shut_down(give_up_at).await;
     }
 }
 
@@ -115,13 +121,14 @@
     let state = Rc::new(state);
     let orders = start_roles(&state);
 
+    let drain = ServerDrain::default();
     let internal_listener = listen(&environment, replica.address)?;
-    spawn_local(serve_internal_api(internal_listener, Rc::clone(&state)));
+    spawn_local(serve_internal_api(internal_listener, Rc::clone(&state), drain.clone()));
     for address in [Some(operator_address), registry_address].into_iter().flatten() {
         let public_listener = listen(&environment, address)?;
-        spawn_local(serve_public_api(public_listener, Rc::clone(&state), orders.clone()));
+        spawn_local(serve_public_api(public_listener, Rc::clone(&state), orders.clone(), drain.clone()));
     }
-    Ok(RunningController { replica })
+    Ok(RunningController { replica, drain, grace_period: settings.limits_table.grace_period })
 }
 
 /// Reads the controller's records and starts the replica from them.
@@ -180,19 +187,24 @@
     environment.network.listen(address).map_err(|source| StartError::Listen { address, source })
 }
 
-async fn serve_internal_api(listener: Box<dyn Listener>, state: Rc<ControllerState>) {
+async fn serve_internal_api(listener: Box<dyn Listener>, state: Rc<ControllerState>, drain: ServerDrain) {
     let handler = move |request| {
         let state = Rc::clone(&state);
         async move { internal_api::dispatch(&state, &request).await }
     };
-    serve_deduplicated(listener, handler).await;
+    serve_deduplicated_until_drained(listener, handler, drain).await;
 }
 
-async fn serve_public_api(listener: Box<dyn Listener>, state: Rc<ControllerState>, orders: OrderQueue) {
+async fn serve_public_api(
+    listener: Box<dyn Listener>,
+    state: Rc<ControllerState>,
+    orders: OrderQueue,
+    drain: ServerDrain,
+) {
     let handler = move |request| {
         let state = Rc::clone(&state);
         let orders = orders.clone();
         async move { public_api::dispatch(&state, &orders, &request).await }
     };
-    serve(listener, handler).await;
+    serve_until_drained(listener, handler, drain).await;
 }
