--- a/crates/runtime/src/environment.rs
+++ b/crates/runtime/src/environment.rs
@@ -134,6 +134,11 @@
         Environment { clock_rate, ..self }
     }
 
+    /// The same on another network.
+    pub fn with_network(self, network: Rc<dyn Network>) -> Environment {
+        Environment { network, ..self }
+    }
+
     /// That of the machine, with a data directory, which is created where it does not exist.
     ///
     /// # Errors
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -29,7 +29,8 @@
 /// How many redirections an operator follows before it tries another controller.
 const MAX_REDIRECTIONS: usize = 2;
 const SERVICES: [&str; 2] = ["reads", "writes"];
-const PLATFORM_HOST: usize = 100;
+/// The platform's host in a cluster's subnet.
+pub const PLATFORM_HOST: usize = 100;
 const FIRST_BACKEND_HOST: usize = 110;
 
 /// A machine and its programs; a program without a process is not running.
@@ -55,15 +56,17 @@
 }
 
 /// The random 127.x.y.0/24 of a cluster, so that clusters of parallel tests do not meet.
-#[derive(Clone, Copy)]
-struct Subnet([u8; 2]);
+#[derive(Clone, Copy, Debug)]
+pub struct Subnet([u8; 2]);
 
 impl Subnet {
-    fn random() -> Subnet {
+    /// One that is unlikely to be in use.
+    pub fn random() -> Subnet {
         Subnet([rand::rng().random_range(1..250), rand::rng().random_range(1..250)])
     }
 
-    fn ip(self, host: usize) -> IpAddr {
+    /// The address of one of its hosts, of which there are 255.
+    pub fn ip(self, host: usize) -> IpAddr {
         IpAddr::from([127, self.0[0], self.0[1], host as u8])
     }
 }
@@ -308,7 +311,8 @@
     }
 }
 
-fn start_backends(subnet: Subnet) -> Vec<FakeBackend> {
+/// Starts a backend of each of two services in each zone.
+pub fn start_backends(subnet: Subnet) -> Vec<FakeBackend> {
     let services_by_zone =
         SERVICES.iter().flat_map(|service| ZONES.iter().map(move |(zone, _)| (service, zone)));
     services_by_zone
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,4 +10,4 @@
 pub mod http;
 pub mod platform;
 mod process;
-mod settings;
+pub mod settings;
--- a/crates/testkit/src/settings.rs
+++ b/crates/testkit/src/settings.rs
@@ -6,43 +6,59 @@
 use vanewharf_config::settings::Settings;
 
 /// The operators' port of a controller.
-pub(crate) const CONTROL_PORT: u16 = 8200;
+pub const CONTROL_PORT: u16 = 8200;
 /// The directory service's port of a controller.
-pub(crate) const DIRECTORY_PORT: u16 = 8201;
+pub const DIRECTORY_PORT: u16 = 8201;
 /// The clients' port of a proxy.
-pub(crate) const FRONTEND_PORT: u16 = 8206;
+pub const FRONTEND_PORT: u16 = 8206;
 /// The readiness port of a proxy.
-pub(crate) const READINESS_PORT: u16 = 8207;
+pub const READINESS_PORT: u16 = 8207;
 /// The first of the ports for the system's own RPC.
-pub(crate) const INTERNAL_PORT: u16 = 7600;
+pub const INTERNAL_PORT: u16 = 7600;
 const LAST_INTERNAL_PORT: u16 = 7615;
 
 /// The zones of a test cluster, each with its region.
-pub(crate) const ZONES: [(&str, &str); 2] = [("east-a", "east"), ("west-a", "west")];
+pub const ZONES: [(&str, &str); 2] = [("east-a", "east"), ("west-a", "west")];
 
 /// What a machine's settings are made of.
-pub(crate) struct MachineSettings<'a> {
-    pub(crate) name: &'a str,
-    pub(crate) ip: IpAddr,
-    pub(crate) zone: &'a str,
+pub struct MachineSettings<'a> {
+    /// The machine's name.
+    pub name: &'a str,
+    /// Its address.
+    pub ip: IpAddr,
+    /// One of [`ZONES`].
+    pub zone: &'a str,
     /// Controllers have one, proxies have none.
-    pub(crate) data_directory: Option<PathBuf>,
-    pub(crate) seed_ips: Vec<IpAddr>,
-    pub(crate) initial_start: bool,
-    pub(crate) limits_table: &'a Value,
+    pub data_directory: Option<PathBuf>,
+    /// The controllers that it is told of.
+    pub seed_ips: Vec<IpAddr>,
+    /// Whether the whole cluster starts for the first time.
+    pub initial_start: bool,
+    /// See [`default_limits_table`].
+    pub limits_table: &'a Value,
     /// How many controllers may be lost at once.
-    pub(crate) machine_losses: usize,
-    pub(crate) platform: SocketAddr,
+    pub machine_losses: usize,
+    /// Where the cloud platform's API listens.
+    pub platform: SocketAddr,
 }
 
 impl MachineSettings<'_> {
-    /// The settings as a program reads them from its file.
-    pub(crate) fn parse(&self) -> Settings {
+    /// The settings as a program has them after reading its file.
+    ///
+    /// # Panics
+    ///
+    /// Where the limits table is not valid.
+    pub fn parse(&self) -> Settings {
+        Settings::parse(self.to_text().as_bytes()).expect("valid settings")
+    }
+
+    /// The settings file's text.
+    pub fn to_text(&self) -> String {
         let zones: Map<_, _> = ZONES.iter().map(|(zone, region)| (zone.to_string(), json!(region))).collect();
         let seed_nodes: Vec<_> =
             self.seed_ips.iter().map(|ip| SocketAddr::new(*ip, CONTROL_PORT).to_string()).collect();
         let data_directory = self.data_directory.as_ref().map(|path| path.to_string_lossy().into_owned());
-        let text = json!({"node_name": self.name, "ip_address": self.ip.to_string(), "zone": self.zone,
+        json!({"node_name": self.name, "ip_address": self.ip.to_string(), "zone": self.zone,
             "region": zones[self.zone], "zones": zones, "listen_addresses": self.listen_addresses(),
             "internal_ports": [INTERNAL_PORT, LAST_INTERNAL_PORT], "seed_nodes": seed_nodes,
             "initial_start": self.initial_start, "limits": {"memory_mb": 200, "file_descriptors": 1024},
@@ -51,8 +67,8 @@
             "fault_tolerance": {"machine_losses": self.machine_losses, "zones": 0, "region_losses": 0},
             "cloud_api": {"address": self.platform.to_string(), "rate_per_s": 20.0, "allowed_lag": "500ms"},
             // A field that this release does not know must be ignored.
-            "a_field_of_tomorrow": 1});
-        Settings::parse(text.to_string().as_bytes()).expect("valid settings")
+            "a_field_of_tomorrow": 1})
+        .to_string()
     }
 
     fn listen_addresses(&self) -> Value {
@@ -66,7 +82,7 @@
 }
 
 /// The limits table of the settings, unless a test changes it.
-pub(crate) fn default_limits_table() -> Value {
+pub fn default_limits_table() -> Value {
     json!({"revocation_global": false, "revocation": "5000ms", "grace_period": "2s",
         "ttl_max": "5s", "rate_allowance": 20, "retry_ratio": 0.2, "retry_window": "10s", "retry_allowance": 50,
         "warmup_overshoot": 1.5, "warmup_allowance": 5})
