--- a/crates/runtime/src/invariants.rs
+++ b/crates/runtime/src/invariants.rs
@@ -14,10 +14,13 @@
     DiskNeverGoesBack,
     /// An order is acknowledged only once the register that contains it is committed.
     AcknowledgedIsCommitted,
+    /// The invariants that a proxy's stages count for themselves hold.
+    ProxyStages,
 }
 
 /// The names that violations are logged under, by invariant.
-const NAMES: [&str; 3] = ["answered_before_exit", "disk_never_goes_back", "acknowledged_is_committed"];
+const NAMES: [&str; 4] =
+    ["answered_before_exit", "disk_never_goes_back", "acknowledged_is_committed", "proxy_stages"];
 
 static VIOLATIONS: [AtomicU64; NAMES.len()] = [const { AtomicU64::new(0) }; NAMES.len()];
 
--- a/programs/gateway/src/counters.rs
+++ b/programs/gateway/src/counters.rs
@@ -131,6 +131,11 @@
         increment(&self.counts[counter as usize]);
     }
 
+    /// How often any invariant was found violated.
+    pub fn violations(&self) -> u64 {
+        self.violations.iter().map(Cell::get).sum()
+    }
+
     /// Counts and logs a violated invariant.
     ///
     /// # Panics
--- a/programs/gateway/src/resources.rs
+++ b/programs/gateway/src/resources.rs
@@ -92,6 +92,11 @@
         self.counters.increment(counter);
     }
 
+    /// How often any invariant was found violated since the start.
+    pub fn violations(&self) -> u64 {
+        self.counters.violations()
+    }
+
     /// Counts and logs a violated invariant.
     ///
     /// # Panics
--- a/programs/proxy/src/server.rs
+++ b/programs/proxy/src/server.rs
@@ -174,4 +174,8 @@
     // A client that takes no bytes holds up its own answer alone.
     let all_decided = unanswered.iter().all(|request| request.stage == RequestStage::Answering);
     Invariant::AnsweredBeforeExit.check(all_decided);
+    // The stages log to a subscriber that only the gateway has; their counters tell which one it was.
+    if !Invariant::ProxyStages.check(shared.resources.violations() == 0) {
+        spdlog::error!("counters", kv: { event = "counters", counters: = shared.resources });
+    }
 }
