--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -74,7 +74,7 @@
         // Cancel safe: accept loses no connection.
         let accepted = tokio::select! {
             biased;
-            () = drain.begun() => return,
+            () = drain.started() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
--- a/crates/rpc/src/server/connection.rs
+++ b/crates/rpc/src/server/connection.rs
@@ -60,7 +60,7 @@
         tokio::select! {
             biased;
             start = self.read_start() => start,
-            () = drain.begun() => Start::Complete(None),
+            () = drain.started() => Start::Complete(None),
         }
     }
 
@@ -94,7 +94,7 @@
             () = drain.ending() => Some(RpcResponse::error(503, "the program ends; send it again")),
         };
         // A request that was read ahead is answered before the connection ends.
-        let closes = closes || self.drain.has_begun() && self.read_ahead.is_none();
+        let closes = closes || self.drain.has_started() && self.read_ahead.is_none();
         match response {
             Some(response) => self.write(&response, call_id.as_deref(), closes).await,
             None => false,
--- a/crates/rpc/src/server/drain.rs
+++ b/crates/rpc/src/server/drain.rs
@@ -72,7 +72,7 @@
     }
 
     /// Completes once no connection is to be accepted, and idle ones are to be closed.
-    pub(super) async fn begun(&self) {
+    pub(super) async fn started(&self) {
         self.reached(Phase::Draining).await;
     }
 
@@ -81,7 +81,7 @@
         self.reached(Phase::Ending).await;
     }
 
-    pub(super) fn has_begun(&self) -> bool {
+    pub(super) fn has_started(&self) -> bool {
         self.0.phase.get() >= Phase::Draining
     }
 
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -28,6 +28,8 @@
     ResetsConnection,
     /// Executes it and never responds.
     NeverResponds,
+    /// Executes it and responds after that time of work.
+    RespondsAfter(Duration),
     /// Executes it, and responds under another request's id before its own.
     RespondsForAnotherFirst,
     /// Executes it and responds under another request's id only.
@@ -211,6 +213,10 @@
                 self.write_own(STATUS_OK, self.id)?;
                 self.write_own(STATUS_OK, FOREIGN_BODY)?;
             }
+            Behavior::RespondsAfter(work) => {
+                thread::sleep(work);
+                self.write_own(STATUS_OK, self.id)?;
+            }
             Behavior::Serves | Behavior::Sheds => self.write_own(STATUS_OK, self.id)?,
         }
         Ok(Connection::KeepAlive)
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -128,10 +128,10 @@
     }
 
     /// Whether all programs of a machine have ended by themselves.
-    pub fn has_ended(&self, machine: usize) -> bool {
+    pub fn has_exited(&self, machine: usize) -> bool {
         let mut processes =
             self.machines[machine].programs.iter().filter_map(|(_, process)| process.as_ref());
-        processes.all(Process::has_ended)
+        processes.all(Process::has_exited)
     }
 
     /// Kills only the agent, so that the proxy on the same machine gets no updates.
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -48,7 +48,7 @@
     }
 
     /// Whether the program has ended by itself.
-    pub(crate) fn has_ended(&self) -> bool {
+    pub(crate) fn has_exited(&self) -> bool {
         self.thread.as_ref().is_none_or(JoinHandle::is_finished)
     }
 }
--- a/programs/controller/src/lib.rs
+++ b/programs/controller/src/lib.rs
@@ -42,8 +42,9 @@
 use vanewharf_runtime::environment::{Environment, Listener};
 use vanewharf_runtime::program::ShutdownSignal;
 
-/// How long further requests are accepted after the shutdown signal: callers learn late that this controller goes.
-const ACCEPT_AFTER_SHUTDOWN: Duration = Duration::from_millis(600);
+/// The share of the grace period for which further requests are accepted once the lease is released: callers learn late
+/// that this controller goes.
+const ACCEPT_SHARE: f64 = 0.1;
 /// The share of the grace period after which calls in flight are answered as uncertain.
 const GIVE_UP_SHARE: f64 = 0.7;
 
@@ -86,7 +87,7 @@
     pub async fn shut_down(&self) {
         let give_up_at = Instant::now() + self.grace_period.mul_f64(GIVE_UP_SHARE);
         self.replica.shut_down().await;
-        sleep(ACCEPT_AFTER_SHUTDOWN).await;
+        sleep(self.grace_period.mul_f64(ACCEPT_SHARE)).await;
         self.drain.shut_down(give_up_at).await;
     }
 }
--- a/programs/controller/src/replica/record_writer/tests.rs
+++ b/programs/controller/src/replica/record_writer/tests.rs
@@ -17,7 +17,7 @@
 }
 
 #[test]
-fn a_write_that_takes_something_back_is_told_from_one_that_does_not() {
+fn a_write_that_takes_something_back_is_recognized() {
     let mut requested = RequestedWrites {
         promised: Ballot(0),
         peer_incarnations: BTreeMap::new(),
--- a/programs/soak/src/checker.rs
+++ b/programs/soak/src/checker.rs
@@ -8,7 +8,7 @@
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// A kill may be recorded so much after or before its effect.
-const KILL_RECORD_SLACK: Duration = Duration::from_millis(100);
+const KILL_RECORD_TOLERANCE: Duration = Duration::from_millis(100);
 
 /// What must hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -87,7 +87,7 @@
 
 /// Whether the request's proxy was killed while it was under way.
 fn was_killed(history: &History, request: &ClientRequest) -> bool {
-    let (from, until) = (request.sent - KILL_RECORD_SLACK, request.ended + KILL_RECORD_SLACK);
+    let (from, until) = (request.sent - KILL_RECORD_TOLERANCE, request.completed + KILL_RECORD_TOLERANCE);
     history.kills.iter().any(|kill| kill.machine == request.machine && (from..=until).contains(&kill.at))
 }
 
--- a/programs/soak/src/clients.rs
+++ b/programs/soak/src/clients.rs
@@ -2,6 +2,7 @@
 
 use crate::history::{ClientOutcome, ClientRequest, SharedHistory};
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,7 +13,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longer than a request's own time and any pause of a proxy.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
-const TIME_LEFT_MS: &str = "1000";
+/// How long a client waits for each of its requests; the longest is all of the grace period.
+const TIME_LEFT_MS: [&str; 3] = ["500", "1000", "2000"];
 const PAUSE_BETWEEN_REQUESTS: Duration = Duration::from_millis(4);
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
 
@@ -45,18 +47,19 @@
         let attempt = format!("{:016x}", rand::rng().random::<u64>());
         let sent = Instant::now();
         let outcome = self.exchange(mutating, &attempt, connection);
-        ClientRequest { attempt, mutating, machine: self.machine, sent, ended: Instant::now(), outcome }
+        ClientRequest { attempt, mutating, machine: self.machine, sent, completed: Instant::now(), outcome }
     }
 
     fn exchange(&self, mutating: bool, attempt: &str, kept: &mut Option<TcpStream>) -> ClientOutcome {
         let Ok(mut stream) = kept.take().map_or_else(|| self.connect(), Ok) else {
             return ClientOutcome::NotSent;
         };
+        let time_left = TIME_LEFT_MS.choose(&mut rand::rng()).copied().unwrap_or_default();
         let request_line = if mutating { "POST /write/x HTTP/1.1" } else { "GET /read/x HTTP/1.1" };
         let headers = [
             ("Host", "shop.example"),
             ("Attempt-Id", attempt),
-            ("Remaining-Milliseconds", TIME_LEFT_MS),
+            ("Remaining-Milliseconds", time_left),
             ("X-Api-Key", "key-a"),
         ];
         if write_message(&mut stream, request_line, &headers, "").is_err() {
--- a/programs/soak/src/cluster.rs
+++ b/programs/soak/src/cluster.rs
@@ -141,7 +141,7 @@
     }
 
     /// Whether no process of a machine runs.
-    pub fn has_ended(&mut self, machine: usize) -> bool {
+    pub fn has_exited(&mut self, machine: usize) -> bool {
         self.record_exits(machine);
         self.machines[machine].programs.iter().all(|(_, process)| process.is_none())
     }
@@ -231,8 +231,8 @@
             else {
                 continue;
             };
-            if !process.was_terminated() || !status.success() {
-                let complaint = format!("{name}/{} ended by itself: {status}", program.name());
+            if let Err(unexpected) = process.check_exit(status) {
+                let complaint = format!("{name}/{}: {unexpected}", program.name());
                 self.history.lock().complaints.push(complaint);
             }
             *slot = None;
--- a/programs/soak/src/fault_plan.rs
+++ b/programs/soak/src/fault_plan.rs
@@ -17,6 +17,7 @@
 /// The longest time between two faults. They last longer, so that two or three overlap.
 const MAX_GAP_MS: u64 = 700;
 const SPAN_MS: std::ops::Range<u64> = 300..2500;
+const SLOW_WORK_MS: std::ops::Range<u64> = 100..1500;
 /// A machine that was killed or ended is started again after this time.
 const DOWN_MS: std::ops::Range<u64> = 50..1200;
 /// Longer than a program may take to end in order.
@@ -81,7 +82,7 @@
         let until = (at + self.draw(SPAN_MS)).min(length);
         let machine = self.random.random_range(0..MACHINES);
         let controller = self.random.random_range(0..CONTROLLERS);
-        match self.random.random_range(0..10) {
+        match self.random.random_range(0..12) {
             0 | 1 => self.add_kill(at, machine),
             2 | 3 => self.add_termination(at, machine),
             4 => self.add_span(at, until, Action::Pause(machine), Action::Resume(machine)),
@@ -92,8 +93,10 @@
             8 if !self.has_wiped => self.add_wipe(at, controller),
             8 => self.add_kill(at, controller),
             _ => {
-                let behaviors = [Behavior::NeverResponds, Behavior::ClosesWithoutResponse, Behavior::Sheds];
-                let behavior = *behaviors.choose(&mut self.random).unwrap_or(&Behavior::Fails);
+                let slow = Behavior::RespondsAfter(self.draw(SLOW_WORK_MS));
+                let behaviors =
+                    [Behavior::NeverResponds, Behavior::ClosesWithoutResponse, Behavior::Sheds, slow, slow];
+                let behavior = *behaviors.choose(&mut self.random).unwrap_or(&slow);
                 self.add_span(
                     at,
                     until,
--- a/programs/soak/src/history.rs
+++ b/programs/soak/src/history.rs
@@ -31,7 +31,7 @@
     /// When it was sent.
     pub sent: Instant,
     /// When its outcome was known.
-    pub ended: Instant,
+    pub completed: Instant,
     /// How it ended.
     pub outcome: ClientOutcome,
 }
--- a/programs/soak/src/main.rs
+++ b/programs/soak/src/main.rs
@@ -122,6 +122,6 @@
         outcome.acknowledged
     );
     outcome.violations.iter().for_each(|violation| println!("  {violation}"));
-    outcome.kept.iter().for_each(|kept| println!("  logs and disks: {}", kept.display()));
+    outcome.retained.iter().for_each(|retained| println!("  logs and disks: {}", retained.display()));
     holds
 }
--- a/programs/soak/src/process.rs
+++ b/programs/soak/src/process.rs
@@ -4,13 +4,40 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::OpenOptions;
 use std::io;
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// Within this time of its start a process may not handle signals yet.
+const STARTUP_TIME: Duration = Duration::from_millis(500);
+
+/// A process exited as it must not.
+#[derive(Debug, Error)]
+pub enum UnexpectedExit {
+    /// Nobody told it to.
+    #[error("it exited by itself: {status}")]
+    NotRequested {
+        /// How.
+        status: ExitStatus,
+    },
+    /// It was told to, and did not end in order.
+    #[error("told to exit {age:?} after its start, it ended with {status}")]
+    NotInOrder {
+        /// How.
+        status: ExitStatus,
+        /// How long it had run.
+        age: Duration,
+    },
+}
 
 /// A running process. Dropping it kills the process.
 pub struct NodeProcess {
     child: Child,
-    was_terminated: bool,
+    started_at: Instant,
+    /// Its age when it was told to exit.
+    terminated_after: Option<Duration>,
 }
 
 /// What a process is started with.
@@ -41,7 +68,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
-        Ok(NodeProcess { child, was_terminated: false })
+        Ok(NodeProcess { child, started_at: Instant::now(), terminated_after: None })
     }
 
     /// Sends a signal. One that has ended needs none.
@@ -53,13 +80,25 @@
 
     /// Tells the process to end in order.
     pub fn terminate(&mut self) {
-        self.was_terminated = true;
+        self.terminated_after = Some(self.started_at.elapsed());
         self.signal(Signal::TERM);
     }
 
-    /// Whether it was told to end in order.
-    pub fn was_terminated(&self) -> bool {
-        self.was_terminated
+    /// What is wrong with how it exited: it was not told to, or did not do so in order. A process that is told to exit
+    /// before it handles signals has read nothing.
+    ///
+    /// # Errors
+    ///
+    /// How it exited instead.
+    pub fn check_exit(&self, status: ExitStatus) -> Result<(), UnexpectedExit> {
+        let Some(age) = self.terminated_after else {
+            return Err(UnexpectedExit::NotRequested { status });
+        };
+        let was_starting = age < STARTUP_TIME && status.signal() == Some(Signal::TERM.as_raw());
+        match status.success() || was_starting {
+            true => Ok(()),
+            false => Err(UnexpectedExit::NotInOrder { status, age }),
+        }
     }
 
     /// How it ended, if it has.
