--- a/programs/soak/src/fault_plan.rs
+++ b/programs/soak/src/fault_plan.rs
@@ -57,8 +57,47 @@
     pub action: Action,
 }
 
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FaultKind {
+    Kill,
+    Termination,
+    Pause,
+    Cut,
+    LostAnswers,
+    LostDisk,
+    Backends,
+}
+
+/// Faults of even seeds: all kinds.
+const MIXED: [FaultKind; 11] = [
+    FaultKind::Kill,
+    FaultKind::Kill,
+    FaultKind::Termination,
+    FaultKind::Termination,
+    FaultKind::Pause,
+    FaultKind::Cut,
+    FaultKind::Cut,
+    FaultKind::LostAnswers,
+    FaultKind::LostDisk,
+    FaultKind::Backends,
+    FaultKind::Backends,
+];
+/// Faults of odd seeds: machines are restarted in order while backends are slow or silent.
+const ROLLING: [FaultKind; 8] = [
+    FaultKind::Termination,
+    FaultKind::Termination,
+    FaultKind::Termination,
+    FaultKind::Backends,
+    FaultKind::Backends,
+    FaultKind::Backends,
+    FaultKind::Cut,
+    FaultKind::LostAnswers,
+];
+
 /// Draws the faults of a run.
 struct Planner {
+    kinds: &'static [FaultKind],
     random: StdRng,
     actions: Vec<ScheduledAction>,
     /// No more than one disk may be lost in a run.
@@ -67,7 +106,9 @@
 
 /// The actions of a run of that length, in their order. All faults are over at its end.
 pub fn plan(seed: u64, length: Duration) -> Vec<ScheduledAction> {
-    let mut planner = Planner { random: StdRng::seed_from_u64(seed), actions: Vec::new(), has_wiped: false };
+    let kinds: &[FaultKind] = if seed.is_multiple_of(2) { &MIXED } else { &ROLLING };
+    let random = StdRng::seed_from_u64(seed);
+    let mut planner = Planner { kinds, random, actions: Vec::new(), has_wiped: false };
     let mut at = LEAD_TIME;
     while at < length {
         planner.add_fault(at, length);
@@ -82,31 +123,29 @@
         let until = (at + self.draw(SPAN_MS)).min(length);
         let machine = self.random.random_range(0..MACHINES);
         let controller = self.random.random_range(0..CONTROLLERS);
-        match self.random.random_range(0..12) {
-            0 | 1 => self.add_kill(at, machine),
-            2 | 3 => self.add_termination(at, machine),
-            4 => self.add_span(at, until, Action::Pause(machine), Action::Resume(machine)),
-            5 | 6 => self.add_cut(at, until, controller),
-            7 => {
-                self.add_span(at, until, Action::LoseAnswers(machine, 0.2), Action::LoseAnswers(machine, 0.0))
-            }
-            8 if !self.has_wiped => self.add_wipe(at, controller),
-            8 => self.add_kill(at, controller),
-            _ => {
-                let slow = Behavior::RespondsAfter(self.draw(SLOW_WORK_MS));
-                let behaviors =
-                    [Behavior::NeverResponds, Behavior::ClosesWithoutResponse, Behavior::Sheds, slow, slow];
-                let behavior = *behaviors.choose(&mut self.random).unwrap_or(&slow);
-                self.add_span(
-                    at,
-                    until,
-                    Action::SetBackends(behavior),
-                    Action::SetBackends(Behavior::Serves),
-                );
+        match self.kinds[self.random.random_range(0..self.kinds.len())] {
+            FaultKind::Kill => self.add_kill(at, machine),
+            FaultKind::Termination => self.add_termination(at, machine),
+            FaultKind::Pause => self.add_span(at, until, Action::Pause(machine), Action::Resume(machine)),
+            FaultKind::Cut => self.add_cut(at, until, controller),
+            FaultKind::LostAnswers => {
+                let (begin, end) = (Action::LoseAnswers(machine, 0.2), Action::LoseAnswers(machine, 0.0));
+                self.add_span(at, until, begin, end);
             }
+            FaultKind::LostDisk if !self.has_wiped => self.add_wipe(at, controller),
+            FaultKind::LostDisk => self.add_kill(at, controller),
+            FaultKind::Backends => self.add_backend_fault(at, until),
         }
     }
 
+    fn add_backend_fault(&mut self, at: Duration, until: Duration) {
+        let slow = Behavior::RespondsAfter(self.draw(SLOW_WORK_MS));
+        let behaviors =
+            [Behavior::NeverResponds, Behavior::ClosesWithoutResponse, Behavior::Sheds, slow, slow];
+        let behavior = *behaviors.choose(&mut self.random).unwrap_or(&slow);
+        self.add_span(at, until, Action::SetBackends(behavior), Action::SetBackends(Behavior::Serves));
+    }
+
     fn draw(&mut self, milliseconds: std::ops::Range<u64>) -> Duration {
         Duration::from_millis(self.random.random_range(milliseconds))
     }
