--- a/crates/exchange/src/txns.rs
+++ b/crates/exchange/src/txns.rs
@@ -256,6 +256,11 @@
         unanswered.map(|(id, txn)| (*id, txn.may_have_run())).collect()
     }
 
+    /// For a request whose client waits for an answer: whether it may have run.
+    pub fn unanswered_may_have_run(&self, id: TxnId) -> Option<bool> {
+        self.txns.get(&id).filter(|txn| !txn.is_answered()).map(Txn::may_have_run)
+    }
+
     /// Whether nothing is in flight.
     pub fn is_empty(&self) -> bool {
         self.txns.is_empty()
--- a/programs/gateway/src/router.rs
+++ b/programs/gateway/src/router.rs
@@ -32,6 +32,8 @@
 /// Taken off each request's time, for the answer's way back and one turn of the runtime's timers: the client counts
 /// from when it sent the request, the gateway from when it has read it.
 const ANSWER_MARGIN: Ticks = Ticks(50);
+/// How long after its expiry a request whose attempts were cancelled is answered in any case.
+const OVERDUE_MARGIN: Ticks = Ticks(1_000);
 /// How often idle connections are checked for their age.
 const SWEEP_INTERVAL: Ticks = Ticks::SECOND;
 /// How many messages are decided on at once.
@@ -139,7 +141,7 @@
         let txns = &self.txns;
         let next = self.timers.next_due(|timer| match timer {
             Timer::PolicyWake(_) | Timer::Sweep => true,
-            Timer::Expiry(txn) | Timer::AttemptTimeout(txn, _) => txns.contains(*txn),
+            Timer::Expiry(txn) | Timer::Overdue(txn) | Timer::AttemptTimeout(txn, _) => txns.contains(*txn),
         });
         match next {
             Some(at) => self.shared.clock.instant(at),
@@ -154,7 +156,8 @@
                 Timer::AttemptTimeout(txn, number) => {
                     self.cancel_attempt(txn, number, CancelReason::TimedOut)
                 }
-                Timer::Expiry(txn) => self.expire(txn),
+                Timer::Expiry(txn) => self.expire(txn, now),
+                Timer::Overdue(txn) => self.answer_overdue(txn),
                 Timer::Sweep => {
                     for _ in 0..self.pool.sweep(now) {
                         self.shared.resources.count(Counter::BackendsDroppedIdle);
@@ -203,17 +206,10 @@
         self.events.push(Event::RequestArrived(arrival));
     }
 
-    /// Answers each request that has no answer yet: with a promise that it has not run, where no attempt may have reached a
-    /// backend, else without its outcome being known.
+    /// Answers each request that has no answer yet.
     fn answer_all(&mut self) {
         for (id, may_have_run) in self.txns.unanswered() {
-            self.conclude(
-                id,
-                match may_have_run {
-                    true => FinalAnswer::OutcomeUnknown,
-                    false => FinalAnswer::Declined { retry_after: None },
-                },
-            );
+            self.conclude(id, unserved_answer(may_have_run));
         }
     }
 
@@ -278,18 +274,26 @@
     }
 
     /// Cancels the attempts of a request whose time is over; when they have ended, the policy decides on it.
-    fn expire(&mut self, id: TxnId) {
+    fn expire(&mut self, id: TxnId, now: Ticks) {
         match self.txns.expire(id) {
             ExpiryAction::Nothing => {}
             ExpiryAction::CancelAttempts(in_flight) => {
                 in_flight
                     .into_iter()
                     .for_each(|number| self.cancel_attempt(id, number, CancelReason::TimedOut));
+                self.timers.set(now + OVERDUE_MARGIN, Timer::Overdue(id));
             }
-            ExpiryAction::Overdue => {
-                self.shared.resources.check(false, Invariant::AnsweredByExpiry);
-                self.conclude(id, FinalAnswer::OutcomeUnknown);
-            }
+            ExpiryAction::Overdue => self.answer_overdue(id),
+        }
+    }
+
+    /// Answers a request that the policy should have decided by now, unless it has. The answer must depend neither on the
+    /// policy nor on the tasks of attempts: a client would wait for ever.
+    fn answer_overdue(&mut self, id: TxnId) {
+        if let Some(may_have_run) = self.txns.unanswered_may_have_run(id) {
+            self.conclude(id, unserved_answer(may_have_run));
+            // Last, as it panics in debug builds.
+            self.shared.resources.check(false, Invariant::AnsweredByExpiry);
         }
     }
 
@@ -314,6 +318,15 @@
     }
 }
 
+/// The answer to a request that nothing serves any more: where no attempt may have reached a backend, with the promise that
+/// it has not run.
+fn unserved_answer(may_have_run: bool) -> FinalAnswer {
+    match may_have_run {
+        true => FinalAnswer::OutcomeUnknown,
+        false => FinalAnswer::Declined { retry_after: None },
+    }
+}
+
 fn outcome_counter(outcome: Outcome) -> Counter {
     match outcome {
         Outcome::Succeeded => Counter::AttemptsSucceeded,
@@ -326,3 +339,6 @@
         Outcome::NotSent => Counter::AttemptsNotSent,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/programs/gateway/src/router/tests.rs
@@ -0,0 +1,125 @@
+use super::*;
+use crate::clock::Clock;
+use crate::dialect::{Admission, ForwardingOptions, HttpDialect, ReplyMatch};
+use crate::resources::{ResourceLimits, Resources};
+use bytes::BytesMut;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+use tokio::time::timeout;
+use tokio_util::codec::Decoder;
+use vanewharf_gateway_settings::ConnectionTimeouts;
+use vanewharf_http1::ServerCodec;
+use vanewharf_policy::interface::{
+    Action, Arrival, BackendId, BackendInfo, BackendStatus, Idempotency, TxnId,
+};
+
+const TXN: TxnId = TxnId(1);
+const BACKEND: BackendId = BackendId(7);
+const REQUEST_TIME: Ticks = Ticks(500);
+/// Longer than a request that has only its own time may take.
+const TEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+struct TestDialect;
+
+impl HttpDialect for TestDialect {
+    fn forwarding_options(&self) -> ForwardingOptions {
+        ForwardingOptions {
+            time_left_header: "Time-Left",
+            request_headers_removed: &[],
+            response_headers_removed: &[],
+            busy_retry_after: None,
+            request_timeout: TEST_TIMEOUT,
+            idle_timeout: TEST_TIMEOUT,
+        }
+    }
+
+    fn admit(&self, _: &Request, now: Ticks, txn: TxnId) -> Admission {
+        Admission::Txn(Arrival { txn, deadline: now + REQUEST_TIME, ..Arrival::default() })
+    }
+
+    fn request_id<'a>(&self, _: &'a Request) -> Option<&'a str> {
+        Some("id")
+    }
+
+    fn match_reply(&self, _: &Request, _: &Reply) -> ReplyMatch {
+        ReplyMatch::Unidentified
+    }
+}
+
+/// What a policy at fault does with a request; it decides nothing after that.
+#[derive(Clone, Copy, Debug)]
+enum FaultyPolicy {
+    Forgets,
+    SendsAndForgets,
+}
+
+impl RoutingPolicy for FaultyPolicy {
+    type Update = std::convert::Infallible;
+
+    fn decide(&mut self, _: Ticks, events: Vec<Event>) -> Vec<Action> {
+        let arrived = events.iter().any(|event| matches!(event, Event::RequestArrived(_)));
+        match self {
+            FaultyPolicy::SendsAndForgets if arrived => {
+                vec![Action::SendAttempt { txn: TXN, backend: BACKEND, timeout: None }]
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn idempotency(&self, _: &Arrival) -> Idempotency {
+        Idempotency::NonIdempotent
+    }
+
+    fn apply_update(&mut self, _: Ticks, update: Self::Update) -> Option<BackendUpdate> {
+        match update {}
+    }
+}
+
+fn request() -> Request {
+    let mut bytes = BytesMut::from("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    ServerCodec::default().decode(&mut bytes).expect("it can be read").expect("complete")
+}
+
+/// The answer to one request, whose only backend accepts connections and never replies.
+async fn answer_of(policy: FaultyPolicy) -> FinalAnswer {
+    let backend = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let listed = BackendInfo {
+        backend: BACKEND,
+        status: BackendStatus::Ready,
+        capacity: 1.0,
+        local: true,
+        started_at: None,
+    };
+    let entry = BackendEntry { listed, address: backend.local_addr().ok() };
+    let (messages, received) = mpsc::unbounded_channel();
+    let (_updates, no_updates) = mpsc::unbounded_channel();
+    let resources = Rc::new(Resources::new(ResourceLimits::within(256, 64)));
+    let timeouts = ConnectionTimeouts { idle: Ticks::SECOND, dial: Ticks::SECOND };
+    let shared = Rc::new(Shared::new(Clock::start(), resources, Box::new(TestDialect), timeouts, messages));
+    let known = BackendUpdate::Snapshot(vec![entry]);
+    let router = Router::new(Rc::clone(&shared), policy, known, None, None);
+    tokio::task::spawn_local(router.run(received, no_updates));
+    let (answer, answered) = oneshot::channel();
+    let open_id = shared.open_ids.try_open("id").expect("no other request is open");
+    let deadline = shared.clock.now() + REQUEST_TIME;
+    let arrival = Arrival { txn: TXN, deadline, ..Arrival::default() };
+    shared.notify_router(RouterMessage::NewRequest(NewRequest {
+        arrival,
+        request: Rc::new(request()),
+        open_id,
+        answer,
+    }));
+    let answered = timeout(TEST_TIMEOUT, answered).await.expect("an answer in time");
+    answered.expect("the router answers")
+}
+
+#[test]
+fn a_request_is_answered_in_its_time_whatever_the_policy_forgets() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let answer = |policy| runtime.block_on(LocalSet::new().run_until(answer_of(policy)));
+    let never_sent = answer(FaultyPolicy::Forgets);
+    assert!(matches!(never_sent, FinalAnswer::Declined { retry_after: None }), "{never_sent:?}");
+    let sent = answer(FaultyPolicy::SendsAndForgets);
+    assert!(matches!(sent, FinalAnswer::OutcomeUnknown), "{sent:?}");
+}
--- a/programs/gateway/src/router/timers.rs
+++ b/programs/gateway/src/router/timers.rs
@@ -11,6 +11,8 @@
     PolicyWake(TimerId),
     /// A request's time is over.
     Expiry(TxnId),
+    /// A request's attempts were cancelled at its expiry and should have ended long ago.
+    Overdue(TxnId),
     /// An attempt's own time is over.
     AttemptTimeout(TxnId, AttemptNumber),
     /// Idle connections are checked for their age.
