--- a/programs/proxy/src/pools/admission.rs
+++ b/programs/proxy/src/pools/admission.rs
@@ -126,12 +126,19 @@
         }
     }
 
-    /// Decides on a request that waited for a token. Returns `None` if its client has left; a token that was granted goes
-    /// to the reserve then.
-    pub(super) fn resume(&mut self, txn: TxnId, answer: TokenAnswer, at: Timestamp) -> Option<Verdict> {
+    /// Decides on a request that waited for a token. Returns `None` if its client has left or its time is over; a token
+    /// that was granted goes to the reserve then.
+    pub(super) fn resume(
+        &mut self,
+        txn: TxnId,
+        answer: TokenAnswer,
+        now: Ticks,
+        at: Timestamp,
+    ) -> Option<Verdict> {
         let request = self.waiting.remove(&txn)?;
         let tenant = request.tenant.clone()?;
-        if request.abandoned {
+        // The router has answered a request whose time is over, and would report no end of an attempt for it.
+        if request.abandoned || request.expiry <= now {
             if answer == TokenAnswer::Granted {
                 self.reserve.add_tokens(&tenant.name, 1, at);
             }
--- a/programs/proxy/src/pools/dispatch.rs
+++ b/programs/proxy/src/pools/dispatch.rs
@@ -32,7 +32,7 @@
         self.admission.record_grants(&grants, at);
         let mut actions = Vec::new();
         for WaitingAnswer { txn, answer } in grants.waiting {
-            if let Some(verdict) = self.admission.resume(txn, answer, at) {
+            if let Some(verdict) = self.admission.resume(txn, answer, now, at) {
                 self.apply_verdict(txn, verdict, now, &mut actions);
             }
         }
--- a/programs/proxy/src/pools/tests.rs
+++ b/programs/proxy/src/pools/tests.rs
@@ -310,6 +310,13 @@
     while fixture.requested.try_recv().is_ok() {}
     let (_, actions) = fixture.send_request("/read/x");
     assert!(fixture.chosen_backend(&actions).is_some() && fixture.requested.try_recv().is_err());
+    // Its time is over: the same.
+    let (expired, _) = fixture.send_request("/read/x");
+    fixture.pools.apply_update(SECOND + Ticks(20_000), token_answer(expired, TokenAnswer::Granted));
+    assert_eq!(fixture.pools.decide(SECOND, Vec::new()), [], "nothing is sent for a request that is over");
+    while fixture.requested.try_recv().is_ok() {}
+    let (_, actions) = fixture.send_request("/read/x");
+    assert!(fixture.chosen_backend(&actions).is_some() && fixture.requested.try_recv().is_err());
     // No lender answers: this proxy's own bucket has not filled yet.
     let (unanswered, _) = fixture.send_request("/read/x");
     let actions = fixture.apply_update(token_answer(unanswered, TokenAnswer::NoAnswer));
