--- a/programs/cli/src/error.rs
+++ b/programs/cli/src/error.rs
@@ -51,6 +51,9 @@
     /// Simulations of the system violated a rule.
     #[error("rules broken on {violating} of {runs} days")]
     SystemViolations { violating: u64, runs: u64 },
+    /// The simulated programs found their own invariants violated, though no rule was seen to be broken.
+    #[error("the programs' own invariants did not hold {violations} times in {runs} days")]
+    InvariantViolations { violations: u64, runs: u64 },
 }
 
 impl CliError {
--- a/programs/cli/src/system_simulation.rs
+++ b/programs/cli/src/system_simulation.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::{Duration, Instant};
+use vanewharf_runtime::invariants::total_violations;
 use vanewharf_system_simulator::cost::{ControlPlaneCost, cost_plot, measure_cost};
 use vanewharf_system_simulator::outcome::RunOutcome;
 use vanewharf_system_simulator::parallel::{simulate_hard_seeds, simulate_schedules, simulate_seeds};
@@ -126,7 +127,10 @@
     if totals.violating > 0 {
         return Err(CliError::SystemViolations { violating: totals.violating, runs: totals.runs });
     }
-    Ok(())
+    match total_violations() {
+        0 => Ok(()),
+        violations => Err(CliError::InvariantViolations { violations, runs: totals.runs }),
+    }
 }
 
 fn parameters(arguments: &SystemRuns) -> SimulationParameters {
