Let a voter accept a register after a newer one that its disk refused

Cause: RecordWriter held a write that had failed against the next one, so a voter whose disk had refused register 8 refused 7 when its leaseholder sent that again, though no vote for 8 was sent. Now a write binds while it is on its way or once it is durable. a_register_is_accepted_after_a_newer_one_that_the_disk_refused.

--- a/programs/controller/src/replica/record_writer/tests.rs
+++ b/programs/controller/src/replica/record_writer/tests.rs
@@ -16,27 +16,51 @@
     DurableWrite::Register(Box::new(register))
 }
 
+fn nothing_written() -> RequestedWrites {
+    let promised = Progress::Promised { ballot: Ballot(0), peer_incarnations: BTreeMap::new() };
+    let durable = vec![promised, Progress::Accepted(RegisterRank::default())];
+    RequestedWrites { durable, pending: BTreeMap::new(), last_number: 0 }
+}
+
+/// Each with whether it takes something back of those before it.
+fn writes() -> [(DurableWrite, bool); 11] {
+    [
+        (record(5, None), false),
+        (record(5, Some(7)), false),
+        (record(4, Some(7)), true),
+        (record(6, None), true),
+        (record(6, Some(6)), true),
+        (record(6, Some(8)), false),
+        (register(5, 3), false),
+        (register(5, 3), false),
+        (register(5, 2), true),
+        (register(4, 9), true),
+        (register(6, 1), false),
+    ]
+}
+
 #[test]
-fn a_write_that_takes_something_back_is_recognized() {
-    let mut requested = RequestedWrites {
-        promised: Ballot(0),
-        peer_incarnations: BTreeMap::new(),
-        accepted: RegisterRank::default(),
-    };
-    let writes = [
-        (record(5, None), true),
-        (record(5, Some(7)), true),
-        (record(4, Some(7)), false),
-        (record(6, None), false),
-        (record(6, Some(6)), false),
-        (record(6, Some(8)), true),
-        (register(5, 3), true),
-        (register(5, 3), true),
-        (register(5, 2), false),
-        (register(4, 9), false),
-        (register(6, 1), true),
-    ];
-    for (position, (write, holds)) in writes.into_iter().enumerate() {
-        assert_eq!(requested.advance(&write), holds, "write {position}: {write:?}");
+fn a_write_that_takes_something_back_is_recognized_while_others_are_on_their_way_and_after_them() {
+    for completes in [false, true] {
+        let mut requested = nothing_written();
+        for (position, (write, takes_back)) in writes().into_iter().enumerate() {
+            let number = requested.request(&write);
+            assert_eq!(number.is_none(), takes_back, "write {position}: {write:?}");
+            if let Some(number) = number.filter(|_| completes) {
+                requested.complete(number, true);
+            }
+        }
     }
 }
+
+#[test]
+fn a_write_that_failed_binds_nobody() {
+    let mut requested = nothing_written();
+    let accepted = requested.request(&register(5, 2)).expect("nothing is newer");
+    requested.complete(accepted, true);
+    let failed = requested.request(&register(5, 4)).expect("nothing is newer");
+    assert_eq!(requested.request(&register(5, 3)), None, "the newer one is on its way");
+    requested.complete(failed, false);
+    assert!(requested.request(&register(5, 3)).is_some(), "sent again by its leaseholder");
+    assert_eq!(requested.request(&register(5, 1)), None, "that of before is on disk");
+}
--- a/programs/controller/src/replica/voter_task/tests.rs
+++ b/programs/controller/src/replica/voter_task/tests.rs
@@ -2,13 +2,17 @@
 
 use super::*;
 use crate::storage::{Record, StoredRecords};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use tokio::runtime::{Builder, LocalOptions};
 use vanewharf_consensus::{StartKind, Voter, VoterRecord};
 use vanewharf_protocol::messages::{Ballot, Revision};
 use vanewharf_rpc::Publisher;
-use vanewharf_runtime::environment::Environment;
+use vanewharf_runtime::environment::{BoxFuture, Directory, Environment, FileOperation};
+use vanewharf_runtime::invariants::Invariant;
 
 /// Nobody listens there: the voter under test has no peers to hear of.
 const SEEDS: [&str; 3] = ["127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"];
@@ -20,22 +24,44 @@
     SEEDS.iter().map(|seed| seed.parse().expect("an address")).collect()
 }
 
+/// A directory that can be made to refuse writes, as a full disk does.
+struct FlakyDirectory {
+    inner: Rc<dyn Directory>,
+    refuses: Rc<Cell<bool>>,
+}
+
+impl Directory for FlakyDirectory {
+    fn read_all(&self) -> io::Result<BTreeMap<String, Vec<u8>>> {
+        self.inner.read_all()
+    }
+
+    fn execute(&self, operations: Vec<FileOperation>) -> BoxFuture<'static, io::Result<()>> {
+        if self.refuses.get() {
+            return Box::pin(async { Err(io::ErrorKind::StorageFull.into()) });
+        }
+        self.inner.execute(operations)
+    }
+}
+
 /// A voter on an empty disk.
 struct TestVoter {
     replica: Rc<Replica>,
     storage: Storage,
+    refuses: Rc<Cell<bool>>,
 }
 
 impl TestVoter {
     fn start(data_directory: &Path) -> TestVoter {
         let environment = Environment::of_machine(Some(data_directory.to_owned())).expect("a data directory");
-        let directory = environment.directory.clone().expect("it was given one");
+        let inner = environment.directory.clone().expect("it was given one");
+        let refuses = Rc::new(Cell::new(false));
+        let directory: Rc<dyn Directory> = Rc::new(FlakyDirectory { inner, refuses: Rc::clone(&refuses) });
         let stored = StoredRecords::load(&*directory).expect("it can be read");
         let storage = Storage::start(directory, &stored);
         let publisher = Publisher::new(environment.clock());
         let voter = Voter::start(None, None, &seeds(), StartKind::Initial, publisher.now());
         let replica = Replica::start(seeds()[0], seeds(), voter, storage.clone(), publisher, environment);
-        TestVoter { replica, storage }
+        TestVoter { replica, storage, refuses }
     }
 
     fn register(&self, revision: u64) -> Register {
@@ -117,3 +143,25 @@
     let register: Option<Register> = stored.decode(Record::Register);
     assert_eq!(register.map(|register| register.revision), Some(Revision(5)));
 }
+
+/// The leaseholder sends a register again that the disk refused, and may do so after a newer one was refused as well.
+#[test]
+fn a_register_is_accepted_after_a_newer_one_that_the_disk_refused() {
+    let stored = disk_after(|voter| async move {
+        let accept = async |revision| {
+            let register = voter.register(revision);
+            voter.replica.handle_vote_request(VoteRequest::Accept { register }).await.vote
+        };
+        // The voter begins once its directory is synced.
+        voter.flush().await;
+        accept(3).await;
+        voter.refuses.set(true);
+        assert!(matches!(accept(4).await, Vote::StorageFailed));
+        assert!(matches!(accept(5).await, Vote::StorageFailed));
+        voter.refuses.set(false);
+        assert!(matches!(accept(4).await, Vote::Accepted));
+    });
+    let register: Option<Register> = stored.decode(Record::Register);
+    assert_eq!(register.map(|register| register.revision), Some(Revision(4)));
+    assert_eq!(Invariant::DiskNeverGoesBack.violations(), 0);
+}
