--- a/programs/controller/src/replica/record_writer/tests.rs
+++ b/programs/controller/src/replica/record_writer/tests.rs
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn a_write_that_takes_something_back_is_recognized_while_others_are_on_their_way_and_after_them() {
+fn a_write_that_takes_something_back_is_recognized_while_others_are_pending_and_after_them() {
     for completes in [false, true] {
         let mut requested = nothing_written();
         for (position, (write, takes_back)) in writes().into_iter().enumerate() {
