Judge a read by what was acknowledged before it was sent; excuse amnesia by a rule

Cause: of 3 (CONFIG): the simulator's checker compared the last read with acknowledgements that came after it had been answered; a run with a backlog of commands at its end was judged by luck.

Change: reads, final reads and final states carry when they were asked and are judged by what was acknowledged before that. Every controller is read from for CONTACT_TIME at the end while operators go on; then they stop, and what is read is final. Amnesia (checker/amnesia.rs): a controller whose disk was lost counts for no majority until it was connected for 4 s to a majority that remembers; nothing else is excused. Operators ask another controller after a failure.

--- a/crates/system-simulator/src/checker/proxies.rs
+++ b/crates/system-simulator/src/checker/proxies.rs
@@ -1,6 +1,7 @@
 //! Proxies never go back to an older configuration, and those in touch follow acknowledged changes in time.
 
-use super::{Observation, Report, Rule};
+use super::availability::Availability;
+use super::{Report, Rule};
 use crate::history::History;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -44,7 +45,7 @@
 
 /// Proxies in touch decide by what was acknowledged.
 pub(super) fn check_configuration_in_use(
-    observation: &Observation<'_>,
+    availability: &Availability<'_>,
     history: &History,
     report: &mut Report,
 ) {
@@ -54,7 +55,7 @@
             configuration.revision > request.revision && request.sent > configuration.at + PROPAGATION_TIME
         });
         if let Some(newer) = newer
-            && observation.proxy_is_in_touch(request.proxy, request.sent)
+            && availability.proxy_is_in_touch(request.proxy, request.sent)
             && matches!(request.status, Some(200 | 401 | 404))
         {
             let description =
--- a/crates/system-simulator/src/cluster.rs
+++ b/crates/system-simulator/src/cluster.rs
@@ -14,7 +14,7 @@
 pub use machine::Machine;
 pub use process::Program;
 
-use crate::disk::{SimulatedDisk, UnsyncedData};
+use crate::disk::{DiskImage, SimulatedDisk, UnsyncedData};
 use crate::ground_truth::GroundTruth;
 use crate::network::SimulatedNetwork;
 use crate::topology::{CONTROL_PORT, INTERNAL_PORT, SimulationParameters, location_of, platform_address};
@@ -99,6 +99,7 @@
     /// Seed nodes of machines that do not get the first of the operators' list.
     seed_overrides: RefCell<BTreeMap<usize, Vec<usize>>>,
     initial_start: Cell<bool>,
+    operators_have_stopped: Cell<bool>,
     seed: u64,
     cpu_times: CpuTimes,
 }
@@ -134,6 +135,7 @@
             controller_changes: RefCell::default(),
             seed_overrides: RefCell::default(),
             initial_start: Cell::new(true),
+            operators_have_stopped: Cell::new(false),
             seed,
             cpu_times: CpuTimes::default(),
         })
@@ -215,9 +217,16 @@
 
     /// Deletes what is on a machine's disk.
     pub fn wipe_disk(&self, number: usize) {
+        self.faults.record_disk_loss(number);
         self.machines[number].disk.iter().for_each(SimulatedDisk::wipe);
     }
 
+    /// Cuts a machine's power, and its disk forgets what was written since an image.
+    pub fn roll_back_disk(&self, number: usize, image: &DiskImage) {
+        self.lose_power(number, UnsyncedData::Lost);
+        self.machines[number].disk.iter().for_each(|disk| disk.roll_back(image));
+    }
+
     /// Stops a machine's programs where they are, as SIGSTOP does.
     pub fn freeze(&self, number: usize) {
         self.faults.begin(FaultScope::Down(number));
@@ -226,8 +235,12 @@
 
     /// Lets frozen programs go on.
     pub fn resume(&self, number: usize) {
-        self.faults.end(&FaultScope::Down(number));
-        self.machines[number].processes.borrow().values().for_each(Process::resume);
+        let processes = self.machines[number].processes.borrow();
+        processes.values().for_each(Process::resume);
+        // One that was killed meanwhile stays down.
+        if !processes.is_empty() {
+            self.faults.end(&FaultScope::Down(number));
+        }
     }
 
     /// Cuts the links between two groups of machines.
@@ -272,6 +285,16 @@
         self.cpu_times.of(program)
     }
 
+    /// Operators begin no call any more, but for reads.
+    pub fn stop_operators(&self) {
+        self.operators_have_stopped.set(true);
+    }
+
+    /// Whether operators begin no call any more.
+    pub fn operators_have_stopped(&self) -> bool {
+        self.operators_have_stopped.get()
+    }
+
     /// How many controllers hold the lease, by their own account.
     pub fn leaseholder_count(&self) -> usize {
         self.machines.iter().filter(|machine| machine.holds_lease()).count()
--- a/crates/system-simulator/src/cluster/fault_log.rs
+++ b/crates/system-simulator/src/cluster/fault_log.rs
@@ -15,6 +15,8 @@
     SlowLink(usize),
     /// These controllers were cut off from the others.
     Partitioned(BTreeSet<usize>),
+    /// A controller's disk was lost, in a moment.
+    DiskLost(usize),
 }
 
 /// One fault.
@@ -43,6 +45,13 @@
         }
     }
 
+    /// A controller's disk is lost now.
+    pub fn record_disk_loss(&self, machine: usize) {
+        let now = Instant::now();
+        let scope = FaultScope::DiskLost(machine);
+        self.0.borrow_mut().push(FaultRecord { started: now, ended: Some(now), scope });
+    }
+
     /// A fault is over; of several partitions of the same controllers the first.
     pub fn end(&self, scope: &FaultScope) {
         let now = Instant::now();
--- a/crates/system-simulator/src/disk.rs
+++ b/crates/system-simulator/src/disk.rs
@@ -81,6 +81,13 @@
     breakpoint: Option<u64>,
 }
 
+/// What was on a disk at some time.
+#[derive(Clone, Debug)]
+pub struct DiskImage {
+    files: Files,
+    durable_names: BTreeSet<String>,
+}
+
 /// A disk. Clones share it.
 #[derive(Clone)]
 pub struct SimulatedDisk {
@@ -133,6 +140,23 @@
         state.durable_names.clear();
     }
 
+    /// What would be found if power were lost now.
+    pub fn image(&self) -> DiskImage {
+        let state = self.state.borrow();
+        let mut files = state.durable.clone();
+        files.retain(|file, _| state.durable_names.contains(file));
+        DiskImage { files, durable_names: state.durable_names.clone() }
+    }
+
+    /// Loses power, and everything that was written since an image: no disk that works does that to what was synced. It
+    /// shows that the checker notices.
+    pub fn roll_back(&self, image: &DiskImage) {
+        self.lose_power(UnsyncedData::Lost);
+        let mut state = self.state.borrow_mut();
+        (state.files, state.durable) = (image.files.clone(), image.files.clone());
+        state.durable_names = image.durable_names.clone();
+    }
+
     /// Loses power: what is found afterwards is durable.
     pub fn lose_power(&self, unsynced: UnsyncedData) {
         let mut state = self.state.borrow_mut();
--- a/crates/system-simulator/src/fault.rs
+++ b/crates/system-simulator/src/fault.rs
@@ -2,7 +2,7 @@
 
 use crate::cluster::{Cluster, CutDirection, FaultScope, ProgramSelection};
 use crate::configuration::{replace_backend, stop_backend};
-use crate::disk::{DiskCondition, UnsyncedData};
+use crate::disk::{DiskCondition, DiskImage, UnsyncedData};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
     Kill { machines: Vec<usize>, programs: ProgramSelection },
     /// Machines lose power, some of them their disks as well.
     PowerLoss { machines: Vec<PowerLoss>, wiped: Vec<usize> },
+    /// Machines lose power, and their disks all that was written since these images.
+    DiskRollback { machines: Vec<(usize, DiskImage)> },
     /// Programs of machines stop where they are.
     Freeze { machines: Vec<usize> },
     /// Controllers are asked to shut down, killed after the grace period, and started again.
@@ -67,6 +69,9 @@
                 machines.iter().for_each(|loss| cluster.lose_power(loss.machine, loss.unsynced));
                 wiped.iter().for_each(|machine| cluster.wipe_disk(*machine));
             }
+            Fault::DiskRollback { machines } => {
+                machines.iter().for_each(|(machine, image)| cluster.roll_back_disk(*machine, image));
+            }
             Fault::Freeze { machines } => machines.iter().for_each(|machine| cluster.freeze(*machine)),
             Fault::Shutdown { machines } | Fault::Replacement { machines, .. } => {
                 machines.iter().for_each(|machine| cluster.request_shutdown(*machine));
@@ -117,6 +122,9 @@
             Fault::PowerLoss { machines, .. } => {
                 machines.iter().for_each(|loss| cluster.start_machine(loss.machine));
             }
+            Fault::DiskRollback { machines } => {
+                machines.iter().for_each(|(machine, _)| cluster.start_machine(*machine));
+            }
             Fault::Freeze { machines } => machines.iter().for_each(|machine| cluster.resume(*machine)),
             Fault::Partition { one, other, direction, scopes } => {
                 scopes.iter().for_each(|scope| cluster.faults.end(scope));
--- a/crates/system-simulator/src/history.rs
+++ b/crates/system-simulator/src/history.rs
@@ -92,6 +92,41 @@
     }
 }
 
+/// How a controller answered one attempt to send a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// This status came.
+    Answered(u16),
+    /// An acknowledgement was lost on its way to the operator.
+    AcknowledgementLost,
+    /// No answer came in time, or none that could be followed.
+    Unanswered,
+}
+
+/// The texts of a run's events.
+impl fmt::Display for AttemptResult {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AttemptResult::Answered(status) => write!(formatter, "{status}"),
+            AttemptResult::AcknowledgementLost => formatter.write_str("200, lost on its way"),
+            AttemptResult::Unanswered => formatter.write_str("no answer"),
+        }
+    }
+}
+
+/// One attempt to send a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CommandAttempt {
+    /// When it was sent.
+    pub sent: Instant,
+    /// When its result was known.
+    pub ended: Instant,
+    /// The machine number of the controller that was asked first; it may have redirected the operator.
+    pub controller: usize,
+    /// What came of it.
+    pub result: AttemptResult,
+}
+
 /// A command as its operator saw it.
 #[derive(Clone, Debug)]
 pub struct CommandRecord {
@@ -105,12 +140,26 @@
     pub acknowledgement_lost: Option<Instant>,
     /// The status with which it was rejected.
     pub rejected: Option<u16>,
+    /// In the order in which they were sent.
+    pub attempts: Vec<CommandAttempt>,
 }
 
 impl CommandRecord {
+    /// Whether the operator had the acknowledgement before that time.
+    pub fn is_acknowledged_before(&self, time: Instant) -> bool {
+        self.acknowledged.is_some_and(|at| at < time)
+    }
+
     /// A command that has just been sent.
     pub fn new(command: Command, sent: Instant) -> CommandRecord {
-        CommandRecord { command, sent, acknowledged: None, acknowledgement_lost: None, rejected: None }
+        CommandRecord {
+            command,
+            sent,
+            acknowledged: None,
+            acknowledgement_lost: None,
+            rejected: None,
+            attempts: Vec::new(),
+        }
     }
 
     /// When it was first acknowledged, whether the operator got that or not.
@@ -151,6 +200,8 @@
 pub struct FinalState {
     /// The controller's name.
     pub controller: String,
+    /// When it was asked.
+    pub asked: Instant,
     /// `None` where it did not answer.
     pub version: Option<ReplicaVersion>,
 }
@@ -191,12 +242,20 @@
     pub quotas: BTreeMap<u64, BTreeMap<String, TenantQuota>>,
     /// The access keys by configuration revision.
     pub access_keys: BTreeMap<u64, BTreeSet<String>>,
-    /// The configuration that an operator read at the end.
-    pub final_configuration: Option<String>,
+    /// The last configuration that an operator read, after all operators had stopped.
+    pub final_configuration: Option<ConfigurationRead>,
     /// The evacuated zones that the newest register has at the end.
     pub final_evacuations: Option<BTreeSet<String>>,
-    /// Configurations that operators read during the run.
+    /// Configurations that operators read, during the run and at its end.
     pub configuration_reads: Vec<ConfigurationRead>,
     /// What each controller that ran had at the end.
     pub final_states: Vec<FinalState>,
 }
+
+impl History {
+    /// The newest configuration that was acknowledged before that time, or 0: only this is owed to who asks then.
+    pub fn newest_acknowledged_before(&self, time: Instant) -> u64 {
+        let acknowledged = self.commands.iter().filter(|record| record.is_acknowledged_before(time));
+        acknowledged.filter_map(|record| record.command.revision()).max().unwrap_or(0)
+    }
+}
--- a/crates/system-simulator/src/run.rs
+++ b/crates/system-simulator/src/run.rs
@@ -116,7 +116,7 @@
 
     let completed =
         CompletedRun { cluster: &cluster, seed, started, duration, events, commands: command_count };
-    completed.conclude().await
+    completed.conclude(|_| {}).await
 }
 
 /// When the last drawn fault begins at the latest.
--- a/crates/system-simulator/src/schedule.rs
+++ b/crates/system-simulator/src/schedule.rs
@@ -98,6 +98,9 @@
     PowerLoss(UnsyncedData),
     /// They lose power and their disks.
     DiskLoss,
+    /// They lose power, and their disks what was written since the fault's time, synced or not: more than a system can
+    /// bear, to show that the checker sees it.
+    DiskRollback,
     /// Their programs stop where they are.
     Freeze,
     /// They are asked to shut down, and started again.
@@ -120,8 +123,10 @@
         /// Machine number of the spare.
         new: usize,
     },
-    /// All machines lose power, these also their disks.
-    Blackout,
+    /// All machines lose power, also proxies and spares; these also their disks.
+    Blackout(UnsyncedData),
+    /// They cannot reach the other controllers; all other machines reach both sides.
+    ControllerSplit,
     /// A proxy is cut off from the controllers.
     ProxyCut {
         /// Its machine number.
@@ -140,6 +145,7 @@
             FaultKind::Kill => formatter.write_str("Kill"),
             FaultKind::PowerLoss(unsynced) => write!(formatter, "Power({unsynced})"),
             FaultKind::DiskLoss => formatter.write_str("Wipe"),
+            FaultKind::DiskRollback => formatter.write_str("Rollback"),
             FaultKind::Freeze => formatter.write_str("Freeze"),
             FaultKind::Shutdown => formatter.write_str("Term"),
             FaultKind::Partition { proxies } => write!(formatter, "Cut {{ doors: {proxies:?} }}"),
@@ -148,7 +154,9 @@
             FaultKind::Disk(condition) => write!(formatter, "Disk({condition})"),
             FaultKind::SlowLink(bytes_per_second) => write!(formatter, "Narrow({bytes_per_second})"),
             FaultKind::Replacement { new } => write!(formatter, "Gone {{ new: {new} }}"),
-            FaultKind::Blackout => formatter.write_str("Blackout"),
+            FaultKind::Blackout(UnsyncedData::Lost) => formatter.write_str("Blackout"),
+            FaultKind::Blackout(unsynced) => write!(formatter, "Blackout({unsynced})"),
+            FaultKind::ControllerSplit => formatter.write_str("Split"),
             FaultKind::ProxyCut { proxy } => write!(formatter, "DoorCut {{ door: {proxy} }}"),
             FaultKind::ProxyKill { proxy } => write!(formatter, "DoorKill {{ door: {proxy} }}"),
         }
--- a/crates/system-simulator/src/schedule/file.rs
+++ b/crates/system-simulator/src/schedule/file.rs
@@ -338,7 +338,7 @@
         let seeds = names.selectors("seeds", &self.seeds)?;
         let kind = self.fault_kind(names)?;
         let needs_no_machines =
-            matches!(kind, FaultKind::Blackout | FaultKind::ProxyCut { .. } | FaultKind::ProxyKill { .. });
+            matches!(kind, FaultKind::Blackout(_) | FaultKind::ProxyCut { .. } | FaultKind::ProxyKill { .. });
         if !needs_no_machines && machines.is_empty() {
             return Err(ScheduleError::Missing { key: "whom", kind: self.kind.clone() });
         }
@@ -364,7 +364,8 @@
             "disk-full" => FaultKind::Disk(DiskCondition::Full),
             "narrow" => FaultKind::SlowLink(required("bytes_per_s", self.bytes_per_s, &self.kind)?),
             "gone" => FaultKind::Replacement { new: self.spare(names)? },
-            "blackout" => FaultKind::Blackout,
+            "blackout" => FaultKind::Blackout(UnsyncedData::Lost),
+            "split" => FaultKind::ControllerSplit,
             "door-cut" => FaultKind::ProxyCut { proxy: proxy()? },
             "door-kill" => FaultKind::ProxyKill { proxy: proxy()? },
             other => return Err(invalid("kind", format!("{other} is no trouble"))),
--- a/crates/system-simulator/src/schedule/hard/faults.rs
+++ b/crates/system-simulator/src/schedule/hard/faults.rs
@@ -69,6 +69,8 @@
             Theme::Changes => &[Kill, PowerLoss, KillWithOtherSeeds, SlowLink, Shutdown, Freeze, Partition],
             Theme::Partitions => &[Partition, Partition, OneWayCut, OneWayCut, Freeze],
             Theme::Clocks => &[Partition, Freeze, Freeze, Kill, Shutdown],
+            // It draws its own.
+            Theme::OverlappingLosses => &[],
             Theme::LostAcknowledgements => {
                 &[Kill, KillAll, PowerLoss, Freeze, DiskFault, Partition, Shutdown]
             }
@@ -113,7 +115,7 @@
             Drawn::SlowLink => self.slow_link(at, span * 3.0),
             Drawn::Blackout => {
                 let wiped = self.draw_wiped(at, span / 3.0);
-                self.push_fault(at, span / 3.0, FaultKind::Blackout, wiped);
+                self.push_fault(at, span / 3.0, FaultKind::Blackout(UnsyncedData::Lost), wiped);
             }
             Drawn::ProxyCut => {
                 let proxy = self.draw_proxy();
@@ -274,6 +276,7 @@
     /// Right after an acknowledgement all machines lose power, and as many disks are lost as may be.
     fn final_blackout(&mut self, at: f64) {
         let wiped = self.draw_wiped(at, 4.0);
-        self.push_fault(at, 1.0, FaultKind::Blackout, wiped).trigger = FaultTrigger::NextAcknowledgement;
+        self.push_fault(at, 1.0, FaultKind::Blackout(UnsyncedData::Lost), wiped).trigger =
+            FaultTrigger::NextAcknowledgement;
     }
 }
--- a/crates/system-simulator/src/scheduled_run/faults.rs
+++ b/crates/system-simulator/src/scheduled_run/faults.rs
@@ -1,11 +1,11 @@
 //! The faults of a scheduled run: selects their machines when they begin, and ends them.
 
 use super::{Operators, seconds, select_machine};
-use crate::cluster::{Cluster, CutDirection, FaultScope};
-use crate::disk::UnsyncedData;
+use crate::cluster::{Cluster, CutDirection, FaultScope, Machine};
+use crate::disk::{DiskImage, UnsyncedData};
 use crate::fault::Fault;
 use crate::schedule::{FaultKind, FaultTrigger, ScheduledFault};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -21,13 +21,14 @@
     operators: Rc<Operators>,
 ) {
     sleep_until(started + seconds(scheduled.at)).await;
+    let images = disk_images(&cluster);
     if scheduled.trigger == FaultTrigger::NextAcknowledgement {
         let _ = timeout(ACKNOWLEDGEMENT_TIMEOUT, operators.acknowledged.notified()).await;
     }
     let machines: BTreeSet<usize> =
         scheduled.machines.iter().map(|selector| select_machine(&cluster, *selector)).collect();
     set_seed_nodes(&cluster, &scheduled, &machines);
-    let fault = to_fault(&cluster, &scheduled.kind, machines);
+    let fault = to_fault(&cluster, &scheduled.kind, machines, &images);
     fault.inject(&cluster);
     if let Some(grace) = fault.grace() {
         sleep(grace).await;
@@ -37,6 +38,12 @@
     fault.recover(&cluster);
 }
 
+/// What is on the disks of all machines that have one.
+fn disk_images(cluster: &Cluster) -> BTreeMap<usize, DiskImage> {
+    let image = |(number, machine): (usize, &Machine)| Some((number, machine.disk.as_ref()?.image()));
+    cluster.machines.iter().enumerate().filter_map(image).collect()
+}
+
 /// Sets the seed nodes of the machines that will start again, or of the one that will come.
 fn set_seed_nodes(cluster: &Cluster, scheduled: &ScheduledFault, machines: &BTreeSet<usize>) {
     if scheduled.seeds.is_empty() {
@@ -52,11 +59,21 @@
     starting.into_iter().for_each(|machine| cluster.set_seed_nodes(machine, seeds.clone()));
 }
 
-fn to_fault(cluster: &Cluster, kind: &FaultKind, selected: BTreeSet<usize>) -> Fault {
+/// `images` are of the disks at the fault's time.
+fn to_fault(
+    cluster: &Cluster,
+    kind: &FaultKind,
+    selected: BTreeSet<usize>,
+    images: &BTreeMap<usize, DiskImage>,
+) -> Fault {
     let machines: Vec<usize> = selected.iter().copied().collect();
     match kind {
         FaultKind::Kill => Fault::kill(machines),
         FaultKind::PowerLoss(unsynced) => Fault::power_loss(&machines, *unsynced, Vec::new()),
+        FaultKind::DiskRollback => {
+            let image = |machine| Some((machine, images.get(&machine)?.clone()));
+            Fault::DiskRollback { machines: selected.into_iter().filter_map(image).collect() }
+        }
         FaultKind::DiskLoss => Fault::power_loss(&machines, UnsyncedData::Lost, machines.clone()),
         FaultKind::Freeze => Fault::Freeze { machines },
         FaultKind::Shutdown => Fault::Shutdown { machines },
@@ -74,9 +91,15 @@
         FaultKind::Disk(condition) => Fault::Disk { machines, condition: *condition },
         FaultKind::SlowLink(rate) => Fault::SlowLink { machines, bytes_per_second: *rate },
         FaultKind::Replacement { new } => Fault::Replacement { machines, new: *new },
-        FaultKind::Blackout => {
+        FaultKind::Blackout(unsynced) => {
             let all: Vec<usize> = (0..cluster.machines.len()).collect();
-            Fault::power_loss(&all, UnsyncedData::Lost, machines)
+            Fault::power_loss(&all, *unsynced, machines)
+        }
+        FaultKind::ControllerSplit => {
+            let scopes = vec![FaultScope::Partitioned(selected.clone())];
+            let controllers = cluster.active_controllers.borrow();
+            let other = controllers.iter().copied().filter(|number| !selected.contains(number)).collect();
+            Fault::Partition { one: selected, other, direction: CutDirection::Both, scopes }
         }
         FaultKind::ProxyCut { proxy } => Fault::Partition {
             one: [*proxy].into(),
