Tell a damaged record from a torn one by marks of synced writes; explore the voter's task

Cause: a copy of a record that could not be read passed for a torn write, whatever it was, and the older copy was used: a voter whose newest copy rotted after it had been acknowledged went by an older promise or register. A register that was gone altogether, or of an unknown form, was replaced by the initial one beside an intact promise.

Weighed: the file's length (a torn write over an older file can be as long as a whole one, so torn would pass for damaged and all controllers could have amnesia after one loss of power); a mark before each acknowledgement (one more sync a vote). Chosen: `synced.json` holds the write numbers that are known to have been durable. It is written once the disk has had nothing to do for 0.25 s, so no vote waits for it; a copy that is damaged before that still passes for torn. A disk whose newest intact copy is older than its mark, whose copies are not consecutive, or whose copy has another form counts as lost as a whole: the voter has amnesia and recovers, and marks written first keep it so until both records are written anew. What was found is set aside.

Tests: storage/tests.rs (every byte and length, with and without the mark; a restart in the middle of a recovery; copies of a wrong number, file, form). replica/voter_task/random_schedules.rs drives the voter's task, its writer and the storage with requests and disk operations in any order, power lost at any moment, 400 seeds of 4 lives: what a restart finds is never less than was answered, and nothing torn passes for damaged.

The simulated disk is a crate of its own now, as both tests use it.

--- a/crates/system-simulator/src/disk.rs
+++ b/crates/simulated-disk/src/lib.rs
@@ -4,6 +4,8 @@
 //! decides; a file that was created without a sync of its directory may be gone though the file itself was synced. A
 //! disk can also be slow, hang, be full, or stop before a chosen operation.
 
+#![forbid(unsafe_code)]
+
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::RefCell;
@@ -18,6 +20,8 @@
 
 /// How much longer an operation of a slow disk takes than a sync.
 const SLOWDOWN: u32 = 60;
+/// The most that one operation of an erratic disk takes.
+const MAX_ERRATIC_DELAY: Duration = Duration::from_millis(20);
 
 /// What becomes of operations that were not synced when power is lost. `Display` is the text of a run's events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,6 +80,8 @@
     durable_names: BTreeSet<String>,
     condition: DiskCondition,
     sync_time: Duration,
+    /// Draws how long each operation takes, where that differs.
+    erratic_delays: Option<SmallRng>,
     operations: u64,
     /// The disk stops before this operation.
     breakpoint: Option<u64>,
@@ -107,6 +113,7 @@
             durable_names: BTreeSet::new(),
             condition: DiskCondition::Healthy,
             sync_time,
+            erratic_delays: None,
             operations: 0,
             breakpoint: None,
         };
@@ -123,6 +130,11 @@
         self.condition_changed.notify_waiters();
     }
 
+    /// From now on each operation takes another time, drawn from the seed.
+    pub fn set_erratic(&self, seed: u64) {
+        self.state.borrow_mut().erratic_delays = Some(SmallRng::seed_from_u64(seed));
+    }
+
     /// How many operations were started.
     pub fn operations(&self) -> u64 {
         self.state.borrow().operations
@@ -198,9 +210,18 @@
         if let FileOperation::Sync { .. } | FileOperation::SyncDirectory = operation {
             sleep(sync_time).await;
         }
+        if let Some(delay) = self.draw_erratic_delay() {
+            sleep(delay).await;
+        }
         self.state.borrow_mut().apply(operation)
     }
 
+    fn draw_erratic_delay(&self) -> Option<Duration> {
+        let mut state = self.state.borrow_mut();
+        let delays = state.erratic_delays.as_mut()?;
+        Some(MAX_ERRATIC_DELAY.mul_f64(delays.random::<f64>()))
+    }
+
     async fn wait_while_hung(&self) {
         while self.state.borrow().condition == DiskCondition::Hung {
             self.condition_changed.notified().await;
--- a/crates/system-simulator/src/cluster.rs
+++ b/crates/system-simulator/src/cluster.rs
@@ -32,6 +32,8 @@
 
 /// Separates the draw of clock rates from other draws of the same seed.
 const CLOCK_SEED_SALT: u64 = 0xc10c;
+/// By how much a message may be late in an erratic system.
+const ERRATIC_MAX_JITTER: Duration = Duration::from_millis(60);
 
 /// Which of a machine's programs are meant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -141,6 +143,14 @@
         })
     }
 
+    /// From now on disk operations and messages take times that differ much, and complete in any order.
+    pub fn make_erratic(&self) {
+        self.network.set_max_jitter(ERRATIC_MAX_JITTER);
+        for (number, machine) in self.machines.iter().enumerate() {
+            machine.disk.iter().for_each(|disk| disk.set_erratic(self.seed ^ number as u64));
+        }
+    }
+
     /// Where a controller listens for operators.
     pub fn controller_address(&self, machine: usize) -> SocketAddr {
         SocketAddr::new(self.machines[machine].ip, CONTROL_PORT)
--- a/crates/system-simulator/src/lib.rs
+++ b/crates/system-simulator/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod cluster;
 pub mod configuration;
 pub mod cost;
-pub mod disk;
+pub use vanewharf_simulated_disk as disk;
 mod fault;
 mod fault_generator;
 pub mod ground_truth;
--- a/crates/system-simulator/src/network.rs
+++ b/crates/system-simulator/src/network.rs
@@ -14,6 +14,8 @@
 use tokio::time::Instant;
 use vanewharf_runtime::environment::Network;
 
+/// Jitter of each write, in microseconds.
+const DEFAULT_MAX_JITTER_US: u64 = 400;
 const LOOPBACK_DELAY: Duration = Duration::from_micros(50);
 const SAME_ZONE_DELAY: Duration = Duration::from_micros(300);
 const SAME_REGION_DELAY: Duration = Duration::from_micros(900);
@@ -46,7 +48,6 @@
     idle_at: Instant,
 }
 
-#[derive(Default)]
 struct NetworkState {
     locations: BTreeMap<IpAddr, Location>,
     powered_off: BTreeSet<IpAddr>,
@@ -61,6 +62,25 @@
     connections: u64,
     /// How many unique ids were given out.
     unique_ids: u64,
+    /// The most by which a write is late beyond its link's delay.
+    max_jitter_us: u64,
+}
+
+impl Default for NetworkState {
+    fn default() -> NetworkState {
+        NetworkState {
+            locations: BTreeMap::new(),
+            powered_off: BTreeSet::new(),
+            link_limits: BTreeMap::new(),
+            cuts: BTreeMap::new(),
+            listeners: BTreeMap::new(),
+            channels: Vec::new(),
+            traffic: BTreeMap::new(),
+            connections: 0,
+            unique_ids: 0,
+            max_jitter_us: DEFAULT_MAX_JITTER_US,
+        }
+    }
 }
 
 impl NetworkState {
@@ -133,6 +153,12 @@
         Rc::new(HostNetwork { network: self.clone(), ip })
     }
 
+    /// Sets by how much a write may be late beyond its link's delay. Messages of different connections overtake each other
+    /// then.
+    pub fn set_max_jitter(&self, most: Duration) {
+        self.state.borrow_mut().max_jitter_us = (most.as_micros() as u64).max(1);
+    }
+
     /// Cuts one direction; a link that is cut several times must be healed as often.
     pub fn cut(&self, from: IpAddr, to: IpAddr) {
         *self.state.borrow_mut().cuts.entry((from, to)).or_default() += 1;
--- a/crates/system-simulator/src/network/connection.rs
+++ b/crates/system-simulator/src/network/connection.rs
@@ -16,8 +16,6 @@
 
 /// How many bytes may be in flight before a writer waits for its reader.
 const WINDOW: usize = 256 * 1024;
-/// Jitter of each write, in microseconds.
-const MAX_JITTER_US: u64 = 400;
 /// What the end of a connection takes on top of the link's delay.
 const CLOSE_DELAY: Duration = Duration::from_micros(500);
 
@@ -279,7 +277,7 @@
         }
         let mut state = self.network.state.borrow_mut();
         channel.jitter = hash_seed(channel.jitter, 1);
-        let jitter = Duration::from_micros(channel.jitter % MAX_JITTER_US);
+        let jitter = Duration::from_micros(channel.jitter % state.max_jitter_us);
         let delay = state.delay(channel.from, channel.to) + jitter;
         let due = state.transmit(channel.from, buffer.len()) + delay;
         let arrives_at = channel.after_last_segment(due);
--- a/crates/system-simulator/src/schedule.rs
+++ b/crates/system-simulator/src/schedule.rs
@@ -221,6 +221,8 @@
     pub clock_drift: f64,
     /// Which part of the acknowledgements to operators is lost.
     pub acknowledgement_loss: f64,
+    /// Whether disk operations and messages take times that differ much, so that they complete in any order.
+    pub erratic: bool,
     /// What operators command.
     pub commands: Vec<ScheduledCommand>,
     /// What goes wrong.
--- a/crates/system-simulator/src/schedule/file.rs
+++ b/crates/system-simulator/src/schedule/file.rs
@@ -101,6 +101,8 @@
     drift: f64,
     #[serde(default)]
     answers_lost: f64,
+    #[serde(default)]
+    erratic: bool,
     #[serde(default, rename = "order")]
     commands: Vec<CommandEntry>,
     #[serde(default, rename = "trouble")]
@@ -187,6 +189,7 @@
             spares: table.spares,
             clock_drift: table.drift,
             acknowledgement_loss: table.answers_lost,
+            erratic: table.erratic,
             commands,
             faults: faults.collect::<Checked<_>>()?,
         })
--- a/crates/system-simulator/src/schedule/hard.rs
+++ b/crates/system-simulator/src/schedule/hard.rs
@@ -24,6 +24,9 @@
 const OVERLAP_SEED_SALT: u64 = 0x0e1a;
 /// How often losses overlap beyond what is tolerated.
 const OVERLAP_PROBABILITY: f64 = 0.2;
+const ERRATIC_SEED_SALT: u64 = 0xe44a;
+/// How often disk operations and messages complete in any order.
+const ERRATIC_PROBABILITY: f64 = 0.35;
 /// By which part clocks are off, where they are.
 const CLOCK_DRIFT: f64 = 0.05;
 /// Which part of the acknowledgements is lost, where some are.
@@ -95,7 +98,7 @@
 pub fn draw_schedule(parameters: SimulationParameters, seed: u64) -> Schedule {
     let mut rng = SmallRng::seed_from_u64(seed ^ SEED_SALT);
     let drawn = THEME_WEIGHTS.choose_weighted(&mut rng, |(_, weight)| *weight).expect("there are themes").0;
-    let losses_overlap = SmallRng::seed_from_u64(seed ^ OVERLAP_SEED_SALT).random_bool(OVERLAP_PROBABILITY);
+    let losses_overlap = draw_separately(seed, OVERLAP_SEED_SALT, OVERLAP_PROBABILITY);
     let theme = if losses_overlap { Theme::OverlappingLosses } else { drawn };
     let spare_probability = if theme == Theme::Membership { 0.8 } else { 0.15 };
     let spares = if rng.random_bool(spare_probability) { SPARES } else { 0 };
@@ -125,11 +128,17 @@
         spares,
         clock_drift: if drifting { CLOCK_DRIFT } else { 0.0 },
         acknowledgement_loss: if losing { ACKNOWLEDGEMENT_LOSS } else { 0.0 },
+        erratic: draw_separately(seed, ERRATIC_SEED_SALT, ERRATIC_PROBABILITY),
         commands,
         faults: generator.faults,
     }
 }
 
+/// A draw that changes none of the others.
+fn draw_separately(seed: u64, salt: u64, probability: f64) -> bool {
+    SmallRng::seed_from_u64(seed ^ salt).random_bool(probability)
+}
+
 impl ScheduleGenerator {
     /// When the first fault or command may come, in seconds.
     fn start(&self) -> f64 {
--- a/crates/system-simulator/src/scheduled_run.rs
+++ b/crates/system-simulator/src/scheduled_run.rs
@@ -58,6 +58,9 @@
 async fn run(schedule: &Schedule, tamper: impl FnOnce(&mut History)) -> RunOutcome {
     let Schedule { parameters, seed, .. } = *schedule;
     let cluster = Cluster::with_spares(parameters, seed, schedule.spares, schedule.clock_drift);
+    if schedule.erratic {
+        cluster.make_erratic();
+    }
     let started = Instant::now();
     create_backends(&cluster);
     cluster.start();
--- a/crates/system-simulator/tests/checker.rs
+++ b/crates/system-simulator/tests/checker.rs
@@ -46,6 +46,7 @@
         spares: 0,
         clock_drift: 0.0,
         acknowledgement_loss: 0.0,
+        erratic: false,
         commands: vec![replace_at(9.0), replace_at(10.0), replace_at(LAST_CHANGE_S)],
         faults,
     }
--- a/programs/controller/src/lib.rs
+++ b/programs/controller/src/lib.rs
@@ -31,13 +31,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use storage::{Record, Storage, StoredRecords};
+use storage::{LostRecord, Record, Storage, StoredRecords};
 use thiserror::Error;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 use vanewharf_config::document::DocumentError;
 use vanewharf_config::settings::Settings;
 use vanewharf_consensus::{StartKind, Voter, VoterRecord};
+use vanewharf_protocol::messages::Register;
 use vanewharf_rpc::{Publisher, ServerDrain, serve_deduplicated_until_drained, serve_until_drained};
 use vanewharf_runtime::environment::{Environment, Listener};
 use vanewharf_runtime::program::ShutdownSignal;
@@ -139,20 +140,25 @@
     publisher: &Publisher,
 ) -> Result<Rc<Replica>, StartError> {
     let directory = environment.directory.clone().ok_or(StartError::NoDataDirectory)?;
-    let stored = StoredRecords::load(&*directory).map_err(StartError::ReadRecords)?;
+    let mut stored = StoredRecords::load(&*directory).map_err(StartError::ReadRecords)?;
+    let (voter_record, register): (Option<VoterRecord>, Option<Register>) = stored.decode_all();
     for file in &stored.corrupt_files {
         spdlog::warn!(
             "a stored record is torn or corrupt; the file is renamed and the other copy is used",
             kv: { event = "record_corrupt", file = file.as_str() }
         );
     }
+    for LostRecord { record, reason } in &stored.lost_records {
+        spdlog::error!(
+            "a record that was on this disk is lost; the disk counts as lost, and the voter recovers from other members",
+            kv: { event = "record_lost", record:? = record, reason = reason.to_string().as_str() }
+        );
+    }
     let storage = Storage::start(directory, &stored);
     let seeds: Vec<SocketAddr> =
         settings.seeds.iter().map(|seed| settings.controller_address(seed.ip())).collect();
     let is_first_start = settings.initial_start && stored.is_empty();
     let start_kind = if is_first_start { StartKind::Initial } else { StartKind::Restart };
-    let voter_record: Option<VoterRecord> = stored.decode(Record::Voter);
-    let register = stored.decode(Record::Register);
     let voter = Voter::start(voter_record.as_ref(), register, &seeds, start_kind, publisher.now());
     if is_first_start && let Err(error) = storage.save(Record::Voter, &voter.record()).await {
         spdlog::warn!(
--- a/programs/controller/src/replica/voter_task.rs
+++ b/programs/controller/src/replica/voter_task.rs
@@ -223,5 +223,7 @@
     }
 }
 
+#[cfg(test)]
+mod random_schedules;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/programs/controller/src/replica/voter_task/random_schedules.rs
@@ -0,0 +1,215 @@
+//! The voter with its disk under random schedules: requests of leaseholders, learned registers and other writes come close
+//! together, the disk takes another time for each operation, and power is lost at any moment. What a restart finds is never
+//! less than what was answered before.
+//!
+//! Time is simulated, so that a seed has one outcome.
+
+use super::*;
+use crate::storage::{Record, StoredRecords};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+use vanewharf_consensus::{StartKind, Voter, VoterRecord};
+use vanewharf_protocol::messages::{Ballot, RegisterRank, Revision};
+use vanewharf_rpc::Publisher;
+use vanewharf_runtime::environment::{BoxFuture, Directory, Environment, Listener, Network, Stream};
+use vanewharf_runtime::invariants::Invariant;
+use vanewharf_simulated_disk::{DiskCondition, SimulatedDisk, UnsyncedData};
+
+const SEEDS: u64 = 400;
+/// How often the process of one seed is started.
+const LIVES: u64 = 4;
+const REQUESTS_PER_LIFE: u64 = 14;
+/// Requests come within this time, in milliseconds; power is lost within twice that.
+const REQUEST_SPAN_MS: u64 = 150;
+const SYNC_TIME: Duration = Duration::from_millis(2);
+const BALLOTS: u64 = 4;
+const REVISIONS: u64 = 12;
+const MEMBERS: [&str; 3] = ["10.0.0.1:7600", "10.0.0.2:7600", "10.0.0.3:7600"];
+
+fn members() -> Vec<SocketAddr> {
+    MEMBERS.iter().map(|member| member.parse().expect("an address")).collect()
+}
+
+/// Nobody can be reached: the voter is alone with what the test sends.
+struct NoNetwork;
+
+impl Network for NoNetwork {
+    fn connect(&self, _to: SocketAddr) -> BoxFuture<'static, io::Result<Stream>> {
+        Box::pin(async { Err(io::ErrorKind::ConnectionRefused.into()) })
+    }
+
+    fn listen(&self, _at: SocketAddr) -> io::Result<Box<dyn Listener>> {
+        Err(io::ErrorKind::Unsupported.into())
+    }
+
+    fn unique_id(&self) -> u64 {
+        1
+    }
+}
+
+/// What the voter has answered for, over all its lives.
+#[derive(Debug, Default)]
+struct Promises {
+    ballot: Ballot,
+    accepted: RegisterRank,
+    incarnations: BTreeMap<SocketAddr, u64>,
+    /// Registers that were accepted although a newer one had been learned: each could be counted for a majority that the
+    /// committed register does not stand for.
+    accepted_too_late: Vec<RegisterRank>,
+}
+
+impl Promises {
+    fn record(&mut self, request: &VoteRequest, vote: &Vote) {
+        match (request, vote) {
+            (VoteRequest::Lease { ballot, .. }, Vote::Granted { .. })
+            | (VoteRequest::Renew { ballot, .. }, Vote::Accepted) => self.ballot = self.ballot.max(*ballot),
+            (VoteRequest::Accept { register }, Vote::Accepted) => {
+                self.ballot = self.ballot.max(register.ballot);
+                self.accepted = self.accepted.max(register.rank());
+            }
+            (VoteRequest::Recover { member, incarnation }, Vote::Recovered { promised, register }) => {
+                self.ballot = self.ballot.max(*promised);
+                self.accepted = self.accepted.max(register.rank());
+                let known = self.incarnations.entry(*member).or_default();
+                *known = (*known).max(*incarnation);
+            }
+            _ => {}
+        }
+    }
+
+    fn assert_kept(&self, stored: &mut StoredRecords, seed: u64) {
+        assert_eq!(self.accepted_too_late, [], "seed {seed}");
+        assert_eq!(stored.lost_records, [], "seed {seed}: what was torn passes for damaged");
+        let (record, register): (Option<VoterRecord>, Option<Register>) = stored.decode_all();
+        let register = register.unwrap_or_else(Register::empty);
+        assert!(register.rank() >= self.accepted, "seed {seed}: {:?} on disk, {self:?}", register.rank());
+        let record = record.unwrap_or_default();
+        let promised = record.ballot.max(register.ballot);
+        assert!(promised >= self.ballot, "seed {seed}: {promised:?} on disk, {self:?}");
+        for (member, incarnation) in &self.incarnations {
+            let known = record.peer_incarnations.get(member).copied().unwrap_or(0);
+            assert!(known >= *incarnation, "seed {seed}: {known} of {member} on disk, {self:?}");
+        }
+    }
+}
+
+/// What the test sends to the voter.
+enum Input {
+    Request(VoteRequest),
+    /// The leaseholder has published a register, which this process has pulled.
+    Learn(Register),
+    CountProxies(u32),
+}
+
+fn draw_register(rng: &mut SmallRng, replica: &Replica) -> Register {
+    let ballot = Ballot(rng.random_range(1..=BALLOTS) << 20);
+    let revision = Revision(rng.random_range(1..=REVISIONS));
+    Register { ballot, revision, membership: replica.membership(), ..Register::empty() }
+}
+
+fn draw_input(rng: &mut SmallRng, replica: &Replica) -> Input {
+    let ballot = Ballot(rng.random_range(1..=BALLOTS) << 20);
+    let peer = members()[rng.random_range(1..MEMBERS.len())];
+    Input::Request(match rng.random_range(0..10) {
+        0 => VoteRequest::Lease { ballot, candidate: peer },
+        1 => VoteRequest::Renew { ballot, leaseholder: peer },
+        2 => VoteRequest::Recover { member: peer, incarnation: rng.random_range(1..9) },
+        3 => return Input::CountProxies(rng.random_range(1..9)),
+        4 | 5 => return Input::Learn(draw_register(rng, replica)),
+        _ => VoteRequest::Accept { register: draw_register(rng, replica) },
+    })
+}
+
+async fn send(replica: Rc<Replica>, input: Input, promises: Rc<RefCell<Promises>>) {
+    match input {
+        Input::Request(request) => {
+            let learned = replica.publisher.store().register.as_deref().map(Register::rank);
+            let response = replica.handle_vote_request(request.clone()).await;
+            promises.borrow_mut().record(&request, &response.vote);
+            if let (VoteRequest::Accept { register }, Vote::Accepted) = (&request, &response.vote)
+                && Some(register.rank()) < learned
+            {
+                promises.borrow_mut().accepted_too_late.push(register.rank());
+            }
+        }
+        Input::Learn(register) => {
+            let published = replica.publisher.store().register.as_deref().map(Register::rank);
+            if Some(register.rank()) > published {
+                replica.publisher.update(|store| store.set_register(Rc::new(register)));
+                replica.persist_published_register();
+            }
+        }
+        Input::CountProxies(count) => replica.record_proxy_count(count),
+    }
+}
+
+/// One life of the process: it starts from its disk, and is gone at any moment after.
+async fn live(disk: SimulatedDisk, life: u64, seed: u64, promises: Rc<RefCell<Promises>>) {
+    let mut rng = SmallRng::seed_from_u64(seed << 8 | life);
+    let directory: Rc<dyn Directory> = Rc::new(disk.clone());
+    let environment = Environment::new(Rc::new(NoNetwork), Some(Rc::clone(&directory)), seed);
+    let mut stored = StoredRecords::load(&*directory).expect("it can be read");
+    let (record, register): (Option<VoterRecord>, _) = stored.decode_all();
+    let storage = Storage::start(directory, &stored);
+    let publisher = Publisher::new(environment.clock());
+    let kind = if life == 0 { StartKind::Initial } else { StartKind::Restart };
+    let voter = Voter::start(record.as_ref(), register, &members(), kind, publisher.now());
+    if life == 0 {
+        storage.save(Record::Voter, &voter.record()).await.expect("an empty disk takes it");
+    }
+    let replica = Replica::start(members()[0], members(), voter, storage, publisher, environment);
+    for _ in 0..REQUESTS_PER_LIFE {
+        let at = Duration::from_millis(rng.random_range(0..REQUEST_SPAN_MS));
+        let (replica, promises) = (Rc::clone(&replica), Rc::clone(&promises));
+        let input = draw_input(&mut rng, &replica);
+        tokio::task::spawn_local(async move {
+            sleep(at).await;
+            send(replica, input, promises).await;
+        });
+    }
+    if rng.random_bool(0.3) {
+        let condition = if rng.random_bool(0.5) { DiskCondition::Full } else { DiskCondition::Hung };
+        sleep(Duration::from_millis(rng.random_range(0..REQUEST_SPAN_MS))).await;
+        disk.set_condition(condition);
+        sleep(Duration::from_millis(rng.random_range(0..REQUEST_SPAN_MS))).await;
+        disk.set_condition(DiskCondition::Healthy);
+    }
+    sleep(Duration::from_millis(rng.random_range(0..2 * REQUEST_SPAN_MS))).await;
+}
+
+fn run_seed(seed: u64) {
+    let disk = SimulatedDisk::new(SYNC_TIME);
+    disk.set_erratic(seed);
+    let promises = Rc::new(RefCell::new(Promises::default()));
+    let mut rng = SmallRng::seed_from_u64(seed);
+    for life in 0..LIVES {
+        let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
+        let tasks = LocalSet::new();
+        let run = tasks.run_until(live(disk.clone(), life, seed, Rc::clone(&promises)));
+        runtime.expect("a runtime").block_on(run);
+        // The process is gone with all that it was about to do.
+        drop(tasks);
+        disk.set_condition(DiskCondition::Healthy);
+        disk.lose_power(match rng.random_range(0..3) {
+            0 => UnsyncedData::Lost,
+            1 => UnsyncedData::Kept,
+            _ => UnsyncedData::Torn(rng.random()),
+        });
+        let mut stored = StoredRecords::load(&disk).expect("it can be read");
+        promises.borrow().assert_kept(&mut stored, seed);
+    }
+}
+
+#[test]
+fn a_restart_finds_no_less_than_was_answered() {
+    vanewharf_runtime::log::disable();
+    (0..SEEDS).for_each(run_seed);
+    assert_eq!(Invariant::DiskNeverGoesBack.violations(), 0);
+}
--- a/programs/controller/src/replica/voter_task/tests.rs
+++ b/programs/controller/src/replica/voter_task/tests.rs
@@ -120,12 +120,15 @@
 
 #[test]
 fn what_was_voted_last_is_what_a_restart_finds() {
-    let register: Option<Register> = disk_after(learn_and_accept).decode(Record::Register);
+    let register: Option<Register> =
+        disk_after(learn_and_accept).decode(Record::Register).expect("a known form");
     assert_eq!(register.map(|register| register.revision), Some(Revision(6)));
-    let record: Option<VoterRecord> = disk_after(count_and_promise).decode(Record::Voter);
+    let record: Option<VoterRecord> =
+        disk_after(count_and_promise).decode(Record::Voter).expect("a known form");
     let promised = record.map(|record| (record.ballot, record.quota_divisor));
     assert_eq!(promised, Some((BALLOT, PROXY_COUNT)));
-    let record: Option<VoterRecord> = disk_after(recover_and_promise).decode(Record::Voter);
+    let record: Option<VoterRecord> =
+        disk_after(recover_and_promise).decode(Record::Voter).expect("a known form");
     let promised = record.map(|record| (record.ballot, record.peer_incarnations.get(&seeds()[2]).copied()));
     assert_eq!(promised, Some((BALLOT, Some(INCARNATION))));
 }
@@ -140,7 +143,7 @@
         let response = voter.replica.handle_vote_request(VoteRequest::Accept { register: older }).await;
         assert!(matches!(response.vote, Vote::Refused { .. }), "{response:?}");
     });
-    let register: Option<Register> = stored.decode(Record::Register);
+    let register: Option<Register> = stored.decode(Record::Register).expect("a known form");
     assert_eq!(register.map(|register| register.revision), Some(Revision(5)));
 }
 
@@ -161,7 +164,7 @@
         voter.refuses.set(false);
         assert!(matches!(accept(4).await, Vote::Accepted));
     });
-    let register: Option<Register> = stored.decode(Record::Register);
+    let register: Option<Register> = stored.decode(Record::Register).expect("a known form");
     assert_eq!(register.map(|register| register.revision), Some(Revision(4)));
     assert_eq!(Invariant::DiskNeverGoesBack.violations(), 0);
 }
--- a/programs/controller/src/storage.rs
+++ b/programs/controller/src/storage.rs
@@ -4,9 +4,15 @@
 //! leaves the other copy as it was. One task owns the write counters and carries out one operation at a time, so a file is
 //! never written by two operations at once.
 //!
+//! A copy that cannot be read is one of two things. Either its write was never finished, then nothing was acknowledged by
+//! it and the older copy stands. Or it was durable and is damaged; then the disk has forgotten something, and a voter that
+//! went by the older copy would break its promises. [`synced_marks`] tell which: such a disk counts as lost
+//! ([`StoredRecords::lost_records`]), as a whole.
+//!
 //! Invariant: a save is acknowledged only once the copy, and the directory entry that names it, have been synced.
 
 mod record_file;
+mod synced_marks;
 
 use record_file::{encode_copy, read_copy};
 use serde::Serialize;
@@ -14,8 +20,11 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
+use synced_marks::SyncedMarks;
 use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 use vanewharf_runtime::environment::{Directory, FileOperation};
 
 /// A kind of record that is stored.
@@ -30,6 +39,10 @@
 const RECORDS: [Record; 2] = [Record::Voter, Record::Register];
 /// How many files each record alternates between.
 const COPIES: u64 = 2;
+/// Marks are written when nothing was requested for so long, so that no vote waits for them.
+const MARK_DELAY: Duration = Duration::from_millis(250);
+/// Marks that could not be written are tried again after this.
+const MARK_RETRY_INTERVAL: Duration = Duration::from_secs(5);
 
 impl Record {
     /// The name of the file that holds the copy which the write of that number goes to. File names are fixed by what is on
@@ -55,6 +68,9 @@
     /// The record is older than one that was to be written before it, and is not written.
     #[error("the record is older than one that was to be written before it")]
     Outdated,
+    /// A record was lost from this disk, and that cannot be noted on it.
+    #[error("the loss of a record cannot be noted on disk: {0}")]
+    LossNotNoted(#[source] io::Error),
     /// The task that writes records has ended, as it does with the program.
     #[error("the storage task has ended")]
     Stopped,
@@ -66,8 +82,46 @@
     bodies: [Option<Vec<u8>>; RECORDS.len()],
     /// The number of the newest write of each record.
     write_numbers: [u64; RECORDS.len()],
-    /// Files whose content is torn or corrupt; [`Storage::start`] renames them.
+    marks: SyncedMarks,
+    intact_files: Vec<String>,
+    /// Files whose content is torn, corrupt or of a disk that has lost something; [`Storage::start`] renames them.
     pub corrupt_files: Vec<String>,
+    /// Records that were durable and that this disk has no more. The disk counts as lost, and the other records are not
+    /// given out.
+    pub lost_records: Vec<LostRecord>,
+}
+
+/// A record that was durable and is not found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostRecord {
+    /// Which one.
+    pub record: Record,
+    /// Why it counts as lost.
+    pub reason: LossReason,
+}
+
+/// Why a record counts as lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum LossReason {
+    /// A later write was durable than that of the newest intact copy.
+    #[error("write {marked} was durable, and the newest intact copy is of write {found}")]
+    OlderThanMark {
+        /// The write that was durable.
+        marked: u64,
+        /// The newest intact copy's; 0: there is none.
+        found: u64,
+    },
+    /// The two copies are not of consecutive writes, so that one of them is not this program's.
+    #[error("its copies are of writes {older} and {newer}")]
+    NotConsecutive {
+        /// The lower number.
+        older: u64,
+        /// The higher number.
+        newer: u64,
+    },
+    /// Its form is not one that this program knows.
+    #[error("its intact copy has another form than this program knows")]
+    UnknownForm,
 }
 
 impl StoredRecords {
@@ -78,42 +132,105 @@
     pub fn load(directory: &dyn Directory) -> io::Result<StoredRecords> {
         let mut stored = StoredRecords::default();
         let mut files = directory.read_all()?;
+        let marks = files.remove(synced_marks::FILE_NAME);
+        stored.marks = marks.map(|content| SyncedMarks::read(&content)).unwrap_or_default();
         for record in RECORDS {
+            let mut intact_writes = Vec::new();
             for copy in 0..COPIES {
                 let file_name = record.file_name(copy);
                 if let Some(content) = files.remove(&file_name) {
-                    stored.add_copy(record, file_name, &content);
+                    intact_writes.extend(stored.add_copy(record, file_name, &content));
                 }
             }
+            if let Some(reason) = loss_reason(&intact_writes, stored.marks.of_record(record)) {
+                stored.lost_records.push(LostRecord { record, reason });
+            }
+        }
+        if !stored.lost_records.is_empty() {
+            stored.forget_all();
         }
         Ok(stored)
     }
 
-    fn add_copy(&mut self, record: Record, file_name: String, content: &[u8]) {
+    /// Takes over a copy where it is the newest so far. Returns the number of its write, where it is intact.
+    fn add_copy(&mut self, record: Record, file_name: String, content: &[u8]) -> Option<u64> {
         let newest_write = &mut self.write_numbers[record as usize];
         match read_copy(content) {
-            Some(copy) if copy.write_number >= *newest_write => {
-                *newest_write = copy.write_number;
-                self.bodies[record as usize] = Some(copy.body.to_vec());
+            // A copy whose number belongs to the other file was not written there.
+            Some(copy) if record.file_name(copy.write_number) == file_name => {
+                if copy.write_number >= *newest_write {
+                    *newest_write = copy.write_number;
+                    self.bodies[record as usize] = Some(copy.body.to_vec());
+                }
+                self.intact_files.push(file_name);
+                Some(copy.write_number)
             }
-            Some(_) => {}
             // The file was created, and the power went before its content was written.
-            None if content.is_empty() => {}
-            None => self.corrupt_files.push(file_name),
+            None if content.is_empty() => None,
+            Some(_) | None => {
+                self.corrupt_files.push(file_name);
+                None
+            }
+        }
+    }
+
+    /// Nothing on a disk that has lost something can be gone by: all copies are set aside. Later writes have numbers above
+    /// all that was there.
+    fn forget_all(&mut self) {
+        self.corrupt_files.append(&mut self.intact_files);
+        for record in RECORDS {
+            self.bodies[record as usize] = None;
+            let write_number = &mut self.write_numbers[record as usize];
+            *write_number = self.marks.of_record(record).max(*write_number);
         }
     }
 
-    /// The record, or `None` where it was never written or cannot be decoded.
-    pub fn decode<T: DeserializeOwned>(&self, record: Record) -> Option<T> {
-        serde_json::from_slice(self.bodies[record as usize].as_deref()?).ok()
+    /// The record, or `None` where it was never written or the disk counts as lost.
+    ///
+    /// # Errors
+    /// Where the record has a form that this program does not know.
+    pub fn decode<T: DeserializeOwned>(&self, record: Record) -> serde_json::Result<Option<T>> {
+        self.bodies[record as usize].as_deref().map(serde_json::from_slice).transpose()
+    }
+
+    /// Decodes both records. Where one has an unknown form the disk counts as lost from then on.
+    pub fn decode_all<V: DeserializeOwned, R: DeserializeOwned>(&mut self) -> (Option<V>, Option<R>) {
+        let (voter, register) = (self.decode(Record::Voter), self.decode(Record::Register));
+        let results = [(Record::Voter, voter.is_err()), (Record::Register, register.is_err())];
+        let unknown = results.into_iter().filter(|(_, is_unknown)| *is_unknown);
+        let lost = unknown.map(|(record, _)| LostRecord { record, reason: LossReason::UnknownForm });
+        self.lost_records.extend(lost);
+        match (voter, register) {
+            (Ok(voter), Ok(register)) => (voter, register),
+            _ => {
+                self.forget_all();
+                (None, None)
+            }
+        }
     }
 
-    /// Whether no record was found.
+    /// Whether nothing was ever written, as far as can be told.
     pub fn is_empty(&self) -> bool {
-        self.bodies.iter().all(Option::is_none)
+        self.lost_records.is_empty() && self.bodies.iter().all(Option::is_none)
+    }
+
+    /// Marks by which a disk that has lost something counts as lost until both records have been written anew.
+    fn marks_after_loss(&self) -> Option<SyncedMarks> {
+        let next_writes = self.write_numbers.map(|number| number + 1);
+        (!self.lost_records.is_empty()).then(|| SyncedMarks::of_write_numbers(next_writes))
     }
 }
 
+/// Whether a record was durable of which the disk has only these intact copies, or which cannot be what was written.
+fn loss_reason(intact_writes: &[u64], marked: u64) -> Option<LossReason> {
+    let newer = intact_writes.iter().copied().max().unwrap_or(0);
+    let older = intact_writes.iter().copied().min().unwrap_or(0);
+    if newer < marked {
+        return Some(LossReason::OlderThanMark { marked, found: newer });
+    }
+    (newer > older + 1).then_some(LossReason::NotConsecutive { older, newer })
+}
+
 enum Operation {
     SyncDirectory,
     Write { record: Record, body: Vec<u8> },
@@ -121,7 +238,7 @@
 
 struct Request {
     operation: Operation,
-    reply: oneshot::Sender<io::Result<()>>,
+    reply: oneshot::Sender<Result<(), StorageError>>,
 }
 
 /// A handle of the task that writes records. Clones share the task.
@@ -134,7 +251,13 @@
     /// Starts the task on the current local set. Corrupt files are renamed before the first operation.
     pub fn start(directory: Rc<dyn Directory>, stored: &StoredRecords) -> Storage {
         let (requests, received) = mpsc::unbounded_channel();
-        let writer = Writer { directory, write_numbers: stored.write_numbers, synced_names: BTreeSet::new() };
+        let writer = Writer {
+            directory,
+            write_numbers: stored.write_numbers,
+            synced_names: BTreeSet::new(),
+            marks: stored.marks,
+            marks_after_loss: stored.marks_after_loss(),
+        };
         tokio::task::spawn_local(writer.run(stored.corrupt_files.clone(), received));
         Storage { requests }
     }
@@ -177,7 +300,7 @@
 
 /// An operation that was requested.
 pub struct PendingSave {
-    result: oneshot::Receiver<io::Result<()>>,
+    result: oneshot::Receiver<Result<(), StorageError>>,
 }
 
 impl PendingSave {
@@ -189,7 +312,7 @@
     /// # Cancel safety
     /// The operation is carried out also where the caller stops waiting.
     pub async fn wait(self) -> Result<(), StorageError> {
-        Ok(self.result.await.map_err(|_| StorageError::Stopped)??)
+        self.result.await.map_err(|_| StorageError::Stopped)?
     }
 }
 
@@ -199,6 +322,10 @@
     write_numbers: [u64; RECORDS.len()],
     /// Files whose directory entry this process has synced.
     synced_names: BTreeSet<String>,
+    /// Those on disk, as far as this process knows.
+    marks: SyncedMarks,
+    /// The disk has lost a record: these have to be on disk before anything else is, so that a restart still knows.
+    marks_after_loss: Option<SyncedMarks>,
 }
 
 impl Writer {
@@ -209,16 +336,64 @@
             // Where this fails, the file is overwritten by a later write.
             let _ = self.directory.execute(operations).await;
         }
-        while let Some(Request { operation, reply }) = requests.recv().await {
-            let result = match operation {
-                Operation::SyncDirectory => self.directory.execute(vec![FileOperation::SyncDirectory]).await,
-                Operation::Write { record, body } => self.write(record, &body).await,
-            };
+        while let Some(Request { operation, reply }) = self.next_request(&mut requests).await {
+            let result = self.execute(operation).await;
             // A caller that has stopped waiting needs no result.
             let _ = reply.send(result);
         }
     }
 
+    /// The next request. Marks are written when none comes for a while; `None` once all handles are gone.
+    async fn next_request(&mut self, requests: &mut mpsc::UnboundedReceiver<Request>) -> Option<Request> {
+        let mut delay = MARK_DELAY;
+        while self.marks_after_loss.is_none() && self.marks != self.current_marks() {
+            // `recv` is cancel safe: no request is lost where the timeout ends it.
+            if let Ok(request) = timeout(delay, requests.recv()).await {
+                return request;
+            }
+            if self.write_marks(self.current_marks()).await.is_err() {
+                delay = MARK_RETRY_INTERVAL;
+            }
+        }
+        requests.recv().await
+    }
+
+    /// Of all writes that are known to have been durable.
+    fn current_marks(&self) -> SyncedMarks {
+        self.marks.raised_to(SyncedMarks::of_write_numbers(self.write_numbers))
+    }
+
+    async fn execute(&mut self, operation: Operation) -> Result<(), StorageError> {
+        match operation {
+            Operation::SyncDirectory => {
+                Ok(self.directory.execute(vec![FileOperation::SyncDirectory]).await?)
+            }
+            Operation::Write { record, body } => {
+                self.note_loss().await?;
+                Ok(self.write(record, &body).await?)
+            }
+        }
+    }
+
+    /// Where a record was lost: makes sure that the disk counts as lost until both records have been written anew.
+    async fn note_loss(&mut self) -> Result<(), StorageError> {
+        if let Some(marks) = self.marks_after_loss {
+            self.write_marks(marks).await.map_err(StorageError::LossNotNoted)?;
+            self.marks_after_loss = None;
+        }
+        Ok(())
+    }
+
+    async fn write_marks(&mut self, marks: SyncedMarks) -> io::Result<()> {
+        let file = synced_marks::FILE_NAME.to_owned();
+        let bytes = marks.encode()?;
+        let is_new = !self.synced_names.contains(&file);
+        self.directory.execute(write_and_sync(file.clone(), bytes, is_new)).await?;
+        self.synced_names.insert(file);
+        self.marks = marks;
+        Ok(())
+    }
+
     /// A write that failed is retried over the same copy, so that the durable one is never overwritten.
     async fn write(&mut self, record: Record, body: &[u8]) -> io::Result<()> {
         let write_number = self.write_numbers[record as usize] + 1;
@@ -239,11 +414,13 @@
     body: &[u8],
     name_is_synced: bool,
 ) -> Vec<FileOperation> {
-    let file = record.file_name(write_number);
-    let bytes = encode_copy(write_number, body);
+    write_and_sync(record.file_name(write_number), encode_copy(write_number, body), !name_is_synced)
+}
+
+fn write_and_sync(file: String, bytes: Vec<u8>, name_is_new: bool) -> Vec<FileOperation> {
     let mut operations =
         vec![FileOperation::Write { file: file.clone(), bytes }, FileOperation::Sync { file }];
-    if !name_is_synced {
+    if name_is_new {
         operations.push(FileOperation::SyncDirectory);
     }
     operations
--- a/programs/controller/src/storage/record_file.rs
+++ b/programs/controller/src/storage/record_file.rs
@@ -3,6 +3,9 @@
 //! The checksum (CRC-32, eight hexadecimal digits) covers the write number as it is written and the body, so that a torn
 //! or corrupt copy is recognized.
 
+/// No disk lasts for as many writes: a higher number was never written.
+const MAX_WRITE_NUMBER: u64 = u64::MAX / 2;
+
 /// One intact copy of a record.
 pub(super) struct RecordCopy<'a> {
     /// Of two copies the one with the higher number is the newer one.
@@ -23,7 +26,8 @@
     if !is_intact {
         return None;
     }
-    Some(RecordCopy { write_number: write_number.parse().ok()?, body })
+    let write_number = write_number.parse().ok().filter(|number| *number <= MAX_WRITE_NUMBER)?;
+    Some(RecordCopy { write_number, body })
 }
 
 /// Encodes a file.
