Give up a change of the voters after 2 s, so that orders go on under the old ones

Cause: the order executor carries a change of the voters out alone and waited for it for up to 5.5 s: where a majority of the new voters cannot persist it, no order was executed meanwhile. Brought about in the simulator: four controllers, the disks of a voter that stays and of the newcomer hang; a configuration was acknowledged 4.69 s after the change's caller had given up.

Weighed: rounds of orders beside the change (who has to accept a register would change under them); a shorter replication timeout for all (orders on slow disks need it). Chosen: the change is given up after 2 s. A register of it that voters hold is superseded by the next order's, which has the committed membership; joint consensus needs the old majority anyway, so whoever is elected next finds that order. The next change concludes what was begun.

Also golden files of the marks of synced writes, and that a control plane starts beside them and has amnesia below them.

--- a/crates/compatibility/tests/data_directory.rs
+++ b/crates/compatibility/tests/data_directory.rs
@@ -122,6 +122,39 @@
     assert_served("data_directory/served_newest", directory.path());
 }
 
+const MARKS: &str = "synced.json";
+
+/// The marks of synced writes are written once the disk has nothing to do, and a control plane starts beside them.
+#[test]
+fn marks_of_synced_writes_are_written_and_read() {
+    let directory = copy(PRESENT, |_| {});
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    runtime.expect("a runtime").block_on(async {
+        let environment = Environment::of_machine(Some(directory.path().to_owned())).expect("a directory");
+        let folder = environment.directory.expect("a directory");
+        let stored = StoredRecords::load(&*folder).expect("a directory that can be read");
+        let _disk = Storage::start(folder, &stored);
+        // The file is there before its content is.
+        while fs::read(directory.path().join(MARKS)).unwrap_or_default().is_empty() {
+            tokio::task::yield_now().await;
+        }
+    });
+    let marks = fs::read(directory.path().join(MARKS)).expect("a file");
+    assert_golden(&format!("data_directory/marks/{MARKS}"), &marks);
+    assert_served("data_directory/served_newest", directory.path());
+}
+
+/// Where the marks say that more was durable than is found, the control plane has amnesia and serves nothing of it.
+#[test]
+fn less_than_the_marks_say_is_a_lost_disk() {
+    let directory = copy(PRESENT, |directory| {
+        fs::copy(golden_path("data_directory/marks").join(MARKS), directory.join(MARKS)).expect("a copy");
+        fs::remove_file(directory.join("register-0.json")).expect("a file");
+    });
+    assert_served("data_directory/served_after_loss", directory.path());
+    assert!(directory.path().join("promise-0.json.spoilt").exists(), "what was found is kept");
+}
+
 /// What older builds did not write has its default.
 #[test]
 fn older_form_is_read() {
--- a/crates/system-simulator/tests/commands/main.rs
+++ b/crates/system-simulator/tests/commands/main.rs
@@ -34,8 +34,17 @@
 
 /// Runs a test on a cluster of three controllers that has its first configuration.
 fn with_cluster<F: Future<Output = ()>>(seed: u64, test: impl FnOnce(Rc<Cluster>) -> F) {
+    with_cluster_of(PARAMETERS.controllers, seed, test);
+}
+
+/// The same with this many controllers, of which three vote.
+fn with_cluster_of<F: Future<Output = ()>>(
+    controllers: usize,
+    seed: u64,
+    test: impl FnOnce(Rc<Cluster>) -> F,
+) {
     simulate(async move {
-        let cluster = Cluster::new(PARAMETERS, seed);
+        let cluster = Cluster::new(SimulationParameters { controllers, ..PARAMETERS }, seed);
         cluster.start();
         let first = config(1, "first");
         let status = send_until_known(&cluster, 0, REPLACE, &first, ACKNOWLEDGEMENT_TIME).await;
@@ -206,6 +215,39 @@
     });
 }
 
+/// The change needs a majority of the new voters, two of whose disks hang; the old ones are a majority without these.
+#[test]
+fn a_change_of_the_voters_that_cannot_be_accepted_delays_no_command_beyond_its_time() {
+    for seed in 0..6 {
+        with_cluster_of(4, seed, |cluster| async move {
+            // The fourth controller has to be in sync to be taken for a voter.
+            sleep(Duration::from_secs(3)).await;
+            let leaseholder = leaseholder(&cluster).await;
+            let others: Vec<usize> = (0..3).filter(|controller| *controller != leaseholder).collect();
+            let (outgoing, staying, incoming) = (others[0], others[1], 3);
+            for controller in [staying, incoming] {
+                set_disk_condition(&cluster, controller, DiskCondition::Hung);
+            }
+            let ip = |controller: usize| cluster.machines[controller].ip;
+            let path = format!("/-/Voters.Replace/{}/{}", ip(outgoing), ip(incoming));
+            let change = send(&cluster, 1, leaseholder, &path, "").await;
+            assert!(
+                change.is_none(),
+                "it is tried, and cannot be answered: {:?}",
+                change.map(|change| change.status)
+            );
+            let started = Instant::now();
+            assert_eq!(send_at_once(&cluster, vec![Command::replace(2)]).await, 1);
+            println!("acknowledged {:?} after the change's caller gave up", started.elapsed());
+            assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+            for controller in [staying, incoming] {
+                set_disk_condition(&cluster, controller, DiskCondition::Healthy);
+            }
+            assert_eq!(read_configuration(&cluster).await["revision"], "r2");
+        });
+    }
+}
+
 #[test]
 fn a_delayed_command_whose_sender_has_succeeded_elsewhere_changes_nothing() {
     for seed in 0..12 {
--- a/programs/controller/src/orders/executor.rs
+++ b/programs/controller/src/orders/executor.rs
@@ -19,6 +19,9 @@
 const SLOW_ROUND: Duration = Duration::from_millis(600);
 /// The most rounds under one ballot at a time: each is one more write for a voter whose disk is slow.
 const MAX_CONCURRENT_ROUNDS: usize = 2;
+/// A change of the voters that takes longer is given up, as all orders wait for it. Those that it held up are sent again
+/// within a second, and then acknowledged under the old voters.
+const RECONFIGURATION_TIMEOUT: Duration = Duration::from_secs(2);
 /// How often queued orders are looked at while nothing happens.
 const QUEUE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -189,13 +192,14 @@
         (changes, replies)
     }
 
+    /// A change that is given up midway may be in force or not; the next one begins by concluding it.
     async fn reconfigure(&self, Reconfiguration { epoch, voters }: Reconfiguration) -> OrderOutcome {
         if self.replica.membership().epoch != epoch {
             return OrderOutcome::Uncertain;
         }
-        match self.replica.reconfigure(voters).await {
-            ReplicationOutcome::Committed => OrderOutcome::Acknowledged,
-            ReplicationOutcome::Uncertain => OrderOutcome::Uncertain,
+        match timeout(RECONFIGURATION_TIMEOUT, self.replica.reconfigure(voters)).await {
+            Ok(ReplicationOutcome::Committed) => OrderOutcome::Acknowledged,
+            Ok(ReplicationOutcome::Uncertain) | Err(_) => OrderOutcome::Uncertain,
         }
     }
 
