Answer what is open in a gateway shortly before it is killed

Change: `kill_after_s` in the operator's file, 60 s where it is not stated, checked from 1 to 3600. At 0.95 of it all that is open is answered as it stands, and the process ends at 0.98. The proxy's drain and the gateway's share this code now (drain.rs).

--- a/crates/compatibility/tests/documents.rs
+++ b/crates/compatibility/tests/documents.rs
@@ -257,7 +257,7 @@
 #[test]
 fn deployed_gateway_operator_file() {
     let table = deployed("door.toml");
-    assert_eq!(forms(&table), form_set(&["settings: table", "peers: table"]));
+    assert_eq!(forms(&table), form_set(&["kill_after_s: float", "settings: table", "peers: table"]));
     let part = |name: &str| table[name].as_table().expect("a table");
     assert_eq!(forms(part("peers")), form_set(&["listen: string", "doors: array"]));
     let expected =
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod counters;
 pub mod dialect;
 mod discovery;
+pub mod drain;
 pub mod listener;
 pub mod messages;
 mod open_ids;
--- a/programs/gateway/src/operator_config.rs
+++ b/programs/gateway/src/operator_config.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 use thiserror::Error;
 use vanewharf_gateway_settings::{InvalidSetting, Options, UnreadableOption};
 
@@ -26,6 +27,12 @@
     /// A setting cannot be read.
     #[error(transparent)]
     UnreadableOption(#[from] UnreadableOption),
+    /// The time until a kill is out of range.
+    #[error("kill_after_s is refused: {seconds}; from {MIN_KILL_AFTER_S} to {MAX_KILL_AFTER_S} it may be")]
+    KillAfter {
+        /// What the file states.
+        seconds: f64,
+    },
     /// Two gateways are listed at one address.
     #[error("peers.doors is refused: an address stands there twice")]
     DuplicatePeer,
@@ -38,15 +45,36 @@
 }
 
 /// What the operator's file states.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct OperatorConfig {
     #[serde(default)]
     settings: Value,
+    #[serde(default)]
+    kill_after_s: Option<f64>,
+    /// How long after SIGTERM whoever stops the process kills it. What is open shortly before that is answered as it stands.
+    #[serde(skip, default = "default_kill_after")]
+    pub kill_after: Duration,
     /// Where the gateways exchange messages, if they do.
     pub peers: Option<PeerAddresses>,
 }
 
+/// Where nothing is stated: longer than any request of the users lasts, so that the process ends by itself in the end.
+const DEFAULT_KILL_AFTER: Duration = Duration::from_secs(60);
+const MIN_KILL_AFTER_S: f64 = 1.0;
+const MAX_KILL_AFTER_S: f64 = 3600.0;
+
+fn default_kill_after() -> Duration {
+    DEFAULT_KILL_AFTER
+}
+
+impl Default for OperatorConfig {
+    fn default() -> OperatorConfig {
+        let (settings, kill_after) = (Value::Null, DEFAULT_KILL_AFTER);
+        OperatorConfig { settings, kill_after_s: None, kill_after, peers: None }
+    }
+}
+
 /// Where gateways exchange messages. The file's key for the list keeps its old name.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -63,13 +91,17 @@
     ///
     /// # Errors
     ///
-    /// Where the file cannot be read.
+    /// Where the file cannot be read, or a value is out of range.
     pub fn read(path: Option<&Path>) -> Result<OperatorConfig, OperatorConfigError> {
         let Some(path) = path else {
             return Ok(OperatorConfig::default());
         };
         let text = std::fs::read_to_string(path).map_err(|error| unreadable(path, &error))?;
-        toml::from_str(&text).map_err(|error| unreadable(path, &error))
+        let mut config: OperatorConfig = toml::from_str(&text).map_err(|error| unreadable(path, &error))?;
+        if let Some(seconds) = config.kill_after_s {
+            config.kill_after = checked_kill_after(seconds)?;
+        }
+        Ok(config)
     }
 
     /// The platform's settings together with those of this file, checked.
@@ -88,6 +120,11 @@
     }
 }
 
+fn checked_kill_after(seconds: f64) -> Result<Duration, OperatorConfigError> {
+    let in_range = (MIN_KILL_AFTER_S..=MAX_KILL_AFTER_S).contains(&seconds);
+    in_range.then(|| Duration::from_secs_f64(seconds)).ok_or(OperatorConfigError::KillAfter { seconds })
+}
+
 impl PeerAddresses {
     fn check(&self, own_number: Result<usize, UnreadableOption>) -> Result<(), OperatorConfigError> {
         let mut distinct = self.gateways.clone();
@@ -108,3 +145,6 @@
     let reason = error.to_string().trim_end().replace('\n', " ");
     OperatorConfigError::Unreadable { path: path.to_owned(), reason }
 }
+
+#[cfg(test)]
+mod tests;
--- a/programs/gateway/src/server.rs
+++ b/programs/gateway/src/server.rs
@@ -4,6 +4,7 @@
 use crate::config::{GatewayConfig, Settings};
 use crate::counters::Counter;
 use crate::discovery::{Discovery, DiscoveryPacing};
+use crate::drain::{DrainDeadlines, answer_clients};
 use crate::listener::accept_clients;
 use crate::operator_config::PeerAddresses;
 use crate::peers::PeerSocket;
@@ -21,6 +22,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::{JoinError, JoinHandle, spawn_local};
+use tokio::time::Instant;
 use vanewharf_policy::decide::Balancer;
 use vanewharf_policy::interface::{GatewayId, Ticks};
 
@@ -96,6 +98,8 @@
     stop_accepting: Rc<Notify>,
     /// Takes the discovery agent's address after a reload.
     agent: watch::Sender<SocketAddr>,
+    /// How long after SIGTERM the process is killed.
+    kill_after: Duration,
 }
 
 impl Server {
@@ -141,10 +145,11 @@
         let stop_accepting = Rc::new(Notify::new());
         let accepting = spawn_local(accept_clients(listener, Rc::clone(&shared), Rc::clone(&stop_accepting)));
         tracing::info!(name, %listen, "serving");
-        Ok(Server { shared, router, discovery, accepting, stop_accepting, agent })
+        let kill_after = operator.kill_after;
+        Ok(Server { shared, router, discovery, accepting, stop_accepting, agent, kill_after })
     }
 
-    /// Serves until SIGTERM, and then until the last client is answered.
+    /// Serves until SIGTERM, and then until the last client is answered, or until shortly before the process is killed.
     ///
     /// # Errors
     ///
@@ -188,14 +193,12 @@
     /// Accepts clients for a while longer, then waits until all clients are answered.
     async fn shut_down(&mut self) {
         tracing::info!("ending");
+        let deadlines = DrainDeadlines::within(Instant::now(), self.kill_after);
         tokio::time::sleep(ACCEPT_WHILE_ENDING).await;
         self.stop_accepting.notify_one();
         let _ = (&mut self.accepting).await;
-        let resources = &self.shared.resources;
-        resources.begin_drain();
-        while resources.client_count() > 0 {
-            resources.socket_closed.notified().await;
-        }
+        self.shared.resources.begin_drain();
+        answer_clients(&self.shared, deadlines).await;
         self.log_counters();
     }
 }
--- a/programs/gateway/tests/lifecycle.rs
+++ b/programs/gateway/tests/lifecycle.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use serde_json::Value;
 use std::process::Command;
 use std::time::Duration;
 use support::*;
@@ -61,6 +62,32 @@
     assert!(gateway.wait_for_exit().success());
 }
 
+/// Without it the process would end when the request's own time is over, which may be after it is killed.
+#[test]
+fn answers_what_is_open_shortly_before_it_is_killed() {
+    let backend = Backend::new("a", vec![Reaction::Unresponsive]);
+    let change = |config: &mut Value| {
+        config["operator"] = "kill_after_s = 1.5".into();
+        config["settings"]["classes"][1]["hard_limit"] = 60_000.into();
+    };
+    let mut gateway = Gateway::with_config(&[&backend], 1024, 64, 1024, change);
+    let mut client = gateway.client();
+    client.send(&txn("POST", "book", "gold", 50_000, "x"));
+    backend.next_request();
+    let (answer, took) = timed(|| {
+        gateway.signal("-TERM");
+        client.read_answer()
+    });
+    // 0.95 of the time; being late here can only add to it.
+    assert!(took >= Duration::from_millis(1400), "{took:?}");
+    assert_eq!(
+        (answer.status(), answer.field("Connection")),
+        (502, Some("close")),
+        "a backend may have run it"
+    );
+    assert!(gateway.wait_for_exit().success());
+}
+
 #[test]
 fn survives_a_closed_log_pipe() {
     let backend = Backend::new("a", vec![ok("", "seen")]);
--- a/programs/proxy/src/server.rs
+++ b/programs/proxy/src/server.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use vanewharf_config::settings::Settings;
 use vanewharf_gateway::clock::Clock;
+use vanewharf_gateway::drain::{DrainDeadlines, FINISH_SHARE, answer_clients};
 use vanewharf_gateway::listener::accept_clients;
 use vanewharf_gateway::messages::{BackendUpdate, RouterMessage};
 use vanewharf_gateway::open_requests::{OpenRequestState, RequestStage};
@@ -39,11 +40,6 @@
 /// Share of the grace period during which new connections are still accepted, because clients use an older list of
 /// proxies for a while.
 const ACCEPT_SHARE: f64 = 0.7;
-/// Share of the grace period by which requests have to be over. None is admitted that may last longer, and what is then
-/// still in flight from before the shutdown is answered as it stands.
-const FINISH_SHARE: f64 = 0.95;
-/// Share of the grace period after which the process ends even if clients have not received their answers.
-const EXIT_SHARE: f64 = 0.98;
 const TICKS_PER_MS: i64 = Ticks::SECOND.0 / 1000;
 /// Time for the last answers to leave the socket buffers.
 const FLUSH_PAUSE: Duration = Duration::from_millis(10);
@@ -80,6 +76,7 @@
     let shutdown_at = shared.clock.now();
     status.draining.set(true);
     let grace = settings.limits_table.grace_period;
+    // No request is admitted that may last longer.
     snapshot.admission_deadline.set(Some(shutdown_at + to_ticks(grace.mul_f64(FINISH_SHARE))));
     drain(&shared, accepting, &stop_accepting, grace).await;
     check_answered(&shared, shutdown_at);
@@ -137,24 +134,15 @@
 /// Closes each client connection after its next answer, and waits until all are closed or the grace period ends.
 async fn drain(shared: &Shared, accepting: JoinHandle<()>, stop_accepting: &Notify, grace: Duration) {
     let shutdown_at = Instant::now();
-    let finish_at = shutdown_at + grace.mul_f64(FINISH_SHARE);
-    let exit_at = shutdown_at + grace.mul_f64(EXIT_SHARE);
+    let deadlines = DrainDeadlines::within(shutdown_at, grace);
     shared.resources.begin_drain();
     sleep_until(shutdown_at + grace.mul_f64(ACCEPT_SHARE)).await;
     stop_accepting.notify_one();
-    let _ = timeout_at(finish_at, accepting).await;
-    let _ = timeout_at(finish_at, all_clients_closed(&shared.resources)).await;
-    shared.notify_router(RouterMessage::AnswerAll);
-    let _ = timeout_at(exit_at, all_clients_closed(&shared.resources)).await;
+    let _ = timeout_at(deadlines.finish_at, accepting).await;
+    answer_clients(shared, deadlines).await;
     sleep(FLUSH_PAUSE).await;
 }
 
-async fn all_clients_closed(resources: &Resources) {
-    while resources.client_count() > 0 {
-        resources.socket_closed.notified().await;
-    }
-}
-
 /// Checks that the process ends on no request that it has read and not decided, and logs each that has no answer: when it
 /// was read, and whether its answer was known.
 fn check_answered(shared: &Shared, shutdown_at: Ticks) {
