Recognize a late call of a client whose call failed: clients keep their number

Cause: after a `/vote` or `/lend` that failed the caller took a new client with a new number, so that a call which the network held up counted as new when it came: a late `Lease` blocked a vacancy for up to 1.5 s, a late `/lend` leased tokens that nobody used.

Change: ClientPool keeps a client whose call failed or was cancelled and uses it for the next call to that server, whose number is higher; the server's history of calls answers the earlier one as repeated, without effect. Voters' and token clients share the pool; each had a list of its own.

What stays: a late call that arrives before its client's next one counts. The next one is the `Release` at the end of a campaign that failed, or the next batch of tokens.

--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -240,4 +240,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/rpc/src/client/tests.rs
+++ b/crates/rpc/src/client/tests.rs
@@ -12,11 +12,17 @@
 const WITHIN: Duration = Duration::from_millis(300);
 
 /// A network whose other side is the test itself: connections arrive at the receiver.
-struct TestNetwork {
+pub(crate) struct TestNetwork {
     connections: mpsc::UnboundedSender<Stream>,
     last_id: Cell<u64>,
 }
 
+impl TestNetwork {
+    pub(crate) fn new(connections: mpsc::UnboundedSender<Stream>) -> TestNetwork {
+        TestNetwork { connections, last_id: Cell::new(0) }
+    }
+}
+
 impl Network for TestNetwork {
     fn connect(&self, _: SocketAddr) -> BoxFuture<'static, io::Result<Stream>> {
         let (client, server) = duplex(1 << 16);
@@ -37,22 +43,22 @@
 
 fn client_and_connections() -> (RpcClient, mpsc::UnboundedReceiver<Stream>) {
     let (connections, arriving) = mpsc::unbounded_channel();
-    let network: Rc<dyn Network> = Rc::new(TestNetwork { connections, last_id: Cell::new(0) });
+    let network: Rc<dyn Network> = Rc::new(TestNetwork::new(connections));
     let client = RpcClient::new("10.0.0.1:7600".parse().expect("an address"), &network);
     (client, arriving)
 }
 
 /// The other side of one connection.
-struct TestServer(Framed<Stream, ServerCodec>);
+pub(crate) struct TestServer(Framed<Stream, ServerCodec>);
 
 impl TestServer {
-    async fn accept(arriving: &mut mpsc::UnboundedReceiver<Stream>) -> TestServer {
+    pub(crate) async fn accept(arriving: &mut mpsc::UnboundedReceiver<Stream>) -> TestServer {
         let stream = arriving.recv().await.expect("it connects");
         TestServer(Framed::new(stream, ServerCodec::with_max_body(MAX_BODY_BYTES)))
     }
 
     /// The path and the id of the next call.
-    async fn receive(&mut self) -> (String, Option<String>) {
+    pub(crate) async fn receive(&mut self) -> (String, Option<String>) {
         let request = self.0.next().await.expect("a call").expect("that can be read");
         (request.target().to_owned(), request.field(CALL_ID).map(str::to_owned))
     }
@@ -64,7 +70,7 @@
     }
 }
 
-async fn run_with_deadline(test: impl Future<Output = ()>) {
+pub(crate) async fn run_with_deadline(test: impl Future<Output = ()>) {
     // By the simulated clock: a test that waits for what never comes fails.
     let result = timeout(Duration::from_secs(60), LocalSet::new().run_until(test)).await;
     result.expect("what was waited for has come");
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod client;
+mod client_pool;
 mod compression;
 mod error;
 mod limits;
@@ -15,6 +16,7 @@
 mod server;
 
 pub use client::{RawResponse, RpcClient};
+pub use client_pool::{ClientPool, PooledClient};
 pub use error::RpcError;
 pub use limits::MAX_BODY_BYTES;
 pub use publisher::Publisher;
--- a/programs/controller/src/replica.rs
+++ b/programs/controller/src/replica.rs
@@ -25,7 +25,6 @@
 
 use crate::storage::Storage;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,7 +33,7 @@
 use vanewharf_config::configuration::Config;
 use vanewharf_consensus::{BallotClaim, HeldLease, Voter, all_voters};
 use vanewharf_protocol::messages::{Ballot, Membership, Register, RegisterRank, Revision};
-use vanewharf_rpc::{Publisher, RpcClient};
+use vanewharf_rpc::{ClientPool, Publisher};
 use vanewharf_runtime::environment::Environment;
 use voter_task::{VoterCommand, VoterTask};
 
@@ -76,8 +75,8 @@
     lease: Cell<Option<HeldLease>>,
     /// The ballot under which this process campaigned last.
     claim: Cell<BallotClaim>,
-    /// Idle connections to other replicas.
-    idle_clients: RefCell<BTreeMap<SocketAddr, Vec<RpcClient>>>,
+    /// Of other replicas.
+    clients: ClientPool,
     /// No revision is given to two registers under one ballot.
     next_revision: Cell<Revision>,
     /// The last register that was proposed for operator orders, committed or not.
@@ -100,6 +99,7 @@
     ) -> Rc<Replica> {
         let (voter_commands, received_commands) = mpsc::unbounded_channel();
         let clock = publisher.clock;
+        let clients = ClientPool::new(&environment.network);
         let replica = Rc::new(Replica {
             address,
             publisher,
@@ -111,7 +111,7 @@
             elected_proxy_count: Cell::new(0),
             lease: Cell::new(None),
             claim: Cell::default(),
-            idle_clients: RefCell::default(),
+            clients,
             next_revision: Cell::new(Revision(0)),
             proposed: RefCell::default(),
             is_shutting_down: Cell::new(false),
--- a/programs/controller/src/replica/vote_rpc.rs
+++ b/programs/controller/src/replica/vote_rpc.rs
@@ -11,7 +11,6 @@
 use vanewharf_consensus::{QuorumTracker, all_voters};
 use vanewharf_protocol::endpoints;
 use vanewharf_protocol::messages::{Ballot, Membership, Vote, VoteRequest, VoteResponse};
-use vanewharf_rpc::RpcClient;
 
 /// For a response to a request that decides who holds the lease, or recovers a member.
 pub(super) const VOTE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -71,7 +70,8 @@
         Some(response)
     }
 
-    /// A connection is used by one request at a time, and is reused only where that was answered.
+    /// A connection is used by one request at a time, and is reused only where that was answered. A request that failed, and
+    /// arrives after the next one, has no effect: a lease that nobody waits for blocks no vacancy.
     ///
     /// # Cancel safety
     /// Closes the connection; the voter may handle the request all the same.
@@ -81,11 +81,7 @@
         request: &VoteRequest,
         response_timeout: Duration,
     ) -> Option<VoteResponse> {
-        let idle_client = self.idle_clients.borrow_mut().get_mut(&voter).and_then(Vec::pop);
-        let mut client = idle_client.unwrap_or_else(|| RpcClient::new(voter, &self.environment.network));
-        let response = client.call(endpoints::VOTE, request, response_timeout).await.ok()?;
-        self.idle_clients.borrow_mut().entry(voter).or_default().push(client);
-        Some(response)
+        self.clients.client(voter).call(endpoints::VOTE, request, response_timeout).await.ok()
     }
 
     /// Releases the lease under that ballot at the voters; returns once a quorum of them has answered, or all have
--- a/programs/proxy/src/data_plane.rs
+++ b/programs/proxy/src/data_plane.rs
@@ -57,7 +57,7 @@
         let pools = BackendPools::start(config, Rc::clone(&snapshot), Rc::clone(&status), token_requests);
         let (sender, updates) = mpsc::unbounded_channel();
         let token_client =
-            TokenClient::new(publisher.clone(), Rc::clone(settings), environment.clone(), sender.clone());
+            TokenClient::new(publisher.clone(), Rc::clone(settings), environment, sender.clone());
         tokio::task::spawn_local(Rc::new(token_client).run(requested));
         let link = AgentLink {
             agent: RpcClient::new(settings.agent_loopback_address(), &environment.network),
--- a/programs/proxy/src/token_client.rs
+++ b/programs/proxy/src/token_client.rs
@@ -9,7 +9,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -17,8 +17,7 @@
 use vanewharf_config::settings::Settings;
 use vanewharf_protocol::endpoints;
 use vanewharf_protocol::messages::TokenCounts;
-use vanewharf_rpc::Publisher;
-use vanewharf_rpc::RpcClient;
+use vanewharf_rpc::{ClientPool, Publisher};
 use vanewharf_runtime::environment::Environment;
 
 /// How long a controller is avoided after it failed to respond.
@@ -32,10 +31,9 @@
 pub struct TokenClient {
     publisher: Publisher,
     settings: Rc<Settings>,
-    environment: Environment,
     updates: mpsc::UnboundedSender<Update>,
-    /// Clients that are not in use. A client whose call fails is dropped.
-    idle_callers: RefCell<Vec<RpcClient>>,
+    /// Of controllers. A call that failed, and arrives after the next one, leases nothing.
+    clients: ClientPool,
     /// When each controller last failed to respond.
     failed_at: RefCell<BTreeMap<IpAddr, Timestamp>>,
 }
@@ -81,11 +79,11 @@
     pub fn new(
         publisher: Publisher,
         settings: Rc<Settings>,
-        environment: Environment,
+        environment: &Environment,
         updates: mpsc::UnboundedSender<Update>,
     ) -> TokenClient {
-        let (idle_callers, failed_at) = (RefCell::default(), RefCell::default());
-        TokenClient { publisher, settings, environment, updates, idle_callers, failed_at }
+        let clients = ClientPool::new(&environment.network);
+        TokenClient { publisher, settings, updates, clients, failed_at: RefCell::default() }
     }
 
     /// Serves requests until all their senders are dropped; each batch in its own task, so that a slow controller does not
@@ -111,28 +109,15 @@
         }
         for _ in 0..MAX_CALLS {
             let ip = self.nearest_controller()?;
-            let mut caller = self.caller(self.settings.controller_address(ip));
-            match caller.call(endpoints::LEASE_TOKENS, &wanted, TOKEN_REQUEST_TIMEOUT).await {
-                Ok(leased) => {
-                    self.idle_callers.borrow_mut().push(caller);
-                    return Some(leased);
-                }
+            let mut client = self.clients.client(self.settings.controller_address(ip));
+            match client.call(endpoints::LEASE_TOKENS, &wanted, TOKEN_REQUEST_TIMEOUT).await {
+                Ok(leased) => return Some(leased),
                 Err(_) => drop(self.failed_at.borrow_mut().insert(ip, self.publisher.now())),
             }
         }
         None
     }
 
-    /// An idle client of that address, or a new one.
-    fn caller(&self, address: SocketAddr) -> RpcClient {
-        let mut idle = self.idle_callers.borrow_mut();
-        let position = idle.iter().position(|caller| caller.address == address);
-        match position {
-            Some(position) => idle.swap_remove(position),
-            None => RpcClient::new(address, &self.environment.network),
-        }
-    }
-
     /// This proxy's preference among controllers at the same distance. It differs between proxies, to spread their load.
     fn preference(&self, ip: IpAddr) -> u64 {
         let mut hasher = DefaultHasher::new();
