Test which replies prove that a request has not run, by the protocol's examples

PROTOCOL's examples show a backend that sheds load (503, Not-Executed) and another server at an address (421) without Attempt-Id, and examples go before sentences: both count for the request in flight, as before. Any other error without an id may have run; a success without its id or seal closes the connection. No change of behaviour.

--- a/programs/proxy/src/request_gate.rs
+++ b/programs/proxy/src/request_gate.rs
@@ -165,3 +165,6 @@
         _ => ReplyMatch::Current(Outcome::Error),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/programs/proxy/src/request_gate/tests.rs
@@ -0,0 +1,38 @@
+//! Which reply of a backend answers the request in flight, and which ones prove that it has not run.
+
+use super::judge_reply;
+use bytes::BytesMut;
+use tokio_util::codec::Decoder;
+use vanewharf_gateway::dialect::ReplyMatch;
+use vanewharf_http1::{ClientCodec, Reply};
+use vanewharf_policy::interface::Outcome;
+use yare::parameterized;
+
+const OWN_ID: &str = "9c41d07be2a35f68";
+const MAX_BODY: usize = 1 << 10;
+
+fn reply(status: &str, fields: &str) -> Reply {
+    let text = format!("HTTP/1.1 {status} -\r\n{fields}Content-Length: 0\r\n\r\n");
+    let decoded = ClientCodec::with_max_body(MAX_BODY).decode(&mut BytesMut::from(text.as_str()));
+    decoded.expect("a reply").expect("all of it")
+}
+
+/// Backends that shed load and those at a reused address name no attempt, as the protocol's examples show; every other
+/// error without an id may have run.
+#[parameterized(
+    sheds = { "503", "Not-Executed: 1\r\n", ReplyMatch::Current(Outcome::Rejected) },
+    sheds_with_id = { "503", "Not-Executed: 1\r\nAttempt-Id: 9c41d07be2a35f68\r\n", ReplyMatch::Current(Outcome::Rejected) },
+    over_a_limit = { "429", "Not-Executed: 1\r\n", ReplyMatch::Current(Outcome::Rejected) },
+    other_instance = { "421", "Instance-Id: i-02d9e6b4\r\n", ReplyMatch::Current(Outcome::Rejected) },
+    without_promise = { "503", "", ReplyMatch::Current(Outcome::Error) },
+    own_error = { "500", "Attempt-Id: 9c41d07be2a35f68\r\n", ReplyMatch::Current(Outcome::Error) },
+    late_rejection_of_another = { "503", "Not-Executed: 1\r\nAttempt-Id: 77\r\n", ReplyMatch::OtherRequest },
+    late_success_of_another = { "200", "Attempt-Id: 77\r\nBackend-Seal: s\r\n", ReplyMatch::OtherRequest },
+    success = { "200", "Attempt-Id: 9c41d07be2a35f68\r\nBackend-Seal: s\r\n", ReplyMatch::Current(Outcome::Succeeded) },
+    success_without_id = { "200", "Backend-Seal: s\r\n", ReplyMatch::Unidentified },
+    success_that_did_not_run = { "200", "Not-Executed: 1\r\n", ReplyMatch::Unidentified },
+    success_without_seal = { "200", "Attempt-Id: 9c41d07be2a35f68\r\n", ReplyMatch::Unidentified },
+)]
+fn a_reply_is_judged_by_its_id_its_status_and_its_promise(status: &str, fields: &str, expected: ReplyMatch) {
+    assert_eq!(judge_reply(Some(OWN_ID), &reply(status, fields)), expected);
+}
