--- a/crates/system-simulator/src/checker/reads.rs
+++ b/crates/system-simulator/src/checker/reads.rs
@@ -71,8 +71,8 @@
             report.add(Rule::Agreement, last, description);
         }
     }
-    let first_asked = history.final_states.iter().map(|state| state.asked).min();
-    let acknowledged = first_asked.map_or(0, |asked| history.newest_acknowledged_before(asked));
+    let first_request = history.final_states.iter().map(|state| state.requested_at).min();
+    let acknowledged = first_request.map_or(0, |time| history.newest_acknowledged_before(time));
     if newest.is_some_and(|version| version.configuration < acknowledged) {
         let description = format!("the postmasters have {newest:?}, and r{acknowledged} was acknowledged");
         report.add(Rule::Agreement, last, description);
--- a/crates/system-simulator/src/history.rs
+++ b/crates/system-simulator/src/history.rs
@@ -200,8 +200,8 @@
 pub struct FinalState {
     /// The controller's name.
     pub controller: String,
-    /// When it was asked.
-    pub asked: Instant,
+    /// When that was requested.
+    pub requested_at: Instant,
     /// `None` where it did not answer.
     pub version: Option<ReplicaVersion>,
 }
--- a/crates/system-simulator/src/operators.rs
+++ b/crates/system-simulator/src/operators.rs
@@ -34,19 +34,19 @@
 /// were.
 #[derive(Default)]
 struct ControllerRotation {
-    asked: BTreeSet<usize>,
+    tried: BTreeSet<usize>,
 }
 
 impl ControllerRotation {
     fn next(&mut self, cluster: &Cluster, environment: &Environment) -> usize {
         let controllers = cluster.active_controllers.borrow();
-        if controllers.iter().all(|controller| self.asked.contains(controller)) {
-            self.asked.clear();
+        if controllers.iter().all(|controller| self.tried.contains(controller)) {
+            self.tried.clear();
         }
         let others: Vec<usize> =
-            controllers.iter().copied().filter(|controller| !self.asked.contains(controller)).collect();
+            controllers.iter().copied().filter(|controller| !self.tried.contains(controller)).collect();
         let controller = others[environment.random_below(others.len() as u64) as usize];
-        self.asked.insert(controller);
+        self.tried.insert(controller);
         controller
     }
 }
--- a/crates/system-simulator/src/outcome.rs
+++ b/crates/system-simulator/src/outcome.rs
@@ -201,9 +201,13 @@
         states.clear();
         let controllers = cluster.active_controllers.borrow().clone();
         for machine in controllers.into_iter().filter(|machine| cluster.is_running(*machine)) {
-            let asked = Instant::now();
+            let requested_at = Instant::now();
             let version = pull_replica_version(cluster, environment, machine).await;
-            states.push(FinalState { controller: cluster.machines[machine].name.clone(), asked, version });
+            states.push(FinalState {
+                controller: cluster.machines[machine].name.clone(),
+                requested_at,
+                version,
+            });
         }
         if states.iter().all(|state| state.version.is_some() && state.version == states[0].version) {
             break;
--- a/crates/system-simulator/src/schedule/hard.rs
+++ b/crates/system-simulator/src/schedule/hard.rs
@@ -170,13 +170,18 @@
 
     /// Three active controllers in any order; they may be down or cut off.
     fn draw_seeds(&mut self) -> Vec<MachineSelector> {
+        self.draw_distinct(SEED_NODES)
+    }
+
+    /// This many different active controllers in any order, or all that there are.
+    fn draw_distinct(&mut self, count: usize) -> Vec<MachineSelector> {
         let mut remaining = self.controllers.clone();
-        let mut seeds = Vec::new();
-        while seeds.len() < SEED_NODES && !remaining.is_empty() {
+        let mut drawn = Vec::new();
+        while drawn.len() < count && !remaining.is_empty() {
             let index = self.rng.random_range(0..remaining.len());
-            seeds.push(MachineSelector::Number(remaining.remove(index)));
+            drawn.push(MachineSelector::Number(remaining.remove(index)));
         }
-        seeds
+        drawn
     }
 
     fn draw_proxy(&mut self) -> usize {
--- a/crates/system-simulator/src/schedule/hard/overlapping_losses.rs
+++ b/crates/system-simulator/src/schedule/hard/overlapping_losses.rs
@@ -111,14 +111,4 @@
         let unsynced = self.draw_unsynced();
         self.push_fault(at, 1.0, FaultKind::Blackout(unsynced), wiped).trigger = trigger;
     }
-
-    fn draw_distinct(&mut self, count: usize) -> Vec<MachineSelector> {
-        let mut remaining = self.controllers.clone();
-        let mut drawn = Vec::new();
-        while drawn.len() < count && !remaining.is_empty() {
-            let index = self.rng.random_range(0..remaining.len());
-            drawn.push(MachineSelector::Number(remaining.remove(index)));
-        }
-        drawn
-    }
 }
--- a/crates/system-simulator/tests/checker.rs
+++ b/crates/system-simulator/tests/checker.rs
@@ -154,7 +154,7 @@
     fn read_at_end(self, sent: f64, revision: u64) -> History1And2 {
         let (sent, received) = (self.at(sent), self.at(sent + 0.1));
         let version = Some(ReplicaVersion { register: revision, configuration: revision });
-        let state = FinalState { controller: "central-0".to_owned(), asked: sent, version };
+        let state = FinalState { controller: "central-0".to_owned(), requested_at: sent, version };
         let read = ConfigurationRead { sent, received, text: body(revision) };
         {
             let mut history = self.truth.history.borrow_mut();
--- a/crates/system-simulator/tests/simulation.rs
+++ b/crates/system-simulator/tests/simulation.rs
@@ -194,7 +194,7 @@
     history.final_configuration = Some(ConfigurationRead { sent, received, text: body(2) });
     let version = Some(version(7, 2));
     history.final_states =
-        vec![FinalState { controller: "central-0".to_owned(), asked: started + END, version }];
+        vec![FinalState { controller: "central-0".to_owned(), requested_at: started + END, version }];
 }
 
 fn after(seconds: f64) -> Duration {
@@ -237,8 +237,8 @@
 
 fn add_final_state(truth: &GroundTruth, version: Option<ReplicaVersion>) {
     let mut history = truth.history.borrow_mut();
-    let asked = history.final_states[0].asked;
-    history.final_states.push(FinalState { controller: "central-1".to_owned(), asked, version });
+    let requested_at = history.final_states[0].requested_at;
+    history.final_states.push(FinalState { controller: "central-1".to_owned(), requested_at, version });
 }
 
 fn add_register(truth: &GroundTruth, at: Instant, version: ReplicaVersion, digest: u64) {
--- a/programs/controller/src/replica/voter_task.rs
+++ b/programs/controller/src/replica/voter_task.rs
@@ -224,6 +224,6 @@
 }
 
 #[cfg(test)]
-mod random_schedules;
+mod random_schedules_tests;
 #[cfg(test)]
 mod tests;
--- a/programs/controller/src/replica/voter_task/random_schedules.rs
+++ b/programs/controller/src/replica/voter_task/random_schedules_tests.rs
@@ -24,8 +24,8 @@
 
 const SEEDS: u64 = 400;
 /// How often the process of one seed is started.
-const LIVES: u64 = 4;
-const REQUESTS_PER_LIFE: u64 = 14;
+const STARTS: u64 = 4;
+const REQUESTS_PER_START: u64 = 14;
 /// Requests come within this time, in milliseconds; power is lost within twice that.
 const REQUEST_SPAN_MS: u64 = 150;
 const SYNC_TIME: Duration = Duration::from_millis(2);
@@ -54,7 +54,7 @@
     }
 }
 
-/// What the voter has answered for, over all its lives.
+/// What the voter has answered for, over all its starts.
 #[derive(Debug, Default)]
 struct Promises {
     ballot: Ballot,
@@ -150,22 +150,22 @@
     }
 }
 
-/// One life of the process: it starts from its disk, and is gone at any moment after.
-async fn live(disk: SimulatedDisk, life: u64, seed: u64, promises: Rc<RefCell<Promises>>) {
-    let mut rng = SmallRng::seed_from_u64(seed << 8 | life);
+/// One run of the process: it starts from its disk, and is gone at any moment after.
+async fn run_process(disk: SimulatedDisk, start: u64, seed: u64, promises: Rc<RefCell<Promises>>) {
+    let mut rng = SmallRng::seed_from_u64(seed << 8 | start);
     let directory: Rc<dyn Directory> = Rc::new(disk.clone());
     let environment = Environment::new(Rc::new(NoNetwork), Some(Rc::clone(&directory)), seed);
     let mut stored = StoredRecords::load(&*directory).expect("it can be read");
     let (record, register): (Option<VoterRecord>, _) = stored.decode_all();
     let storage = Storage::start(directory, &stored);
     let publisher = Publisher::new(environment.clock());
-    let kind = if life == 0 { StartKind::Initial } else { StartKind::Restart };
+    let kind = if start == 0 { StartKind::Initial } else { StartKind::Restart };
     let voter = Voter::start(record.as_ref(), register, &members(), kind, publisher.now());
-    if life == 0 {
+    if start == 0 {
         storage.save(Record::Voter, &voter.record()).await.expect("an empty disk takes it");
     }
     let replica = Replica::start(members()[0], members(), voter, storage, publisher, environment);
-    for _ in 0..REQUESTS_PER_LIFE {
+    for _ in 0..REQUESTS_PER_START {
         let at = Duration::from_millis(rng.random_range(0..REQUEST_SPAN_MS));
         let (replica, promises) = (Rc::clone(&replica), Rc::clone(&promises));
         let input = draw_input(&mut rng, &replica);
@@ -189,10 +189,10 @@
     disk.set_erratic(seed);
     let promises = Rc::new(RefCell::new(Promises::default()));
     let mut rng = SmallRng::seed_from_u64(seed);
-    for life in 0..LIVES {
+    for start in 0..STARTS {
         let runtime = Builder::new_current_thread().enable_time().start_paused(true).build();
         let tasks = LocalSet::new();
-        let run = tasks.run_until(live(disk.clone(), life, seed, Rc::clone(&promises)));
+        let run = tasks.run_until(run_process(disk.clone(), start, seed, Rc::clone(&promises)));
         runtime.expect("a runtime").block_on(run);
         // The process is gone with all that it was about to do.
         drop(tasks);
