Count what keeps a machine from recovering when the simulator draws the next loss

Two of three disks were gone before, one voter too many: from then on the one that remembers waits for a majority for ever, and nothing is read back.

Cause: the loss budget of the schedules let the next disk be lost 4 s after the successor's start, whatever kept it from recovering: a disk that takes no writes, or all controllers down.

Change: full and hanging disks and losses of power or kills of all delay the recovery of whoever is recovering, and are drawn only where that stays within what is borne. A loss of power of all at the end still comes with lost disks.

Open: the successor's 1 s in sync before it replaces a voter that has failed already could be saved (docs/ROADMAP.md).

--- a/crates/system-simulator/src/schedule/hard/faults.rs
+++ b/crates/system-simulator/src/schedule/hard/faults.rs
@@ -103,7 +103,9 @@
             Drawn::Kill | Drawn::KillWithOtherSeeds | Drawn::Shutdown => self.restart(drawn, at, span),
             Drawn::KillAll => {
                 let all = self.controllers.iter().copied().map(MachineSelector::Number).collect();
-                self.push_fault(at, span / 4.0, FaultKind::Kill, all);
+                if self.losses.try_delay_recovery(at, span / 4.0) {
+                    self.push_fault(at, span / 4.0, FaultKind::Kill, all);
+                }
             }
             Drawn::PowerLoss => self.power_loss(at, span),
             Drawn::DiskLoss => self.disk_loss(at, span),
@@ -115,7 +117,9 @@
             Drawn::SlowLink => self.slow_link(at, span * 3.0),
             Drawn::Blackout => {
                 let wiped = self.draw_wiped(at, span / 3.0);
-                self.push_fault(at, span / 3.0, FaultKind::Blackout(UnsyncedData::Lost), wiped);
+                if self.losses.try_delay_recovery(at, span / 3.0) {
+                    self.push_fault(at, span / 3.0, FaultKind::Blackout(UnsyncedData::Lost), wiped);
+                }
             }
             Drawn::ProxyCut => {
                 let proxy = self.draw_proxy();
@@ -180,7 +184,10 @@
     fn disk_fault(&mut self, at: f64, span: f64) {
         let condition = *DISK_CONDITIONS.choose(&mut self.rng).expect("there are three");
         let selector = self.draw_victim().selector;
-        self.push_fault(at, span, FaultKind::Disk(condition), vec![selector]);
+        let takes_writes = condition == DiskCondition::Slow;
+        if takes_writes || self.losses.try_delay_recovery(at, span) {
+            self.push_fault(at, span, FaultKind::Disk(condition), vec![selector]);
+        }
     }
 
     /// As many controllers as may lose their disks at that time; none where that is too many already.
@@ -276,7 +283,10 @@
     /// Right after an acknowledgement all machines lose power, and as many disks are lost as may be.
     fn final_blackout(&mut self, at: f64) {
         let wiped = self.draw_wiped(at, 4.0);
-        self.push_fault(at, 1.0, FaultKind::Blackout(UnsyncedData::Lost), wiped).trigger =
-            FaultTrigger::NextAcknowledgement;
+        // It may wait for an acknowledgement for most of this time.
+        if self.losses.try_delay_recovery(at, 4.0) {
+            self.push_fault(at, 1.0, FaultKind::Blackout(UnsyncedData::Lost), wiped).trigger =
+                FaultTrigger::NextAcknowledgement;
+        }
     }
 }
