Sync the records that a start finds before anything is answered by them

A process that is killed between the write and the sync of a copy leaves it in the file; the next start read it as its own, synced the directory alone, and answered by it: an `Accept` of the same register is answered without a write. A loss of power then took the copy, and with it an acceptance that a leaseholder had counted. On a disk that hangs or is slow the time between write and sync is seconds.

Change: the files that were found are synced with their directory before the first vote, and before anything is written or marked.

--- a/programs/controller/src/replica/record_writer.rs
+++ b/programs/controller/src/replica/record_writer.rs
@@ -115,8 +115,8 @@
     }
 
     /// Makes what was found at the start certain to be on disk.
-    pub(super) async fn sync_directory(&self) -> Result<(), StorageError> {
-        self.storage.sync_directory().await
+    pub(super) async fn sync_found(&self) -> Result<(), StorageError> {
+        self.storage.sync_found().await
     }
 
     /// Requests a write. It is carried out after all that were requested before, also where the result is not waited for.
--- a/programs/controller/src/replica/voter_task.rs
+++ b/programs/controller/src/replica/voter_task.rs
@@ -61,7 +61,7 @@
 
     /// Nothing is voted by records that a loss of power could still take away.
     async fn sync_storage(&self) {
-        while let Err(error) = self.writer.sync_directory().await {
+        while let Err(error) = self.writer.sync_found().await {
             spdlog::warn!(
                 "fsync of the data directory failed; the voter does not start",
                 kv: { event = "directory_sync_failed", error: }
--- a/programs/controller/src/replica/voter_task/random_schedules_tests.rs
+++ b/programs/controller/src/replica/voter_task/random_schedules_tests.rs
@@ -197,11 +197,13 @@
         // The process is gone with all that it was about to do.
         drop(tasks);
         disk.set_condition(DiskCondition::Healthy);
-        disk.lose_power(match rng.random_range(0..3) {
-            0 => UnsyncedData::Lost,
-            1 => UnsyncedData::Kept,
-            _ => UnsyncedData::Torn(rng.random()),
-        });
+        match rng.random_range(0..5) {
+            0 => disk.lose_power(UnsyncedData::Lost),
+            1 => disk.lose_power(UnsyncedData::Kept),
+            2 => disk.lose_power(UnsyncedData::Torn(rng.random())),
+            // Killed: its files stay as they are, synced or not.
+            _ => {}
+        }
         let mut stored = StoredRecords::load(&disk).expect("it can be read");
         promises.borrow().assert_kept(&mut stored, seed);
     }
--- a/programs/controller/src/replica/voter_task/tests.rs
+++ b/programs/controller/src/replica/voter_task/tests.rs
@@ -71,7 +71,7 @@
 
     /// Waits until all writes that were requested are on disk.
     async fn flush(&self) {
-        self.storage.sync_directory().await.expect("the directory can be synced");
+        self.storage.sync_found().await.expect("the directory can be synced");
     }
 }
 
--- a/programs/controller/src/storage.rs
+++ b/programs/controller/src/storage.rs
@@ -79,7 +79,7 @@
 }
 
 enum Operation {
-    SyncDirectory,
+    SyncFound,
     Write { record: Record, body: Vec<u8> },
 }
 
@@ -102,6 +102,7 @@
             directory,
             write_numbers: stored.write_numbers,
             synced_names: BTreeSet::new(),
+            unsynced_found: stored.intact_files.clone(),
             marks: stored.marks,
             marks_after_loss: stored.marks_after_loss(),
         };
@@ -129,13 +130,13 @@
         self.request(Operation::Write { record, body })
     }
 
-    /// Syncs the directory: what was read at the start may have been written by a process that ended between the sync of
-    /// a file and the sync of its directory.
+    /// Syncs what was read at the start, and its directory: it may have been written by a process that was killed before
+    /// it synced either, and a loss of power could still take it away.
     ///
     /// # Errors
-    /// Where the directory cannot be synced.
-    pub async fn sync_directory(&self) -> Result<(), StorageError> {
-        self.request(Operation::SyncDirectory)?.wait().await
+    /// Where a file or the directory cannot be synced.
+    pub async fn sync_found(&self) -> Result<(), StorageError> {
+        self.request(Operation::SyncFound)?.wait().await
     }
 
     fn request(&self, operation: Operation) -> Result<PendingSave, StorageError> {
@@ -169,6 +170,8 @@
     write_numbers: [u64; RECORDS.len()],
     /// Files whose directory entry this process has synced.
     synced_names: BTreeSet<String>,
+    /// Files that were read at the start and may not be durable.
+    unsynced_found: Vec<String>,
     /// Those on disk, as far as this process knows.
     marks: SyncedMarks,
     /// The disk has lost a record: these have to be on disk before anything else is, so that a restart still knows.
@@ -212,16 +215,29 @@
 
     async fn execute(&mut self, operation: Operation) -> Result<(), StorageError> {
         match operation {
-            Operation::SyncDirectory => {
-                Ok(self.directory.execute(vec![FileOperation::SyncDirectory]).await?)
-            }
+            Operation::SyncFound => Ok(self.sync_found().await?),
             Operation::Write { record, body } => {
+                self.sync_found_once().await?;
                 self.persist_loss().await?;
                 Ok(self.write(record, &body).await?)
             }
         }
     }
 
+    async fn sync_found(&mut self) -> io::Result<()> {
+        let files = self.unsynced_found.iter().cloned();
+        let mut operations: Vec<_> = files.map(|file| FileOperation::Sync { file }).collect();
+        operations.push(FileOperation::SyncDirectory);
+        self.directory.execute(operations).await?;
+        self.unsynced_found.clear();
+        Ok(())
+    }
+
+    /// Nothing is written, and nothing marked as durable, above a copy that a loss of power could still take away.
+    async fn sync_found_once(&mut self) -> io::Result<()> {
+        if self.unsynced_found.is_empty() { Ok(()) } else { self.sync_found().await }
+    }
+
     /// Where a record was lost: makes sure that the disk counts as lost until both records have been written anew.
     async fn persist_loss(&mut self) -> Result<(), StorageError> {
         if let Some(marks) = self.marks_after_loss {
@@ -232,6 +248,7 @@
     }
 
     async fn write_marks(&mut self, marks: SyncedMarks) -> io::Result<()> {
+        self.sync_found_once().await?;
         let file = synced_marks::FILE_NAME.to_owned();
         let bytes = marks.encode()?;
         let is_new = !self.synced_names.contains(&file);
--- a/programs/controller/src/storage/stored_records.rs
+++ b/programs/controller/src/storage/stored_records.rs
@@ -15,7 +15,7 @@
     /// The number of the newest write of each record.
     pub(super) write_numbers: [u64; RECORDS.len()],
     pub(super) marks: SyncedMarks,
-    intact_files: Vec<String>,
+    pub(super) intact_files: Vec<String>,
     /// Files whose content is torn, corrupt or of a disk that has lost something; [`Storage::start`] renames them.
     pub corrupt_files: Vec<String>,
     /// Records that were durable and that this disk has no more. The disk counts as lost, and the other records are not
