--- a/programs/controller/src/storage/stored_records.rs
+++ b/programs/controller/src/storage/stored_records.rs
@@ -16,7 +16,7 @@
     pub(super) write_numbers: [u64; RECORDS.len()],
     pub(super) marks: SyncedMarks,
     pub(super) intact_files: Vec<String>,
-    /// Files whose content is torn, corrupt or of a disk that has lost something; [`Storage::start`] renames them.
+    /// Files whose content is torn, corrupt or of a disk that has lost something; [`Storage::start`](super::Storage::start) renames them.
     pub corrupt_files: Vec<String>,
     /// Records that were durable and that this disk has no more. The disk counts as lost, and the other records are not
     /// given out.
