--- a/crates/system-simulator/tests/schedules.rs
+++ b/crates/system-simulator/tests/schedules.rs
@@ -62,6 +62,22 @@
     }
 }
 
+/// Found by seed 803248 of three controllers: an operator has a healthy voter replaced while another one has failed, and the
+/// next loss is one too many, though no more is lost at once than is to be tolerated.
+#[test]
+fn a_replacement_of_a_healthy_voter_beside_a_failed_one_costs_no_tolerance() {
+    const SEED: u64 = 803_248;
+    let parameters = SimulationParameters {
+        controllers: 3,
+        proxies: 3,
+        seconds: 20,
+        requests_per_second: 5,
+        max_faults: 6,
+    };
+    let outcome = simulate_schedule(&draw_schedule(parameters, SEED));
+    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+}
+
 #[test]
 fn a_schedule_has_the_same_outcome_each_time() {
     let parameters = SimulationParameters {
