Log what the leaseholder publishes, and count what its readers would not take

PublishedIsNewer is counted where a list or a summary of the leaseholder does not replace what it had; changes that do not apply are logged.

--- a/crates/protocol/src/version_store.rs
+++ b/crates/protocol/src/version_store.rs
@@ -48,6 +48,8 @@
     pub backend_list: bool,
     /// The fleet's summary was replaced.
     pub fleet_summary: bool,
+    /// There were changes that could not be applied: the next pull requests a snapshot.
+    pub needs_snapshot: bool,
     /// When the sender's register was attested to be the newest one, whether or not the response could be
     /// applied.
     pub attested_at: Option<Timestamp>,
@@ -137,16 +139,17 @@
         let answered_at = sent_at.after(Duration::from_millis(response.delay_ms));
         let attested_age = response.attested_age_ms.map(Duration::from_millis);
         let leaseholder = response.leaseholder;
-        let updates = AppliedUpdates {
+        let mut updates = AppliedUpdates {
             register: self.apply_register(response.register, response.register_changes),
             backend_list: self.apply_backend_list(response.backend_list, response.backend_list_changes, now),
             fleet_summary: response.fleet_summary.is_some_and(|summary| self.set_fleet_summary(summary, now)),
+            needs_snapshot: false,
             attested_at: attested_age.map(|age| answered_at.before(age)),
         };
+        updates.needs_snapshot = self.needs_register_snapshot || self.needs_backend_list_snapshot;
         // The attestation is of all that the response contains: where changes could not be applied, the
         // current register or list is older.
-        let follows_all = !self.needs_register_snapshot && !self.needs_backend_list_snapshot;
-        if let Some(attested_at) = updates.attested_at.filter(|_| follows_all) {
+        if let Some(attested_at) = updates.attested_at.filter(|_| !updates.needs_snapshot) {
             self.attest(attested_at);
         }
         self.leaseholder = leaseholder.or(self.leaseholder);
--- a/crates/runtime/src/invariants.rs
+++ b/crates/runtime/src/invariants.rs
@@ -16,11 +16,18 @@
     AcknowledgedIsCommitted,
     /// The invariants that a proxy's stages count for themselves hold.
     ProxyStages,
+    /// What the leaseholder publishes is newer than what it had before, so that its readers take it.
+    PublishedIsNewer,
 }
 
 /// The names that violations are logged under, by invariant.
-const NAMES: [&str; 4] =
-    ["answered_before_exit", "disk_never_goes_back", "acknowledged_is_committed", "proxy_stages"];
+const NAMES: [&str; 5] = [
+    "answered_before_exit",
+    "disk_never_goes_back",
+    "acknowledged_is_committed",
+    "proxy_stages",
+    "published_is_newer",
+];
 
 static VIOLATIONS: [AtomicU64; NAMES.len()] = [const { AtomicU64::new(0) }; NAMES.len()];
 
--- a/programs/agent/src/upstream.rs
+++ b/programs/agent/src/upstream.rs
@@ -54,6 +54,12 @@
         match state.publisher.pull(&mut client, &request).await {
             Ok(updates) => {
                 self.keep_client(client);
+                if updates.needs_snapshot {
+                    spdlog::info!(
+                        "received changes do not apply; a snapshot is requested",
+                        kv: { event = "snapshot_requested", peer: = source }
+                    );
+                }
                 // By the source's own attestation: what this agent has may be newer, from another source.
                 let is_up_to_date = self.selector.record_answer(source, updates.attested_at, &peers, now());
                 if is_up_to_date { Usefulness::Useful } else { Usefulness::Useless }
--- a/programs/controller/src/roles/backend_polling.rs
+++ b/programs/controller/src/roles/backend_polling.rs
@@ -9,6 +9,7 @@
 use vanewharf_clock::Timestamp;
 use vanewharf_protocol::messages::{Backend, BackendList};
 use vanewharf_rpc::RpcError;
+use vanewharf_runtime::invariants::Invariant;
 
 /// A part of the time within which a draining backend must get no more requests: it may pass before the drain is seen.
 const POLL_INTERVAL: Duration = Duration::from_millis(600);
@@ -60,6 +61,14 @@
     if !(is_from_another_ballot || has_changed) || !state.replica.holds_lease() {
         return;
     }
-    let list = BackendList { version: state.next_version(last_version), age_ms: 0, backends };
-    state.publisher.update(|store| store.set_backend_list(list, requested_at));
+    let version = state.next_version(last_version);
+    spdlog::debug!(
+        "list of backends published",
+        kv: { event = "backend_list_published", ballot = version.ballot.0, number = version.number,
+            backends = backends.len(), draining = backends.iter().filter(|backend| backend.draining).count() }
+    );
+    let list = BackendList { version, age_ms: 0, backends };
+    state
+        .publisher
+        .update(|store| Invariant::PublishedIsNewer.check(store.set_backend_list(list, requested_at)));
 }
--- a/programs/controller/src/roles/leaseholder_following.rs
+++ b/programs/controller/src/roles/leaseholder_following.rs
@@ -62,6 +62,12 @@
     }
 
     async fn handle_updates(&mut self, source: SocketAddr, updates: AppliedUpdates) {
+        if updates.needs_snapshot {
+            spdlog::info!(
+                "received changes do not apply; a snapshot is requested",
+                kv: { event = "snapshot_requested", peer: = source }
+            );
+        }
         if updates.register {
             self.state.replica.persist_published_register();
         }
--- a/programs/controller/src/roles/report_aggregation.rs
+++ b/programs/controller/src/roles/report_aggregation.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
+use vanewharf_runtime::invariants::Invariant;
 
 /// At the first start of all, proxies that start together have reported by then.
 const INITIAL_GATHERING: Duration = Duration::from_millis(1500);
@@ -52,6 +53,6 @@
         aggregator.record_lease_report(state.token_lease_report(), now);
         aggregator.summarize(version, state.settings.limits_table.rate_allowance, now)
     };
-    state.publisher.update(|store| store.set_fleet_summary(summary, now));
+    state.publisher.update(|store| Invariant::PublishedIsNewer.check(store.set_fleet_summary(summary, now)));
     state.apply_fleet_summary();
 }
