--- a/crates/protocol/tests/incremental_updates.rs
+++ b/crates/protocol/tests/incremental_updates.rs
@@ -202,6 +202,31 @@
     assert!(updates.backend_list && reader.attested_at == Some(START) && updates.attested_at == Some(START));
 }
 
+/// A leaseholder publishes a list or a register while a pull of its own, sent before it won the lease, is under way: the
+/// answer has them as changes of what it had then.
+#[test]
+fn changes_that_lead_to_what_is_held_already_need_no_snapshot() {
+    let (mut publisher, mut reader) = (VersionStore::default(), VersionStore::default());
+    let routes: Routes = (0..40u64).map(|one| (format!("r{one}"), one)).collect();
+    let list = |number, draining| {
+        let backends = (0..9).map(|id| backend(id, 0, draining && id == 0)).collect();
+        BackendList { version: Version { ballot: Ballot(1), number }, age_ms: 0, backends }
+    };
+    publisher.set_register(Rc::new(register(1, &routes, 0)));
+    publisher.set_backend_list(list(1, false), START);
+    reader.apply(response(&publisher, &reader, START), START, START);
+    publisher.set_register(Rc::new(register(2, &routes, 1)));
+    publisher.set_backend_list(list(2, true), START);
+    let mut overtaken = response(&publisher, &reader, START);
+    assert_eq!((overtaken.register_changes.len(), overtaken.backend_list_changes.len()), (1, 1));
+    overtaken.attested_age_ms = Some(0);
+    reader.set_register(Rc::new(register(2, &routes, 1)));
+    reader.set_backend_list(list(2, true), START);
+    assert!(!reader.apply(overtaken, START, START).any(), "nothing in it is newer");
+    assert_eq!(reader.versions(), publisher.versions());
+    assert_eq!(reader.attested_at, Some(START), "it has all that its publisher has");
+}
+
 #[test]
 fn a_change_of_membership_alone_is_followed_and_one_with_another_checksum_is_not() {
     let (mut publisher, mut reader) = (VersionStore::default(), VersionStore::default());
--- a/crates/system-simulator/tests/partitions/main.rs
+++ b/crates/system-simulator/tests/partitions/main.rs
@@ -297,6 +297,8 @@
 const PROPAGATION_TIME: Duration = Duration::from_millis(800);
 /// The platform is polled every 0.6 s besides.
 const DRAIN_PROPAGATION_TIME: Duration = Duration::from_millis(1600);
+/// After that, a drain is not waited for any longer.
+const LONGEST_DRAIN: Duration = Duration::from_secs(10);
 
 #[test]
 fn proxies_near_separated_controllers_follow_the_others_in_time() {
@@ -354,6 +356,39 @@
     });
 }
 
+/// A controller that wins the lease may have a pull at another one still under way, whose answer then holds what the new
+/// leaseholder has itself published meanwhile, as a change of what it had before.
+#[test]
+fn a_new_leaseholder_publishes_every_drain_while_an_older_pull_of_its_own_is_answered() {
+    const RUNS: u64 = 80;
+    vanewharf_runtime::log::disable();
+    let drains_after_election = |seed: u64| async move {
+        let ReadyCluster { cluster, leaseholder, .. } = start_cluster(3, 2, seed).await;
+        // At another moment of the followers' pulls in each run.
+        sleep(Duration::from_millis(600 + 5 * seed)).await;
+        cluster.lose_power(leaseholder, UnsyncedData::Lost);
+        // The list is published anew at the election; one that came with it would hide that later ones do not.
+        sleep(Duration::from_secs(3)).await;
+        let mut drains = Vec::new();
+        for id in ["i7", "i8"] {
+            set_draining(&cluster, id, true);
+            let listed = Instant::now() + PLATFORM_LAG;
+            let received = wait_until(|| all_proxies_have(&cluster, |store| lists(store, id, true)));
+            drains.push(timeout(LONGEST_DRAIN, received).await.map_or(LONGEST_DRAIN, |at| at - listed));
+        }
+        drains
+    };
+    for_each_parallel(
+        (0..RUNS).collect(),
+        4,
+        |seed| (seed, simulate(drains_after_election(seed))),
+        |(seed, drains)| {
+            let is_in_time = |drain: &Duration| *drain < DRAIN_PROPAGATION_TIME;
+            assert!(drains.iter().all(is_in_time), "seed {seed}: {drains:?}");
+        },
+    );
+}
+
 /// A follower that was cut off for a while tried in vain to get the lease; once it is healed it votes for the leaseholder
 /// again, and its disk has what the others' have.
 #[parameterized(
