--- a/crates/protocol/src/version_store.rs
+++ b/crates/protocol/src/version_store.rs
@@ -5,7 +5,7 @@
 
 use crate::history::{BackendListHistory, RegisterHistory, TakenList};
 use crate::messages::{
-    BackendList, BackendListChange, FleetSummary, PullResponse, Register, RegisterChange, Revision,
+    BackendList, BackendListChange, FleetSummary, PullResponse, Register, RegisterChange, Revision, Version,
     VersionVector,
 };
 use std::net::SocketAddr;
@@ -72,17 +72,28 @@
 }
 
 impl VersionStore {
-    /// The current versions, for a pull request; the lowest version for a source whose snapshot is needed.
+    /// The current version of each source.
     pub fn versions(&self) -> VersionVector {
-        let register = self.register.as_ref().filter(|_| !self.needs_register_snapshot);
-        let backend_list = self.backend_list.as_ref().filter(|_| !self.needs_backend_list_snapshot);
         VersionVector {
-            register: register.map_or(Revision(0), |register| register.revision),
-            backend_list: backend_list.map(|list| list.version).unwrap_or_default(),
+            register: self.register.as_ref().map_or(Revision(0), |register| register.revision),
+            backend_list: self.backend_list.as_ref().map(|list| list.version).unwrap_or_default(),
             fleet_summary: self.fleet_summary.as_ref().map(|summary| summary.version).unwrap_or_default(),
         }
     }
 
+    /// The versions for a pull request: the current ones, but the lowest version for a source whose snapshot is needed.
+    /// Not to be mistaken for what this process has: whoever publishes goes by [`versions`](Self::versions).
+    pub fn versions_to_request(&self) -> VersionVector {
+        let mut versions = self.versions();
+        if self.needs_register_snapshot {
+            versions.register = Revision(0);
+        }
+        if self.needs_backend_list_snapshot {
+            versions.backend_list = Version::default();
+        }
+        versions
+    }
+
     /// Whether any source is newer here than at a reader with these versions.
     pub fn is_newer_than(&self, reader: &VersionVector) -> bool {
         let own = self.versions();
@@ -157,10 +168,16 @@
     }
 
     fn apply_register(&mut self, snapshot: Option<Register>, changes: Vec<RegisterChange>) -> bool {
-        match snapshot {
-            Some(register) => self.set_register(Rc::new(register)),
-            None if changes.is_empty() => false,
-            None => self.follow_register(changes),
+        match (snapshot, changes.last()) {
+            (Some(register), _) => {
+                self.needs_register_snapshot = false;
+                self.set_register(Rc::new(register))
+            }
+            (None, Some(newest)) if newest.revision > self.versions().register => {
+                self.follow_register(changes)
+            }
+            // No changes, or such as lead to what is held already: the answer to an older pull.
+            _ => false,
         }
     }
 
@@ -170,10 +187,16 @@
         changes: Vec<BackendListChange>,
         now: Timestamp,
     ) -> bool {
-        match snapshot {
-            Some(list) => self.set_backend_list(list, now),
-            None if changes.is_empty() => false,
-            None => self.follow_backend_list(changes, now),
+        match (snapshot, changes.last()) {
+            (Some(list), _) => {
+                self.needs_backend_list_snapshot = false;
+                self.set_backend_list(list, now)
+            }
+            (None, Some(newest)) if newest.version > self.versions().backend_list => {
+                self.follow_backend_list(changes, now)
+            }
+            // No changes, or such as lead to what is held already: the answer to an older pull.
+            _ => false,
         }
     }
 
--- a/crates/protocol/tests/incremental_updates.rs
+++ b/crates/protocol/tests/incremental_updates.rs
@@ -47,7 +47,7 @@
 }
 
 fn response(publisher: &VersionStore, reader: &VersionStore, now: Timestamp) -> PullResponse {
-    publisher.response_to(&reader.versions(), RegisterForm::Incremental, Duration::ZERO, now)
+    publisher.response_to(&reader.versions_to_request(), RegisterForm::Incremental, Duration::ZERO, now)
 }
 
 /// A publisher whose register and list of backends change by chance.
@@ -172,7 +172,7 @@
         (reader.register.as_ref().map(|register| register.revision), reader.attested_at),
         (Some(Revision(1)), None)
     );
-    assert_eq!(reader.versions(), VersionVector::default(), "as one that has nothing");
+    assert_eq!(reader.versions_to_request(), VersionVector::default(), "as one that has nothing");
     let snapshot = response(&publisher, &reader, START);
     assert!(snapshot.register.is_some() && reader.apply(snapshot, START, START).register);
     assert_eq!(reader.versions().register, Revision(2));
@@ -227,6 +227,33 @@
     assert_eq!(reader.attested_at, Some(START), "it has all that its publisher has");
 }
 
+/// What is held and what is requested differ while a snapshot is needed. Others go on getting what is held, and a snapshot
+/// that is no newer ends the need: its sender has nothing more.
+#[test]
+fn a_reader_that_needs_a_snapshot_serves_what_it_has_and_is_content_with_one_as_old() {
+    let (mut publisher, mut reader) = (VersionStore::default(), VersionStore::default());
+    let list = |number| {
+        let backends = (0..9).map(|id| backend(id, 0, id < number)).collect();
+        BackendList { version: Version { ballot: Ballot(1), number }, age_ms: 0, backends }
+    };
+    publisher.set_backend_list(list(1), START);
+    reader.apply(response(&publisher, &reader, START), START, START);
+    let lagging = publisher.clone();
+    publisher.set_backend_list(list(2), START);
+    let mut inapplicable = response(&publisher, &reader, START);
+    inapplicable.backend_list_changes[0].from.number = 7;
+    assert!(reader.apply(inapplicable, START, START).needs_snapshot);
+    assert_eq!(reader.versions().backend_list.number, 1, "what it holds");
+    assert_eq!(reader.versions_to_request().backend_list, Version::default());
+    assert!(reader.is_newer_than(&VersionVector::default()), "others may have it");
+    let snapshot = PullResponse { attested_age_ms: Some(0), ..response(&lagging, &reader, START) };
+    assert!(snapshot.backend_list.is_some());
+    assert!(!reader.apply(snapshot, START, START).needs_snapshot);
+    assert_eq!(reader.versions_to_request().backend_list.number, 1);
+    assert_eq!(reader.attested_at, Some(START), "as new as what the sender attests");
+    assert!(reader.apply(response(&publisher, &reader, START), START, START).backend_list);
+}
+
 #[test]
 fn a_change_of_membership_alone_is_followed_and_one_with_another_checksum_is_not() {
     let (mut publisher, mut reader) = (VersionStore::default(), VersionStore::default());
--- a/programs/agent/src/upstream.rs
+++ b/programs/agent/src/upstream.rs
@@ -103,7 +103,7 @@
 
     fn pull_request(&self, wait: Duration) -> PullRequest {
         PullRequest {
-            versions: self.state.publisher.store().versions(),
+            versions: self.state.publisher.store().versions_to_request(),
             wait_ms: wait.as_millis() as u64,
             follower: None,
             token_leases: None,
--- a/programs/controller/src/roles/backend_polling.rs
+++ b/programs/controller/src/roles/backend_polling.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::time::sleep;
 use vanewharf_clock::Timestamp;
-use vanewharf_protocol::messages::{Backend, BackendList};
+use vanewharf_protocol::messages::{Backend, BackendList, Ballot};
 use vanewharf_rpc::RpcError;
 use vanewharf_runtime::invariants::Invariant;
 
@@ -29,10 +29,10 @@
             sleep(LEASE_CHECK_INTERVAL).await;
             continue;
         }
-        let requested_at = state.publisher.now();
+        let (requested_at, ballot) = (state.publisher.now(), state.replica.ballot());
         let interval = match platform.list_backends().await {
             Ok(backends) => {
-                publish_if_changed(&state, backends, requested_at);
+                publish_if_changed(&state, PolledList { backends, requested_at, ballot });
                 POLL_INTERVAL
             }
             Err(RpcError::Status(TOO_MANY_REQUESTS)) => RATE_LIMITED_INTERVAL,
@@ -48,8 +48,21 @@
     }
 }
 
-/// `requested_at` is when the list was asked for: it is at most as old as that.
-fn publish_if_changed(state: &ControllerState, backends: Vec<Backend>, requested_at: Timestamp) {
+/// A list as the platform returned it.
+struct PolledList {
+    backends: Vec<Backend>,
+    /// When it was asked for: it is at most as old as that.
+    requested_at: Timestamp,
+    /// Of the lease under which it was asked for. Another leaseholder may have published a newer list since that ended.
+    ballot: Ballot,
+}
+
+fn publish_if_changed(state: &ControllerState, polled: PolledList) {
+    let PolledList { backends, requested_at, ballot } = polled;
+    let is_under_same_lease = state.replica.holds_lease() && state.replica.ballot() == ballot;
+    if !is_under_same_lease {
+        return;
+    }
     let (last_version, has_changed) = {
         let store = state.publisher.store();
         let known = store.backend_list.as_ref().map(|list| list.backends.as_slice());
@@ -57,8 +70,8 @@
     };
     // A leaseholder before this one may have sent some proxies a list that was never received here: one that is equal to
     // the list known here may be new to them.
-    let is_from_another_ballot = last_version.ballot != state.replica.ballot();
-    if !(is_from_another_ballot || has_changed) || !state.replica.holds_lease() {
+    let is_from_another_ballot = last_version.ballot != ballot;
+    if !(is_from_another_ballot || has_changed) {
         return;
     }
     let version = state.next_version(last_version);
