--- a/programs/controller/src/operator_api.rs
+++ b/programs/controller/src/operator_api.rs
@@ -43,6 +43,12 @@
     ChangeInProgress,
     #[error("too few of the new voters keep up now; send it again")]
     TooFewVotersKeepUp,
+    /// The set would tolerate one loss less than before: the one that leaves has what was committed, and one that stays
+    /// may not have it.
+    #[error(
+        "{failed} does not keep up: while it is a voter, no other voter that does is replaced; send it again"
+    )]
+    AnotherVoterFailed { failed: SocketAddr },
     #[error("there is no such call")]
     UnknownCall,
     /// Answered with a redirect to the leaseholder, where one is known.
@@ -62,7 +68,10 @@
             | Refusal::SameVoter(_)
             | Refusal::AlreadyAVoter(_)
             | Refusal::UnknownController(_) => 409,
-            Refusal::ChangeInProgress | Refusal::TooFewVotersKeepUp | Refusal::NotLeaseholder => 503,
+            Refusal::ChangeInProgress
+            | Refusal::TooFewVotersKeepUp
+            | Refusal::AnotherVoterFailed { .. }
+            | Refusal::NotLeaseholder => 503,
         }
     }
 }
@@ -161,7 +170,8 @@
         (true, true) => return Err(Refusal::AlreadyAVoter(joining)),
         (true, false) => {}
     }
-    if !majority_in_sync(&[joining].into(), candidates) {
+    let keeps_up = |voter: SocketAddr| majority_in_sync(&[voter].into(), candidates);
+    if !keeps_up(joining) {
         return Err(Refusal::UnknownController(joining));
     }
     voters.remove(&leaving);
@@ -169,6 +179,10 @@
     if !majority_in_sync(&voters, candidates) {
         return Err(Refusal::TooFewVotersKeepUp);
     }
+    let failed = voters.iter().copied().find(|voter| !keeps_up(*voter));
+    if let Some(failed) = failed.filter(|_| keeps_up(leaving)) {
+        return Err(Refusal::AnotherVoterFailed { failed });
+    }
     Ok(Some(voters))
 }
 
--- a/programs/controller/src/operator_api/tests.rs
+++ b/programs/controller/src/operator_api/tests.rs
@@ -62,6 +62,25 @@
     assert_eq!(replace_first(&membership(vec![controller(1)])), (503, in_progress.to_owned()));
 }
 
+/// Voter 3 has failed: a voter that keeps up stays until 3 is replaced.
+#[test]
+fn beside_a_failed_voter_only_that_one_is_replaced() {
+    let candidates = [
+        candidate(1, Duration::ZERO),
+        candidate(2, Duration::ZERO),
+        candidate(3, Duration::from_secs(2)),
+        candidate(4, Duration::ZERO),
+    ];
+    let replace = |leaving| {
+        let membership = membership(Vec::new());
+        voters_after_replacement(&membership, &candidates, controller(leaving), controller(4))
+    };
+    let refusal = replace(1).expect_err("refused");
+    let text = "10.0.0.3:7600 does not keep up: while it is a voter, no other voter that does is replaced; send it again";
+    assert_eq!((refusal.status(), refusal.to_string().as_str()), (503, text));
+    assert_eq!(replace(3).expect("a change"), Some([1, 2, 4].map(controller).into()));
+}
+
 #[parameterized(
     not_json = { b"{", 400 },
     not_text = { b"\xff", 400 },
