Let a voter that keeps up leave only once all of the new set have the register

The healthy voter had left, and the next disk was one too many. A failed voter is replaced as before. Ruled out: undoing a change that is in progress (joint consensus has no step back); a ping (says nothing of the disk).

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -52,7 +52,7 @@
 pub use group_commit::{ChangeOutcome, GroupCommit, OperatorChange, apply_changes};
 pub use lease::{HeldLease, LEASE_DURATION, LEASE_SAFETY_MARGIN, RENEWAL_INTERVAL};
 pub use membership::{all_voters, has_quorum, next_membership, voter_count_for};
-pub use planner::{VoterCandidate, majority_in_sync, plan_next_voters};
+pub use planner::{VoterCandidate, majority_in_sync, plan_next_voters, removes_voter_in_sync};
 pub use pre_vote::PreVoteRound;
 pub use quorum::QuorumTracker;
 pub use recovery::{RecoveryRound, RecoveryStep};
--- a/crates/consensus/src/planner.rs
+++ b/crates/consensus/src/planner.rs
@@ -44,6 +44,17 @@
     in_sync.count() >= majority(voters.len())
 }
 
+/// Whether a voter that is in sync is none of the new set.
+pub fn removes_voter_in_sync(
+    membership: &Membership,
+    voters: &BTreeSet<SocketAddr>,
+    candidates: &[VoterCandidate],
+) -> bool {
+    let leaves =
+        |one: &&VoterCandidate| membership.voters.contains(&one.address) && !voters.contains(&one.address);
+    candidates.iter().filter(leaves).any(VoterCandidate::is_in_sync)
+}
+
 /// The set of voters that should follow the current one, or nothing if no change is needed or possible now.
 ///
 /// In this order: the set grows towards `target_size`; a failed voter is replaced; voters are spread over the zones. A set
--- a/crates/consensus/src/planner/tests.rs
+++ b/crates/consensus/src/planner/tests.rs
@@ -38,3 +38,13 @@
     let now = membership(1, &[1, 2, 3], &[]);
     assert_eq!(plan_next_voters(&now, &machines(text), target_size), expected.map(address_set));
 }
+
+#[parameterized(
+    one_that_has_failed = { "1a+ 2b- 3c+ 4d+", false },
+    one_that_keeps_up = { "1a+ 2b+ 3c+ 4d+", true },
+)]
+fn it_is_told_whether_a_voter_that_keeps_up_leaves(text: &str, expected: bool) {
+    let now = membership(1, &[1, 2, 3], &[]);
+    assert_eq!(removes_voter_in_sync(&now, &address_set(&[1, 3, 4]), &machines(text)), expected);
+    assert!(!removes_voter_in_sync(&now, &address_set(&[1, 2, 3, 4, 5]), &machines(text)), "none leaves");
+}
--- a/crates/system-simulator/tests/schedules.rs
+++ b/crates/system-simulator/tests/schedules.rs
@@ -78,6 +78,22 @@
     assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
 }
 
+/// Found by seed 803138 of four controllers: an operator has a healthy voter replaced by a machine that went for good a
+/// moment ago, which the leaseholder does not know yet.
+#[test]
+fn a_replacement_by_a_machine_that_has_just_gone_costs_no_tolerance() {
+    const SEED: u64 = 803_138;
+    let parameters = SimulationParameters {
+        controllers: 4,
+        proxies: 3,
+        seconds: 20,
+        requests_per_second: 5,
+        max_faults: 6,
+    };
+    let outcome = simulate_schedule(&draw_schedule(parameters, SEED));
+    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+}
+
 #[test]
 fn a_schedule_has_the_same_outcome_each_time() {
     let parameters = SimulationParameters {
--- a/programs/controller/src/operator_api.rs
+++ b/programs/controller/src/operator_api.rs
@@ -145,7 +145,8 @@
     }
     let (membership, candidates) = membership_and_candidates(state);
     let voters = voters_after_replacement(&membership, &candidates, leaving, joining)?;
-    Ok(voters.map(|voters| Order::Reconfigure(Reconfiguration { epoch: membership.epoch, voters })))
+    let reconfiguration = voters.map(|voters| Reconfiguration::new(&membership, voters, &candidates));
+    Ok(reconfiguration.map(Order::Reconfigure))
 }
 
 fn controller_address(state: &ControllerState, text: &str) -> Result<SocketAddr, Refusal> {
--- a/programs/controller/src/orders.rs
+++ b/programs/controller/src/orders.rs
@@ -14,8 +14,8 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
-use vanewharf_consensus::OperatorChange;
-use vanewharf_protocol::messages::RegisterRank;
+use vanewharf_consensus::{OperatorChange, VoterCandidate, removes_voter_in_sync};
+use vanewharf_protocol::messages::{Membership, RegisterRank};
 
 /// The most orders that are queued at once; further ones are refused.
 const MAX_QUEUED_ORDERS: usize = 64;
@@ -38,6 +38,21 @@
     /// The epoch of the membership that it was worked out on: it is refused where the membership has changed since.
     pub epoch: u64,
     pub voters: BTreeSet<SocketAddr>,
+    /// Whether it takes out a voter that keeps up. Then all of the new set have to have accepted the newest register first:
+    /// the one that leaves has it, and who keeps up is known of a moment ago only.
+    pub needs_all_voters: bool,
+}
+
+impl Reconfiguration {
+    /// The change of a membership to these voters.
+    pub fn new(
+        membership: &Membership,
+        voters: BTreeSet<SocketAddr>,
+        candidates: &[VoterCandidate],
+    ) -> Reconfiguration {
+        let needs_all_voters = removes_voter_in_sync(membership, &voters, candidates);
+        Reconfiguration { epoch: membership.epoch, voters, needs_all_voters }
+    }
 }
 
 /// The outcome of an order, or of a read.
--- a/programs/controller/src/orders/executor.rs
+++ b/programs/controller/src/orders/executor.rs
@@ -193,11 +193,18 @@
     }
 
     /// A change that is given up midway may be in force or not; the next one begins by concluding it.
-    async fn reconfigure(&self, Reconfiguration { epoch, voters }: Reconfiguration) -> OrderOutcome {
+    async fn reconfigure(&self, reconfiguration: Reconfiguration) -> OrderOutcome {
+        let Reconfiguration { epoch, voters, needs_all_voters } = reconfiguration;
         if self.replica.membership().epoch != epoch {
             return OrderOutcome::Uncertain;
         }
-        match timeout(RECONFIGURATION_TIMEOUT, self.replica.reconfigure(voters)).await {
+        let change = async {
+            if needs_all_voters && !self.replica.all_accept_newest(&voters).await {
+                return ReplicationOutcome::Uncertain;
+            }
+            self.replica.reconfigure(voters).await
+        };
+        match timeout(RECONFIGURATION_TIMEOUT, change).await {
             Ok(ReplicationOutcome::Committed) => OrderOutcome::Acknowledged,
             Ok(ReplicationOutcome::Uncertain) | Err(_) => OrderOutcome::Uncertain,
         }
--- a/programs/controller/src/replica/reconfiguration.rs
+++ b/programs/controller/src/replica/reconfiguration.rs
@@ -4,9 +4,10 @@
 use super::{Replica, ReplicationOutcome};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::ControlFlow;
 use std::rc::Rc;
 use vanewharf_consensus::{RenewalOutcome, next_membership};
-use vanewharf_protocol::messages::{Membership, Register};
+use vanewharf_protocol::messages::{Membership, Register, Vote, VoteRequest, VoteResponse};
 
 impl Replica {
     /// Replaces the set of voters. A change that a leaseholder before this one began is concluded first.
@@ -36,6 +37,27 @@
         ReplicationOutcome::Committed
     }
 
+    /// Whether all of these controllers, voters or not yet, accept the newest register now: they run, are in touch and have
+    /// it on disk.
+    pub async fn all_accept_newest(self: &Rc<Self>, controllers: &BTreeSet<SocketAddr>) -> bool {
+        let mut missing = controllers.clone();
+        let request = VoteRequest::Accept { register: self.newest_register() };
+        let record_response = |controller, response: VoteResponse| {
+            if response.vote == Vote::Accepted {
+                missing.remove(&controller);
+            }
+            if missing.is_empty() { ControlFlow::Break(()) } else { ControlFlow::Continue(()) }
+        };
+        let all_accepted = self.collect_votes(controllers, request, record_response).await.is_some();
+        if !all_accepted {
+            spdlog::warn!(
+                "membership change is not begun: a voter that keeps up would leave, and not all others answer",
+                kv: { event = "reconfiguration_refused", unresponsive:? = missing }
+            );
+        }
+        all_accepted
+    }
+
     fn committed_membership(&self) -> Membership {
         let store = self.publisher.store();
         store.register.as_ref().map(|register| register.membership.clone()).unwrap_or_default()
--- a/programs/controller/src/roles/membership_management.rs
+++ b/programs/controller/src/roles/membership_management.rs
@@ -45,7 +45,7 @@
     } else {
         plan_next_voters(&membership, &candidates, voter_count_for(state.settings.tolerated_machine_losses))?
     };
-    Some(Reconfiguration { epoch: membership.epoch, voters })
+    Some(Reconfiguration::new(&membership, voters, &candidates))
 }
 
 async fn submit_reconfiguration(orders: &OrderQueue, reconfiguration: Reconfiguration) {
