A lender that knows no configuration gives no answer in place of refusing

Since a controller that has lost its disk answered /lend at once with nothing, which a proxy takes for a refusal: 429, and its own bucket counted from then on. Now 503; the proxy asks another lender, or goes by its own bucket, as where nobody answers. With it, a test that a pre-vote changes nothing at a voter, on which the model relies.

--- a/crates/consensus/src/voter/tests.rs
+++ b/crates/consensus/src/voter/tests.rs
@@ -98,6 +98,20 @@
     assert!(matches!(restarted.handle_vote_request(lease(3 << 8, 1), later).vote, Vote::Granted { .. }));
 }
 
+/// So paths with pre-votes are paths without them, and the model need not have them.
+#[test]
+fn a_pre_vote_changes_nothing_at_the_voter() {
+    for asked_at in [START, START.after(crate::lease::LEASE_DURATION)] {
+        let mut voter = voter_with_register(3, 2);
+        let before = voter.clone();
+        for candidate in 1..=3 {
+            let request = VoteRequest::PreVote { candidate: address(candidate) };
+            assert!(voter.handle_vote_request(request, asked_at).write.is_none());
+        }
+        assert_eq!(voter, before);
+    }
+}
+
 #[test]
 fn a_restarted_voter_waits_no_longer_once_the_promised_candidate_renounces_the_lease() {
     let mut restarted = restarted_voter(Some(&record_with_ballot(2 << 8)), START);
--- a/programs/controller/src/internal_api.rs
+++ b/programs/controller/src/internal_api.rs
@@ -26,7 +26,11 @@
             let pull = decode_body(request)?;
             RpcResponse::json(&handle_pull(state, pull).await).compressed_for(request)
         }
-        ("POST", endpoints::LEASE_TOKENS) => RpcResponse::json(&state.lease_tokens(decode_body(request)?)),
+        ("POST", endpoints::LEASE_TOKENS) => match state.lease_tokens(decode_body(request)?) {
+            Some(leased) => RpcResponse::json(&leased),
+            // A proxy takes tokens that are missing from an answer for refused.
+            None => RpcResponse::error(503, "no configuration is known yet"),
+        },
         ("POST", endpoints::VOTE) => {
             let vote_request = decode_body(request)?;
             RpcResponse::json(&state.replica.handle_vote_request(vote_request).await)
--- a/programs/controller/src/roles/token_lending.rs
+++ b/programs/controller/src/roles/token_lending.rs
@@ -25,8 +25,15 @@
         }
     }
 
-    /// Leases as many tokens as there are. Tenants that the configuration does not know get none, and no entry.
-    pub fn lease(&mut self, requested: TokenCounts, config: Option<&Config>, now: Timestamp) -> TokenCounts {
+    /// Leases as many tokens as there are. Tenants that the configuration does not know get none, and no entry. `None` while
+    /// no configuration is known, as after the loss of the disk: nothing is said of any tenant then.
+    pub fn lease(
+        &mut self,
+        requested: TokenCounts,
+        config: Option<&Config>,
+        now: Timestamp,
+    ) -> Option<TokenCounts> {
+        let config = config?;
         let mut leased = TokenCounts::new();
         for (tenant, count) in requested {
             if let Some(quota) = quota_of(config, &tenant) {
@@ -34,13 +41,14 @@
                 leased.insert(tenant, count);
             }
         }
-        leased
+        Some(leased)
     }
 
     /// Divides quotas by the number of lenders that the summary names, if controllers lease tokens at all.
     pub fn apply_summary(&mut self, summary: &FleetSummary, config: Option<&Config>, now: Timestamp) {
         if let Some(lenders) = summary.token_lenders {
-            let quota = |tenant: &str| quota_of(config, tenant).unwrap_or(Quota::UNLIMITED);
+            let known = |tenant: &str| config.and_then(|config| quota_of(config, tenant));
+            let quota = |tenant: &str| known(tenant).unwrap_or(Quota::UNLIMITED);
             self.buckets.apply_usage(lenders, &summary.tenants, quota, now);
         }
     }
@@ -54,7 +62,10 @@
 }
 
 /// A tenant's quota, where the configuration knows the tenant.
-fn quota_of(config: Option<&Config>, tenant: &str) -> Option<Quota> {
-    let customer = config?.customers.as_ref()?.get(tenant)?;
+fn quota_of(config: &Config, tenant: &str) -> Option<Quota> {
+    let customer = config.customers.as_ref()?.get(tenant)?;
     Some(Quota { rate: customer.rate_per_s, burst: customer.burst_allowance })
 }
+
+#[cfg(test)]
+mod tests;
--- a/programs/controller/src/state.rs
+++ b/programs/controller/src/state.rs
@@ -65,8 +65,8 @@
         Version { ballot, number: if last.ballot == ballot { last.number + 1 } else { 1 } }
     }
 
-    /// Leases tokens to a proxy, as far as the tenants' quotas allow.
-    pub fn lease_tokens(&self, requested: TokenCounts) -> TokenCounts {
+    /// Leases tokens to a proxy, as far as the tenants' quotas allow; `None` while no configuration is known.
+    pub fn lease_tokens(&self, requested: TokenCounts) -> Option<TokenCounts> {
         let config = self.replica.config();
         self.token_lender.borrow_mut().lease(requested, config.as_deref(), self.publisher.now())
     }
