--- a/crates/system-simulator/tests/schedules.rs
+++ b/crates/system-simulator/tests/schedules.rs
@@ -62,36 +62,25 @@
     }
 }
 
-/// Found by seed 803248 of three controllers: an operator has a healthy voter replaced while another one has failed, and the
-/// next loss is one too many, though no more is lost at once than is to be tolerated.
+fn assert_no_rule_is_violated(controllers: usize, seed: u64) {
+    let parameters =
+        SimulationParameters { controllers, proxies: 3, seconds: 20, requests_per_second: 5, max_faults: 6 };
+    let outcome = simulate_schedule(&draw_schedule(parameters, seed));
+    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+}
+
+/// An operator has a healthy voter replaced while another one has failed, and the next loss is one too many, though no more is
+/// lost at once than is to be tolerated.
 #[test]
 fn a_replacement_of_a_healthy_voter_beside_a_failed_one_costs_no_tolerance() {
-    const SEED: u64 = 803_248;
-    let parameters = SimulationParameters {
-        controllers: 3,
-        proxies: 3,
-        seconds: 20,
-        requests_per_second: 5,
-        max_faults: 6,
-    };
-    let outcome = simulate_schedule(&draw_schedule(parameters, SEED));
-    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+    assert_no_rule_is_violated(3, 803_248);
 }
 
-/// Found by seed 803138 of four controllers: an operator has a healthy voter replaced by a machine that went for good a
-/// moment ago, which the leaseholder does not know yet.
+/// An operator has a healthy voter replaced by a machine that went for good a moment ago, which the leaseholder does not know
+/// yet.
 #[test]
 fn a_replacement_by_a_machine_that_has_just_gone_costs_no_tolerance() {
-    const SEED: u64 = 803_138;
-    let parameters = SimulationParameters {
-        controllers: 4,
-        proxies: 3,
-        seconds: 20,
-        requests_per_second: 5,
-        max_faults: 6,
-    };
-    let outcome = simulate_schedule(&draw_schedule(parameters, SEED));
-    assert!(outcome.violations.is_empty(), "{:#?}", outcome.violations);
+    assert_no_rule_is_violated(4, 803_138);
 }
 
 #[test]
