--- a/crates/consensus/src/election.rs
+++ b/crates/consensus/src/election.rs
@@ -57,7 +57,10 @@
             return ControlFlow::Continue(());
         }
         let found = self.newest_granted_register();
-        if found.rank() > self.membership_rank {
+        // A leaseholder that finds no register publishes the initial one without having it accepted, under a ballot that may
+        // be above that of a change which was begun before.
+        let names_later_set = found.membership.epoch > self.membership().epoch;
+        if found.rank() > self.membership_rank || names_later_set {
             self.tally.set_membership(found.membership.clone());
             self.membership_rank = found.rank();
             if !self.tally.has_quorum() {
--- a/crates/consensus/src/election/tests.rs
+++ b/crates/consensus/src/election/tests.rs
@@ -39,6 +39,19 @@
     assert_eq!(outcome, ControlFlow::Break(ElectionOutcome::Won(Box::new(newer))));
 }
 
+/// The candidate has published the initial register under ballot 2, without having it accepted, and finds a change that was
+/// begun under ballot 1.
+#[test]
+fn a_later_set_counts_also_where_it_was_named_under_a_lower_ballot() {
+    let mut election = Election::start(address(1), voters(&[1, 2, 3]), rank(2, 0));
+    assert!(election.record_response(address(1), granted(register(0, 0, voters(&[1, 2, 3])))).is_continue());
+    let change = begin_change(&voters(&[1, 2, 3]), &[address(1), address(2), address(4)].into());
+    let begun = register(1, 1, change);
+    let outcome = election.record_response(address(3), granted(begun));
+    let others = [2, 4].map(address).into();
+    assert_eq!(outcome, ControlFlow::Break(ElectionOutcome::QueryAlso(others)));
+}
+
 #[test]
 fn a_candidate_that_is_no_voter_of_the_newest_membership_does_not_lead() {
     let mut election = Election::start(address(1), voters(&[1, 2, 3]), rank(1, 1));
