Golden answers of /lend: with a configuration as before, without one 503

The old golden file stays and is asked of a controller that has one; the new answer has a file of its own. A proxy of an earlier build takes any answer but 200 for none.

--- a/crates/compatibility/tests/calls.rs
+++ b/crates/compatibility/tests/calls.rs
@@ -217,6 +217,8 @@
     assert_call("shuffle", subnet, &neighbour.first("POST /shuffle", ""));
 }
 
+const SMALLEST_CONFIGURATION: &str = r#"{"revision":"r1","routes":{},"services":{},"limits":{"max_header_bytes":1024,"max_body_bytes":1024,"header_deadline":"1s","idle_timeout":"1s"},"customers":{}}"#;
+
 /// What a control plane answers to each call.
 #[test]
 fn control_plane() {
@@ -245,12 +247,16 @@
     assert_call("platform_instances", subnet, &platform.first("GET /instances", ""));
     assert_call("answer_vote", subnet, &answered("POST", "/vote", granted));
     assert_call("answer_vote_unreadable", subnet, &answered("POST", "/vote", "{}"));
-    assert_call("answer_lend", subnet, &answered("POST", "/lend", r#"{"nobody":5}"#));
+    assert_call("answer_lend_unconfigured", subnet, &answered("POST", "/lend", r#"{"nobody":5}"#));
     assert_call("answer_holds", subnet, &answered("POST", "/holds", "1"));
     assert_call("answer_neighbours", subnet, &answered("GET", "/neighbours", ""));
     assert_call("answer_membership", subnet, &answered("GET", "/membership", ""));
     assert_call("answer_unknown", subnet, &answered("GET", "/pull", ""));
     assert_call("answer_pull_unreadable", subnet, &answered("POST", "/pull", "{}"));
+    let configuration = request("POST", "/-/Configuration.Replace", "", SMALLEST_CONFIGURATION);
+    let taken = raw_call(subnet.socket(SELF, CONTROL_OUTSIDE), &configuration).expect("an answer");
+    assert_eq!(status(&taken), 200, "{taken:?}");
+    assert_call("answer_lend", subnet, &answered("POST", "/lend", r#"{"nobody":5}"#));
 }
 
 /// What a data plane asks of its agent.
