--- a/crates/system-simulator/tests/schedules.rs
+++ b/crates/system-simulator/tests/schedules.rs
@@ -83,6 +83,13 @@
     assert_no_rule_is_violated(4, 803_138);
 }
 
+/// A voter is gone for good, its successor is there, and all machines lose power. After that the new leaseholder waits for the
+/// voter from the start, and the next disk is lost before its successor has taken its place.
+#[test]
+fn a_voter_that_went_before_a_loss_of_all_power_is_replaced_before_the_next_loss() {
+    assert_no_rule_is_violated(3, 801_283);
+}
+
 #[test]
 fn a_schedule_has_the_same_outcome_each_time() {
     let parameters = SimulationParameters {
