--- a/review/harness.rs
+++ b/review/harness.rs
@@ -313,6 +313,23 @@
         deployment
     }
 
+    /// Starts a proxy (0) or an agent (1) again, as the platform does after its end.
+    pub fn restart(&mut self, role: usize, number: usize) {
+        let host = 11 + number;
+        let settings = self.settings(host, ZONES[number % 2], false, false);
+        if role == 0 {
+            self.proxies[number] = self.spawn("vanewharf-proxy", &settings, host);
+        } else {
+            self.agents[number] = self.spawn("vanewharf-agent", &settings, host);
+        }
+    }
+
+    /// Starts a controller again, as the platform does after its end.
+    pub fn restart_controller(&mut self, number: usize) {
+        let settings = self.settings(1 + number, ZONES[number % 2], true, false);
+        self.controllers[number] = self.spawn("vanewharf-controller", &settings, 1 + number);
+    }
+
     /// Sends an order to the controllers in turn, following redirections, until one gives a clear answer.
     pub fn order(&self, method: &str, path: &str, body: &str) -> Message {
         let started = Instant::now();
