--- a/review/harness.rs
+++ b/review/harness.rs
@@ -145,6 +145,18 @@
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
+/// The processes that were started and have not been waited for.
+static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+
+/// Ends all processes and exits with 2: the case couldn't run.
+pub fn give_up(text: &str) -> ! {
+    for pid in RUNNING.lock().unwrap().iter() {
+        unsafe { kill(*pid, SIGKILL) };
+    }
+    eprintln!("{text}");
+    exit(2)
+}
+
 /// A program of the deploy file.
 pub struct Program {
     child: Child,
@@ -155,6 +167,11 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.forget();
+    }
+
+    fn forget(&self) {
+        RUNNING.lock().unwrap().retain(|pid| *pid != self.child.id() as i32);
     }
 
     pub fn signal(&self, signal: i32) {
@@ -162,14 +179,15 @@
     }
 
     pub fn has_ended(&mut self) -> Option<String> {
-        self.child.try_wait().ok().flatten().map(|status| status.to_string())
+        let status = self.child.try_wait().ok().flatten()?;
+        self.forget();
+        Some(status.to_string())
     }
 }
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
@@ -287,11 +305,11 @@
             .stderr(log)
             .spawn();
         match child {
-            Ok(child) => Program { child },
-            Err(error) => {
-                eprintln!("cannot start target/release/{program}: {error}");
-                exit(2)
+            Ok(child) => {
+                RUNNING.lock().unwrap().push(child.id() as i32);
+                Program { child }
             }
+            Err(error) => give_up(&format!("cannot start target/release/{program}: {error}")),
         }
     }
 
@@ -393,8 +411,7 @@
                 _ => {}
             }
             if started.elapsed() > Duration::from_secs(30) {
-                eprintln!("no controller took the order {path}");
-                exit(2)
+                give_up(&format!("no controller took the order {path}"))
             }
             thread::sleep(Duration::from_millis(100));
             to = self.operator_address(number % self.controllers.len());
@@ -418,8 +435,7 @@
                     break;
                 }
                 if started.elapsed() > Duration::from_secs(30) {
-                    eprintln!("proxy {proxy} does not get ready");
-                    exit(2)
+                    give_up(&format!("proxy {proxy} does not get ready"))
                 }
                 thread::sleep(Duration::from_millis(100));
             }
