Review: scripts end with 0, 1 or 2 and leave no process, however they end

Cause: a script that panicked ended with 101, and one that was killed or ran out of time left its processes.

--- a/review/harness.rs
+++ b/review/harness.rs
@@ -7,9 +7,10 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio, exit};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Once, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -31,6 +32,7 @@
 
 impl Record {
     pub fn create(path: &str) -> Record {
+        guard();
         let file = File::create(path).expect("record.txt can be written");
         Record(Arc::new((Mutex::new(file), Instant::now())))
     }
@@ -124,6 +126,7 @@
 unsafe extern "C" {
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// A small receive window ("Their windows are small", DEPLOY.md) with the segment size of an Ethernet. Accepted
@@ -148,15 +151,37 @@
 /// The processes that were started and have not been waited for.
 static RUNNING: Mutex<Vec<i32>> = Mutex::new(Vec::new());
 
-/// Ends all processes and exits with 2: the case couldn't run.
+/// The folders of the deployments.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+/// A script that has not ended by then couldn't run; run.sh ends it a little later.
+const LONGEST_RUN: Duration = Duration::from_secs(100);
+
+/// Ends all processes, removes their files and exits with 2: the case couldn't run.
 pub fn give_up(text: &str) -> ! {
-    for pid in RUNNING.lock().unwrap().iter() {
+    let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    for pid in running.iter() {
         unsafe { kill(*pid, SIGKILL) };
     }
+    for folder in FOLDERS.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+        let _ = fs::remove_dir_all(folder);
+    }
     eprintln!("{text}");
     exit(2)
 }
 
+/// Has the script exit with 2, and leave no process, on a panic in any thread and after [`LONGEST_RUN`].
+fn guard() {
+    static GUARDED: Once = Once::new();
+    GUARDED.call_once(|| {
+        std::panic::set_hook(Box::new(|panic| give_up(&format!("the case could not run: {panic}"))));
+        thread::spawn(|| {
+            thread::sleep(LONGEST_RUN);
+            give_up("the case took too long")
+        });
+    });
+}
+
 /// A program of the deploy file.
 pub struct Program {
     child: Child,
@@ -298,13 +323,20 @@
     fn spawn(&self, program: &str, settings: &PathBuf, host: usize) -> Program {
         let log = self.directory.join(format!("{program}-{host}.log"));
         let log = OpenOptions::new().create(true).append(true).open(log).expect("a log can be opened");
-        let child = Command::new(format!("target/release/{program}"))
+        let mut command = Command::new(format!("target/release/{program}"));
+        command
             .env("VANEWHARF_SETTINGS", settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn();
-        match child {
+            .stderr(log);
+        // Ends the process with the script, however that ends (PR_SET_PDEATHSIG).
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        match command.spawn() {
             Ok(child) => {
                 RUNNING.lock().unwrap().push(child.id() as i32);
                 Program { child }
@@ -328,6 +360,7 @@
         let subnet = format!("127.{}.{}", 1 + (mixed >> 8) % 249, 1 + (mixed >> 18) % 249);
         let directory = std::env::temp_dir().join(format!("vanewharf-review-{}-{nanos}", std::process::id()));
         fs::create_dir_all(&directory).expect("a temporary folder can be made");
+        FOLDERS.lock().unwrap().push(directory.clone());
         let platform = Platform::start(&format!("{subnet}.100"));
         let mut deployment =
             Deployment { platform, controllers: vec![], proxies: vec![], agents: vec![], subnet, seeds: vec![1, 2, 3], directory };
