Log how much of a request was sent and whether a reply lay unread

Among the hypotheses were: the answer is not read while the body is being written (the reviewer's), it is read and not taken for this request's, the request is rejected before it is sent, or a second attempt follows the first.

A debug line for each exchange now has the event that ended it, the request's size, the bytes that the operating system took, and whether anything lay unread. The proxy prints these lines with VANEWHARF_LOG=debug, and without it the crate's warnings and violated invariants, which it printed nowhere.

--- a/crates/runtime/src/log.rs
+++ b/crates/runtime/src/log.rs
@@ -51,10 +51,14 @@
     }
 }
 
+/// Whether the environment selects debug lines.
+pub fn is_debug_selected() -> bool {
+    std::env::var(LEVEL_VARIABLE).is_ok_and(|level| level == "debug")
+}
+
 /// Sets up the default logger of the process, named after the program.
 pub fn start(program: &str) {
-    let is_debug = std::env::var(LEVEL_VARIABLE).is_ok_and(|level| level == "debug");
-    let level = if is_debug { Level::Debug } else { Level::Info };
+    let level = if is_debug_selected() { Level::Debug } else { Level::Info };
     let sink = BufferedSink {
         prop: SinkProp::default(),
         formatter: FullFormatter::new(),
--- a/programs/gateway/src/backend_connection.rs
+++ b/programs/gateway/src/backend_connection.rs
@@ -8,7 +8,7 @@
 use crate::counters::Counter;
 use crate::messages::{Attempt, AttemptResult, IdleConnection, RouterMessage};
 use crate::shared::Shared;
-use connection::{Connection, Exchange, IdleEnd};
+use connection::{Connection, Exchange, IdleEnd, TransferState};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -63,6 +63,18 @@
             },
         };
         let Exchange { written, event, reply } = connection.exchange(&mut attempt, &self.shared).await;
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let TransferState { request_bytes, sent_bytes, has_unread_input } = connection.transfer_state();
+            tracing::debug!(
+                txn = txn.0,
+                no = number.0,
+                ?event,
+                request_bytes,
+                sent_bytes,
+                has_unread_input,
+                "exchange ended"
+            );
+        }
         if written {
             self.advance(ConnectionEvent::Written);
         }
--- a/programs/gateway/src/backend_connection/connection.rs
+++ b/programs/gateway/src/backend_connection/connection.rs
@@ -22,6 +22,19 @@
 pub(super) struct Connection {
     framed: Framed<TcpStream, ClientCodec>,
     guard: SocketGuard,
+    /// The encoded size of the current request.
+    request_bytes: usize,
+}
+
+/// How much of an exchange was transferred, for the log.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TransferState {
+    /// The encoded size of the request.
+    pub(super) request_bytes: usize,
+    /// How much of the request the operating system has accepted.
+    pub(super) sent_bytes: usize,
+    /// Whether the backend has sent bytes that were not read as a reply, or has closed the connection.
+    pub(super) has_unread_input: bool,
 }
 
 /// How an exchange ended.
@@ -53,6 +66,10 @@
 }
 
 impl Connection {
+    fn new(stream: TcpStream, guard: SocketGuard) -> Connection {
+        Connection { framed: Framed::new(stream, ClientCodec::default()), guard, request_bytes: 0 }
+    }
+
     /// Connects to a backend. The error distinguishes a lack of local sockets from a failure to connect.
     pub(super) async fn dial(address: SocketAddr, shared: &Shared) -> Result<Connection, ConnectionEvent> {
         let resources = &shared.resources;
@@ -73,7 +90,7 @@
         };
         let stream = connected.map_err(|_| ConnectionEvent::ConnectFailed)?;
         let _ = stream.set_nodelay(true);
-        Ok(Connection { framed: Framed::new(stream, ClientCodec::default()), guard })
+        Ok(Connection::new(stream, guard))
     }
 
     /// Writes the attempt's request and reads its reply, unless the attempt is cancelled first.
@@ -96,11 +113,14 @@
             set_headers: &set_headers,
             removed_headers: options.request_headers_removed,
         };
+        // Encoding into the empty write buffer neither fails nor waits.
+        let _ = self.framed.feed(request).await;
+        self.request_bytes = self.framed.write_buffer().len();
         // Not cancel safe: a dropped write may have sent a part of the request. The request was sent completely if the
         // write buffer is empty.
         let event = tokio::select! {
             biased;
-            sent = self.framed.send(request) => match sent {
+            sent = SinkExt::<ForwardedRequest<'_>>::flush(&mut self.framed) => match sent {
                 Ok(()) => return Ok(()),
                 Err(_) => ConnectionEvent::Broken,
             },
@@ -144,7 +164,7 @@
     }
 
     async fn next_reply(&mut self) -> Option<Result<Reply, ReadError>> {
-        let Connection { framed, guard } = self;
+        let Connection { framed, guard, .. } = self;
         poll_fn(|cx| {
             let reply = framed.poll_next_unpin(cx);
             guard.set_buffer_bytes(framed.read_buffer().capacity() + framed.codec().buffered_bytes());
@@ -153,6 +173,15 @@
         .await
     }
 
+    /// How much of the current exchange was transferred.
+    pub(super) fn transfer_state(&self) -> TransferState {
+        TransferState {
+            request_bytes: self.request_bytes,
+            sent_bytes: self.request_bytes - self.framed.write_buffer().len(),
+            has_unread_input: !self.is_quiet(),
+        }
+    }
+
     /// Frees the write buffer after a large request. The buffer never shrinks by itself.
     pub(super) fn release_write_buffer(&mut self, attempt: &Attempt) {
         if attempt.request.memory_bytes() > SMALL_BUFFER_BYTES {
--- a/programs/gateway/src/backend_connection/connection/tests.rs
+++ b/programs/gateway/src/backend_connection/connection/tests.rs
@@ -13,7 +13,7 @@
         let stream = TcpStream::connect(address).await.expect("a connection");
         let (mut backend, _) = listener.accept().expect("an accepted connection");
         let guard = SocketGuard::new(&resources, SocketKind::Upstream);
-        let connection = Connection { framed: Framed::new(stream, ClientCodec::default()), guard };
+        let connection = Connection::new(stream, guard);
         assert!(connection.is_quiet());
         if closes {
             drop(backend);
--- a/programs/proxy/src/server.rs
+++ b/programs/proxy/src/server.rs
@@ -54,6 +54,7 @@
     environment: Environment,
     shutdown: ShutdownSignal,
 ) -> Result<(), ProxyError> {
+    start_data_plane_log();
     let settings = Rc::new(settings);
     let frontend = settings.listen_address("frontend")?;
     let readiness = settings.listen_address("readiness")?;
@@ -83,6 +84,20 @@
     Ok(())
 }
 
+/// Prints the lines of the gateway's crate, which serves the connections, to standard error: warnings and errors, and with
+/// `VANEWHARF_LOG=debug` a line for each attempt.
+fn start_data_plane_log() {
+    let debug = vanewharf_runtime::log::is_debug_selected();
+    let level = if debug { tracing::Level::DEBUG } else { tracing::Level::WARN };
+    let log = tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        // The logger would report a failed write to standard error on the same closed pipe and panic.
+        .log_internal_errors(false);
+    // Fails only if another proxy of this process has set it up already.
+    let _ = log.try_init();
+}
+
 /// Creates the state shared by the gateway's tasks, and the queue of their messages to the router.
 fn shared_state(
     settings: &Settings,
