Count only a request of which nothing was sent as not run, and read early replies

Where the backend reset the connection instead, the request was sent to another backend and ran twice.

Cause: the connection's state machine took a time-out or a broken connection before the last byte for proof that the backend had not run the request, and the exchange read no reply before the last byte was written.

So the reply lay unread (not rejected before sending, not taken for another's, no second attempt).

Change: states Unsent (nothing was handed to the operating system: may be redialled, counts as not run) and Sending (may have run, however it ends). Replies are read while the request is sent. After a failed write the reply that the backend sent before its reset is still read. Since a partly sent request no longer counts as "reached no backend", its quota token is not refunded and its retry is charged to the budget.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -17,13 +17,20 @@
 pub enum ConnectionState {
     /// The connection is being established.
     Dialling,
-    /// The attempt's request is being written.
-    Writing {
+    /// The connection is open, and nothing of the attempt's request was sent yet. Only in this state and in
+    /// [`Dialling`](ConnectionState::Dialling) is it certain that the backend has not run the request.
+    Unsent {
         /// Whether this is the first attempt on the connection.
         fresh: bool,
     },
-    /// The attempt's request was written completely; its reply is awaited.
+    /// A part of the attempt's request was sent. The backend may run the request before the rest arrives, and may also
+    /// reply before.
+    Sending,
+    /// The attempt's request was sent completely; its reply is awaited.
     AwaitingReply,
+    /// The reply was received while the request was being sent. The attempt has ended, and the rest of the request is
+    /// still being sent, because the backend may read on.
+    SendingRest,
     /// The connection is open and has no attempt.
     Idle,
     /// The connection cannot carry any further attempt.
@@ -39,8 +46,10 @@
     ConnectFailed,
     /// No local socket was available to dial with, which says nothing about the backend.
     NoLocalSocket,
-    /// The last byte of the attempt's request was written.
-    Written,
+    /// The first bytes of the attempt's request were sent, but not all.
+    PartSent,
+    /// The last byte of the attempt's request was sent.
+    Sent,
     /// The connection broke.
     Broken,
     /// The received bytes are not a valid reply.
@@ -70,7 +79,7 @@
     /// The attempt ended with this outcome and without any reply. The cause may be that the connection had been idle
     /// for too long before the attempt.
     EndedWithoutReply(Outcome),
-    /// The reused connection turned out to be closed. The backend has not executed the request, so the attempt must be
+    /// The reused connection turned out to be closed before anything of the request was sent, so the attempt must be
     /// repeated on a new connection.
     Redial,
     /// The event is impossible in this state.
@@ -80,7 +89,7 @@
 impl ConnectionState {
     /// Returns the initial state for an attempt on a reused or on a new connection.
     pub fn for_attempt(reused: bool) -> ConnectionState {
-        if reused { ConnectionState::Writing { fresh: false } } else { ConnectionState::Dialling }
+        if reused { ConnectionState::Unsent { fresh: false } } else { ConnectionState::Dialling }
     }
 
     /// Returns the state after the event, and the effect of the event on the attempt.
@@ -89,24 +98,31 @@
         use ConnectionState::*;
         let ended = |outcome| (Closed, AttemptEffect::Ended(outcome));
         match (self, event) {
-            (Dialling, Connected) => (Writing { fresh: true }, AttemptEffect::Pending),
+            (Dialling, Connected) => (Unsent { fresh: true }, AttemptEffect::Pending),
             (Dialling, ConnectFailed) => ended(Outcome::ConnectFailed),
             (Dialling, NoLocalSocket) => ended(Outcome::NotSent),
-            (Writing { .. }, Written) => (AwaitingReply, AttemptEffect::Pending),
-            (Writing { fresh: true }, Broken) => ended(Outcome::ConnectFailed),
-            (Writing { fresh: false }, Broken) => (Dialling, AttemptEffect::Redial),
-            (AwaitingReply, Broken) => (Closed, AttemptEffect::EndedWithoutReply(Outcome::ConnectionLost)),
-            (AwaitingReply, MalformedReply) => ended(Outcome::ConnectionLost),
+            (Unsent { .. }, PartSent) => (Sending, AttemptEffect::Pending),
+            (Unsent { .. } | Sending, Sent) => (AwaitingReply, AttemptEffect::Pending),
+            (Unsent { fresh: true }, Broken) => ended(Outcome::ConnectFailed),
+            (Unsent { fresh: false }, Broken) => (Dialling, AttemptEffect::Redial),
+            // A backend may run a request before it has read all of it, so a part that was sent is enough.
+            (Sending | AwaitingReply, Broken) => {
+                (Closed, AttemptEffect::EndedWithoutReply(Outcome::ConnectionLost))
+            }
+            (Sending | AwaitingReply, MalformedReply) => ended(Outcome::ConnectionLost),
+            // The backend has stated that it will not run the request, so it does not need the rest.
+            (Sending, Replied { outcome: Outcome::Rejected, .. }) => ended(Outcome::Rejected),
+            (Sending, Replied { outcome, .. }) => (SendingRest, AttemptEffect::Ended(outcome)),
             (AwaitingReply, Replied { outcome, close }) => {
                 (if close { Closed } else { Idle }, AttemptEffect::Ended(outcome))
             }
-            // The request was not written completely, so the backend cannot have executed it.
-            (Dialling | Writing { .. }, Cancelled(CancelReason::TimedOut)) => ended(Outcome::ConnectFailed),
-            (AwaitingReply, Cancelled(CancelReason::TimedOut)) => ended(Outcome::TimedOut),
-            (Dialling | Writing { .. } | AwaitingReply, Cancelled(CancelReason::Cancelled)) => {
+            (SendingRest, Sent | Broken) => (Closed, AttemptEffect::Pending),
+            (Dialling | Unsent { .. }, Cancelled(CancelReason::TimedOut)) => ended(Outcome::ConnectFailed),
+            (Sending | AwaitingReply, Cancelled(CancelReason::TimedOut)) => ended(Outcome::TimedOut),
+            (Dialling | Unsent { .. } | Sending | AwaitingReply, Cancelled(CancelReason::Cancelled)) => {
                 ended(Outcome::Cancelled)
             }
-            (Idle, AttemptAssigned) => (Writing { fresh: false }, AttemptEffect::Pending),
+            (Idle, AttemptAssigned) => (Unsent { fresh: false }, AttemptEffect::Pending),
             (Idle, UnsolicitedData) => (Closed, AttemptEffect::Pending),
             (state, _) => (state, AttemptEffect::Unexpected),
         }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -207,9 +207,9 @@
     Rejected,
     /// No response arrived in time; the request may have run.
     TimedOut,
-    /// No connection could be opened; nothing was sent.
+    /// No connection could be opened, or it was lost before anything was sent.
     ConnectFailed,
-    /// The connection was lost after the request was sent; the request may have run.
+    /// The connection was lost after at least a part of the request was sent; the request may have run.
     ConnectionLost,
     /// This gateway cancelled the attempt; the request may have run.
     Cancelled,
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -3,12 +3,17 @@
 use crate::http::{self, Message};
 use crate::platform::lock;
 use socket2::SockRef;
-use std::io::{self, Write};
+use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
+/// The size of a connection's receive buffer, and of its segments: loopback's own segments would be larger than the buffer.
+const RECEIVE_BUFFER_BYTES: usize = 2048;
+const SEGMENT_BYTES: u32 = 1460;
+/// The part of a body after which some behaviors execute the request.
+const PART_BYTES: usize = 2000;
 const STATUS_OK: &str = "HTTP/1.1 200 OK";
 /// An `Attempt-Id` that no request has.
 const UNKNOWN_ATTEMPT: &str = "another";
@@ -48,10 +53,23 @@
     TruncatesResponse,
     /// Executes the request and responds 500.
     Fails,
+    /// Executes the request after a part of its body, responds 200, and does not read on.
+    RespondsBeforeBody,
+    /// Executes the request after a part of its body, and resets the connection.
+    ResetsBeforeBody,
+    /// Executes the request after a part of its body, and neither responds nor reads on.
+    StallsBeforeBody,
     /// Executes the request and responds with this status, even if the status implies that it was not executed.
     ClaimsStatus(u16),
 }
 
+impl Behavior {
+    /// Whether the request is executed when only a part of its body has been read.
+    fn executes_before_body(self) -> bool {
+        matches!(self, Behavior::RespondsBeforeBody | Behavior::ResetsBeforeBody | Behavior::StallsBeforeBody)
+    }
+}
+
 /// A request that a backend has executed.
 #[derive(Clone, Debug)]
 pub struct ExecutedRequest {
@@ -83,6 +101,8 @@
     id: String,
     behavior: Mutex<Behavior>,
     executed: Mutex<Vec<ExecutedRequest>>,
+    /// Connections that are kept open and not read.
+    unread: Mutex<Vec<TcpStream>>,
 }
 
 impl FakeBackend {
@@ -93,11 +113,16 @@
     /// If the address cannot be bound.
     pub fn start(ip: IpAddr, id: &str, service: &str, zone: &str) -> FakeBackend {
         let listener = TcpListener::bind((ip, 0)).expect("the address can be bound");
+        // Accepted connections inherit both, so that a proxy cannot send a large body before the backend reads it.
+        let socket = SockRef::from(&listener);
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("the size can be set");
+        socket.set_tcp_mss(SEGMENT_BYTES).expect("the size can be set");
         let address = listener.local_addr().expect("the listener is bound");
         let state = Arc::new(BackendState {
             id: id.to_owned(),
             behavior: Mutex::new(Behavior::Serves),
             executed: Mutex::default(),
+            unread: Mutex::default(),
         });
         let server = Arc::clone(&state);
         thread::spawn(move || {
@@ -129,14 +154,20 @@
 impl BackendState {
     fn serve_connection(&self, mut stream: TcpStream) {
         let mut previous_attempt: Option<String> = None;
-        while let Ok(Some(request)) = http::read_message(&mut stream) {
+        while let Ok(Some(mut request)) = http::read_head(&mut stream) {
+            let behavior = *lock(&self.behavior);
+            if behavior.executes_before_body() && request.content_length() > PART_BYTES {
+                return self.execute_before_body(stream, &request, behavior);
+            }
+            if http::read_body(&mut stream, &mut request).is_err() {
+                return;
+            }
             let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
             if request.header("Expected-Instance").is_some_and(|expected| expected != self.id) {
                 let headers = [("Instance-Id", self.id.as_str())];
                 let _ = http::write_message(&mut stream, "HTTP/1.1 421 Misdirected Request", &headers, "");
                 continue;
             }
-            let behavior = *lock(&self.behavior);
             if behavior == Behavior::Sheds {
                 let headers = [("Not-Executed", "1"), ("Attempt-Id", attempt.as_str())];
                 let _ = http::write_message(&mut stream, "HTTP/1.1 503 Service Unavailable", &headers, "");
@@ -151,6 +182,22 @@
         }
     }
 
+    fn execute_before_body(&self, mut stream: TcpStream, request: &Message, behavior: Behavior) {
+        if stream.read_exact(&mut [0; PART_BYTES]).is_err() {
+            return;
+        }
+        let attempt = request.header("Attempt-Id").unwrap_or_default();
+        self.record_execution(request, attempt);
+        if behavior == Behavior::ResetsBeforeBody {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
+        if behavior == Behavior::RespondsBeforeBody {
+            let _ = Responder { stream: &mut stream, id: &self.id, attempt }.write_own(STATUS_OK, &self.id);
+        }
+        lock(&self.unread).push(stream);
+    }
+
     fn record_execution(&self, request: &Message, attempt: &str) {
         let header = |name| request.header(name).map(str::to_owned);
         lock(&self.executed).push(ExecutedRequest {
@@ -217,7 +264,11 @@
                 thread::sleep(work);
                 self.write_own(STATUS_OK, self.id)?;
             }
-            Behavior::Serves | Behavior::Sheds => self.write_own(STATUS_OK, self.id)?,
+            Behavior::Serves
+            | Behavior::Sheds
+            | Behavior::RespondsBeforeBody
+            | Behavior::ResetsBeforeBody
+            | Behavior::StallsBeforeBody => self.write_own(STATUS_OK, self.id)?,
         }
         Ok(Connection::KeepAlive)
     }
--- a/crates/testkit/src/http.rs
+++ b/crates/testkit/src/http.rs
@@ -30,6 +30,11 @@
         self.start_line.get(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
 
+    /// Returns the value of `Content-Length`, or 0 if there is none.
+    pub fn content_length(&self) -> usize {
+        self.header("Content-Length").and_then(|length| length.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the path of a request.
     pub fn path(&self) -> &str {
         self.start_line.get(1).map_or("", String::as_str)
@@ -42,6 +47,20 @@
 ///
 /// If reading fails or times out, or the connection ends within the body.
 pub fn read_message(stream: &mut TcpStream) -> io::Result<Option<Message>> {
+    let Some(mut message) = read_head(stream)? else {
+        return Ok(None);
+    };
+    read_body(stream, &mut message)?;
+    Ok(Some(message))
+}
+
+/// Reads the head of the next message and nothing of its body. Returns `None` if the peer closes the connection before the
+/// head is complete.
+///
+/// # Errors
+///
+/// If reading fails or times out.
+pub fn read_head(stream: &mut TcpStream) -> io::Result<Option<Message>> {
     let (mut head, mut byte) = (Vec::new(), [0; 1]);
     while !head.ends_with(b"\r\n\r\n") {
         if stream.read(&mut byte)? == 0 {
@@ -49,12 +68,19 @@
         }
         head.push(byte[0]);
     }
-    let mut message = parse_head(&String::from_utf8_lossy(&head));
-    let length = message.header("Content-Length").and_then(|length| length.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
+    Ok(Some(parse_head(&String::from_utf8_lossy(&head))))
+}
+
+/// Reads the body that belongs to the head of `message`.
+///
+/// # Errors
+///
+/// If reading fails or times out, or the connection ends within the body.
+pub fn read_body(stream: &mut TcpStream, message: &mut Message) -> io::Result<()> {
+    let mut body = vec![0; message.content_length()];
     stream.read_exact(&mut body)?;
     message.body = String::from_utf8_lossy(&body).into_owned();
-    Ok(Some(message))
+    Ok(())
 }
 
 fn parse_head(head: &str) -> Message {
--- a/crates/testkit/tests/backends.rs
+++ b/crates/testkit/tests/backends.rs
@@ -19,6 +19,10 @@
 }
 
 fn send(cluster: &TestCluster, path: &str, attempt: &str) -> Option<Message> {
+    send_with_body(cluster, path, attempt, "")
+}
+
+fn send_with_body(cluster: &TestCluster, path: &str, attempt: &str, body: &str) -> Option<Message> {
     let headers = [
         ("Host", "shop.example"),
         ("Attempt-Id", attempt),
@@ -30,7 +34,7 @@
         if path == "/read/x" { "GET" } else { "POST" },
         path,
         &headers,
-        "",
+        body,
     )
     .ok()
 }
@@ -116,3 +120,28 @@
         (status == 200 && sent > 12).then_some(())
     });
 }
+
+/// Larger than the buffers between a proxy and a backend together.
+const LARGE_BODY_BYTES: usize = 60_000;
+
+/// Guards against review/3: a mutating request that ran before the proxy had sent all of its body got 503, or ran twice.
+#[parameterized(
+    responds = { Behavior::RespondsBeforeBody, 200 },
+    resets = { Behavior::ResetsBeforeBody, 502 },
+    stalls = { Behavior::StallsBeforeBody, 502 },
+)]
+fn a_mutating_request_that_ran_before_its_body_was_sent_gets_no_promise_and_runs_once(
+    behavior: Behavior,
+    status: u16,
+) {
+    let cluster = start_cluster();
+    cluster.backends.iter().for_each(|backend| backend.set_behavior(behavior));
+    let body = "b".repeat(LARGE_BODY_BYTES);
+    for round in 0..6 {
+        let attempt = format!("large-{round}");
+        let response = send_with_body(&cluster, "/write/x", &attempt, &body);
+        let response = response.unwrap_or_else(|| panic!("no response in round {round}"));
+        assert_eq!(response.status(), status, "round {round}: {response:?}");
+        assert_eq!(count_executions(&cluster, &attempt), 1, "round {round}");
+    }
+}
--- a/programs/gateway/src/backend_connection.rs
+++ b/programs/gateway/src/backend_connection.rs
@@ -62,7 +62,7 @@
                 Err(outcome) => return self.end(result(outcome)),
             },
         };
-        let Exchange { written, event, reply } = connection.exchange(&mut attempt, &self.shared).await;
+        let Exchange { progress, event, reply } = connection.exchange(&mut attempt, &self.shared).await;
         if tracing::enabled!(tracing::Level::DEBUG) {
             let TransferState { request_bytes, sent_bytes, has_unread_input } = connection.transfer_state();
             tracing::debug!(
@@ -75,8 +75,8 @@
                 "exchange ended"
             );
         }
-        if written {
-            self.advance(ConnectionEvent::Written);
+        if let Some(sent) = progress.event() {
+            self.advance(sent);
         }
         let outcome = match self.advance(event) {
             AttemptEffect::Ended(outcome) => outcome,
@@ -90,8 +90,12 @@
             // The events of an exchange cause neither.
             AttemptEffect::Pending | AttemptEffect::Unexpected => Outcome::ConnectionLost,
         };
-        connection.release_write_buffer(&attempt);
         let result = AttemptResult { reply, ..result(outcome) };
+        if self.state == ConnectionState::SendingRest {
+            self.report(result);
+            return self.send_rest(connection).await;
+        }
+        connection.release_write_buffer(&attempt);
         if self.state != ConnectionState::Idle {
             return self.end(result);
         }
@@ -144,6 +148,18 @@
         }
     }
 
+    /// Sends the rest of a request whose reply was received early, unless sockets or memory are short; always returns
+    /// `None`. The process does not exit meanwhile, as long as its shutdown permits.
+    async fn send_rest(&self, connection: Connection) -> Option<NextAttempt> {
+        let resources = &self.shared.resources;
+        resources.count(Counter::RepliesReceivedEarly);
+        if !resources.should_close_idle() {
+            let _unfinished = resources.track_unfinished_request();
+            connection.send_rest().await;
+        }
+        None
+    }
+
     /// Reports the result of the connection's last attempt; always returns `None`.
     fn end(&self, result: AttemptResult) -> Option<NextAttempt> {
         self.report(result);
--- a/programs/gateway/src/counters.rs
+++ b/programs/gateway/src/counters.rs
@@ -41,12 +41,14 @@
     AttemptsRejected "submissions_turned_away",
     /// An attempt timed out.
     AttemptsTimedOut "submissions_timed_out",
-    /// An attempt failed because no connection could be opened.
+    /// An attempt failed because no connection could be opened, or was lost before anything was sent.
     AttemptsConnectFailed "submissions_no_connection",
-    /// An attempt's connection was lost after the request was written.
+    /// An attempt's connection was lost after at least a part of the request was sent.
     AttemptsConnectionLost "submissions_broken",
     /// An attempt was cancelled by the policy.
     AttemptsCancelled "submissions_cancelled",
+    /// An attempt ended with a reply that was received before its request was sent completely.
+    RepliesReceivedEarly "submissions_answered_early",
     /// An attempt was not made because its request had finished or no socket was left.
     AttemptsNotSent "submissions_moot",
     /// A client connection was accepted.
--- a/programs/gateway/src/drain.rs
+++ b/programs/gateway/src/drain.rs
@@ -32,19 +32,20 @@
     }
 }
 
-/// Waits until all clients are answered and their connections closed. Requests still open at `finish_at` are answered
+/// Waits until all clients are answered and their connections closed, and until every request whose reply was received
+/// early has been sent completely. Requests still open at `finish_at` are answered
 /// with the outcome known so far: 503 if they were sent nowhere, 502 if a backend may have run them. Returns at
 /// `exit_at` at the latest.
 pub async fn answer_clients(shared: &Shared, deadlines: DrainDeadlines) {
-    if timeout_at(deadlines.finish_at, all_clients_closed(&shared.resources)).await.is_ok() {
+    if timeout_at(deadlines.finish_at, drained(&shared.resources)).await.is_ok() {
         return;
     }
     shared.notify_router(RouterMessage::AnswerAll);
-    let _ = timeout_at(deadlines.exit_at, all_clients_closed(&shared.resources)).await;
+    let _ = timeout_at(deadlines.exit_at, drained(&shared.resources)).await;
 }
 
-async fn all_clients_closed(resources: &Resources) {
-    while resources.client_count() > 0 {
+async fn drained(resources: &Resources) {
+    while !resources.is_drained() {
         resources.socket_closed.notified().await;
     }
 }
--- a/programs/gateway/src/resources.rs
+++ b/programs/gateway/src/resources.rs
@@ -57,6 +57,8 @@
     buffer_bytes: Cell<usize>,
     clients: Cell<usize>,
     idle_clients: Cell<usize>,
+    /// The number of requests that are still being sent although their reply was received.
+    unfinished_requests: Cell<usize>,
     draining: Cell<bool>,
     /// Notified whenever a socket is closed.
     pub socket_closed: Notify,
@@ -73,6 +75,17 @@
     }
 }
 
+/// Counts a request as unfinished until dropped.
+pub struct UnfinishedRequestGuard<'a>(&'a Resources);
+
+impl Drop for UnfinishedRequestGuard<'_> {
+    fn drop(&mut self) {
+        let unfinished = &self.0.unfinished_requests;
+        unfinished.set(unfinished.get() - 1);
+        self.0.socket_closed.notify_waiters();
+    }
+}
+
 impl Resources {
     /// Creates the accounting with nothing in use.
     pub fn new(limits: ResourceLimits) -> Resources {
@@ -83,6 +96,7 @@
             buffer_bytes: Cell::new(0),
             clients: Cell::new(0),
             idle_clients: Cell::new(0),
+            unfinished_requests: Cell::new(0),
             draining: Cell::new(false),
             socket_closed: Notify::new(),
             close_idle_client: Notify::new(),
@@ -128,17 +142,23 @@
         self.buffer_bytes.get() >= self.limits.buffer_bytes
     }
 
-    /// The number of open client connections.
-    pub fn client_count(&self) -> usize {
-        self.clients.get()
-    }
-
     /// Counts a client connection as idle until the guard is dropped.
     pub fn track_idle_client(&self) -> IdleClientGuard<'_> {
         self.idle_clients.set(self.idle_clients.get() + 1);
         IdleClientGuard(&self.idle_clients)
     }
 
+    /// Counts a request that is still being sent although its reply was received, until the guard is dropped.
+    pub fn track_unfinished_request(&self) -> UnfinishedRequestGuard<'_> {
+        self.unfinished_requests.set(self.unfinished_requests.get() + 1);
+        UnfinishedRequestGuard(self)
+    }
+
+    /// Whether no client is connected and no request is still being sent.
+    pub fn is_drained(&self) -> bool {
+        self.clients.get() == 0 && self.unfinished_requests.get() == 0
+    }
+
     /// Closes the client connection that has been idle longest; returns false if none is idle.
     pub fn close_longest_idle_client(&self) -> bool {
         let any_idle = self.idle_clients.get() > 0;
--- a/programs/gateway/tests/support/backend.rs
+++ b/programs/gateway/tests/support/backend.rs
@@ -2,6 +2,7 @@
 
 use super::{Message, TEST_TIMEOUT};
 use serde_json::{Value, json};
+use socket2::SockRef;
 use std::collections::VecDeque;
 use std::io::{BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -10,6 +11,9 @@
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+const SMALL_WINDOW_BYTES: usize = 2048;
+const ETHERNET_SEGMENT_BYTES: u32 = 1460;
+
 pub fn ok(fields: &str, body: &str) -> Reaction {
     Reaction::Reply(format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len()))
 }
@@ -68,6 +72,26 @@
         Backend { name: name.to_owned(), address, seen, connections }
     }
 
+    /// A backend whose connections are handled by `serve`. It accepts only a small part of a large request until it reads.
+    pub fn with_small_window(name: &str, serve: impl Fn(TcpStream) + Send + Sync + 'static) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        // Accepted connections inherit both. Loopback's own segments would be larger than the window.
+        SockRef::from(&listener).set_recv_buffer_size(SMALL_WINDOW_BYTES).expect("a buffer size");
+        SockRef::from(&listener).set_tcp_mss(ETHERNET_SEGMENT_BYTES).expect("a segment size");
+        let connections = Arc::new(AtomicU32::new(0));
+        let counted = Arc::clone(&connections);
+        let serve = Arc::new(serve);
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                counted.fetch_add(1, Ordering::SeqCst);
+                let serve = Arc::clone(&serve);
+                thread::spawn(move || serve(stream));
+            }
+        });
+        Backend { name: name.to_owned(), address, seen: channel().1, connections }
+    }
+
     fn serve(stream: TcpStream, reactions: &Mutex<VecDeque<Reaction>>, events: &Sender<Seen>) -> Option<()> {
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut writer = stream;
