Count a reply of the quota counter that cannot be read as unknown

What callers saw: nothing so far; by reading. A reply that is neither a total nor an error of the counter was reported as NotAdded, "nothing was added", and counted under counter_not_added.

Cause: parse_reply had one branch for errors and for whatever it could not read. Now only the counter's error gives NotAdded; the rest is Unknown, as for a call without a reply. The policy treats both as no reading; NotAdded alone halves the share of tries that call.

The test fails before: NotAdded for the reply "12 units".

--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -153,7 +153,7 @@
     Total(f64),
     /// The counter rejected the call or could not be reached; nothing was added.
     NotAdded,
-    /// The call timed out; the amount may have been added, or may still be.
+    /// The call timed out or its reply cannot be read; the amount may have been added, or may still be.
     Unknown,
 }
 
--- a/programs/gateway/src/quota_counter.rs
+++ b/programs/gateway/src/quota_counter.rs
@@ -190,16 +190,18 @@
     }
 }
 
-/// Parses a reply. A total is a string or an integer; errors such as `-BUSY` and `-ERR` mean that nothing was added.
+/// Parses a reply. A total is a string or an integer; an error such as `-BUSY` or `-ERR` states that nothing was added. Any
+/// other reply states neither.
 fn parse_reply(reply: BytesFrame) -> CounterReply {
     let total = match reply {
+        BytesFrame::Error(_) => return CounterReply::NotAdded,
         BytesFrame::BulkString(text) | BytesFrame::SimpleString(text) => {
             std::str::from_utf8(&text).ok().and_then(|text| text.trim().parse::<f64>().ok())
         }
         BytesFrame::Integer(total) => Some(total as f64),
-        _ => None,
+        BytesFrame::Array(_) | BytesFrame::Null => None,
     };
-    total.filter(|total| total.is_finite()).map_or(CounterReply::NotAdded, CounterReply::Total)
+    total.filter(|total| total.is_finite()).map_or(CounterReply::Unknown, CounterReply::Total)
 }
 
 #[cfg(test)]
--- a/programs/gateway/src/quota_counter/tests.rs
+++ b/programs/gateway/src/quota_counter/tests.rs
@@ -22,3 +22,18 @@
         assert!(*took < to_duration(CALL_TIMEOUT) + to_duration(CALL_TIMEOUT).div_f64(2.0), "{reported:?}");
     }
 }
+
+/// Guards against an unreadable reply that counts as proof: only the counter's own error states that nothing was added.
+#[test]
+fn a_reply_that_cannot_be_read_does_not_prove_that_nothing_was_added() {
+    let text = |text: &'static str| BytesFrame::BulkString(text.into());
+    let unreadable = [text("12 units"), text(""), text("NaN"), BytesFrame::Null, BytesFrame::Array(vec![])];
+    for reply in unreadable {
+        assert_eq!(parse_reply(reply.clone()), CounterReply::Unknown, "{reply:?}");
+    }
+    for error in ["BUSY", "ERR unknown command"] {
+        assert_eq!(parse_reply(BytesFrame::Error(error.into())), CounterReply::NotAdded);
+    }
+    assert_eq!(parse_reply(text(" 2.5 ")), CounterReply::Total(2.5));
+    assert_eq!(parse_reply(BytesFrame::Integer(3)), CounterReply::Total(3.0));
+}
