Give up a call to the quota counter that cannot be sent within its timeout

What callers saw: nothing so far; by reading. Where the counter accepts connections and reads nothing, the write of a call that exceeds the buffers was awaited in the loop that also reads replies and reports timeouts. From then on no call was reported; its request waited until its own expiry in place of one counter timeout.

Change: the write has the call's timeout. After it the connection, which may have a part of a call on it, is closed; what was sent or partly sent on it is Unknown, and the calls queued behind, which were not sent, are NotAdded, as they are after a failed connect.

--- a/programs/gateway/src/quota_counter.rs
+++ b/programs/gateway/src/quota_counter.rs
@@ -133,12 +133,7 @@
                 Ok(Ok(stream)) => self.connection = Some(CounterConnection::new(stream)),
                 _ => {
                     (self.report)(call.key, CounterReply::NotAdded);
-                    // Calls queued in the meantime fail too. Connecting again for each would delay their requests one
-                    // after the other.
-                    while let Ok(call) = calls.try_recv() {
-                        (self.report)(call.key, CounterReply::NotAdded);
-                    }
-                    return;
+                    return self.fail_queued_calls(calls);
                 }
             }
         }
@@ -147,8 +142,22 @@
         };
         let deadline = Instant::now() + self.call_timeout;
         self.pending.push_back(PendingCall { key: call.key, deadline, timed_out: false });
-        if connection.writer.send(call.to_frame()).await.is_err() {
-            self.close();
+        match timeout(self.call_timeout, connection.writer.send(call.to_frame())).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => self.close(),
+            // The counter does not read. A part of the call may have been sent, so the connection cannot be used again.
+            Err(_) => {
+                self.close();
+                self.fail_queued_calls(calls);
+            }
+        }
+    }
+
+    /// Reports the calls that were queued while the counter could not be reached. They were not sent. Trying again for each
+    /// would delay their requests one after the other.
+    fn fail_queued_calls(&self, calls: &mut mpsc::UnboundedReceiver<Call>) {
+        while let Ok(call) = calls.try_recv() {
+            (self.report)(call.key, CounterReply::NotAdded);
         }
     }
 
