Let the router promise that a request has not run only if its attempts prove it

The router checked that a rejection by the policy is safe, counted the violated invariant no_effect_twice where it is not, and in release builds still answered 429 or 503, which promise that the request has not run.

Now the answer is 502 where an attempt of a request that must not run twice may have run. The invariant is checked after the answer, as it panics in debug builds.

Test: a policy that rejects a request with an attempt in flight. Before, in a debug build, it fails as the check panics before anything is answered; the release build's 429 or 503 is by reading.

--- a/programs/gateway/src/router/actions.rs
+++ b/programs/gateway/src/router/actions.rs
@@ -21,10 +21,7 @@
             Action::CancelAttempt { txn, attempt } => {
                 self.cancel_attempt(txn, attempt, CancelReason::Cancelled)
             }
-            Action::Reject { txn, retry_after } => {
-                self.shared.resources.check(self.txns.is_retry_safe(txn), Invariant::NoEffectTwice);
-                self.send_final_answer(txn, FinalAnswer::Declined { retry_after });
-            }
+            Action::Reject { txn, retry_after } => self.reject(txn, retry_after),
             Action::Fail { txn } => self.send_final_answer(txn, FinalAnswer::OutcomeUnknown),
             Action::SetTimer { after, timer } => self.timers.set(now + after, Timer::PolicyWake(timer)),
             Action::SendPeerMessage { to, message } => self.send_to_peer(to, &message),
@@ -34,6 +31,17 @@
         }
     }
 
+    /// Tells the client that its request has not run, unless the attempts do not prove that: the promise does not depend on
+    /// the policy alone.
+    fn reject(&mut self, id: TxnId, retry_after: Option<Ticks>) {
+        let is_retry_safe = self.txns.is_retry_safe(id);
+        let answer =
+            if is_retry_safe { FinalAnswer::Declined { retry_after } } else { FinalAnswer::OutcomeUnknown };
+        self.send_final_answer(id, answer);
+        // Checked last, because the check panics in debug builds.
+        self.shared.resources.check(is_retry_safe, Invariant::NoEffectTwice);
+    }
+
     fn send_to_peer(&self, to: GatewayId, message: &PeerMessage) {
         let sent = self.peers.as_ref().is_some_and(|peers| peers.try_send(to, message));
         let counter = if sent { Counter::PeerMessagesSent } else { Counter::PeerMessagesUnsent };
--- a/programs/gateway/src/router/tests.rs
+++ b/programs/gateway/src/router/tests.rs
@@ -47,11 +47,13 @@
     }
 }
 
-/// A faulty policy: it makes no decision on a request, or none after its first attempt.
+/// A faulty policy: it makes no decision on a request, or none after its first attempt, or rejects the request while the
+/// attempt is in flight.
 #[derive(Clone, Copy, Debug)]
 enum FaultyPolicy {
     NeverSends,
     SendsOnce,
+    RejectsWhileInFlight,
 }
 
 impl RoutingPolicy for FaultyPolicy {
@@ -59,9 +61,11 @@
 
     fn decide(&mut self, _: Ticks, events: Vec<Event>) -> Vec<Action> {
         let arrived = events.iter().any(|event| matches!(event, Event::RequestArrived(_)));
+        let send = Action::SendAttempt { txn: TXN, backend: BACKEND, timeout: None };
         match self {
-            FaultyPolicy::SendsOnce if arrived => {
-                vec![Action::SendAttempt { txn: TXN, backend: BACKEND, timeout: None }]
+            FaultyPolicy::SendsOnce if arrived => vec![send],
+            FaultyPolicy::RejectsWhileInFlight if arrived => {
+                vec![send, Action::Reject { txn: TXN, retry_after: Some(Ticks::SECOND) }]
             }
             _ => Vec::new(),
         }
@@ -123,3 +127,11 @@
     let sent = answer(FaultyPolicy::SendsOnce);
     assert!(matches!(sent, FinalAnswer::OutcomeUnknown), "{sent:?}");
 }
+
+/// Guards against a promise that rests on the policy alone: a request with an attempt in flight may have run.
+#[test]
+fn a_request_that_may_have_run_gets_no_promise_even_if_the_policy_rejects_it() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let answer = runtime.block_on(LocalSet::new().run_until(answer_of(FaultyPolicy::RejectsWhileInFlight)));
+    assert!(matches!(answer, FinalAnswer::OutcomeUnknown), "{answer:?}");
+}
