Bound what is sent after early replies; large bodies and early replies in the soak

A backend that replies early and never reads on kept a connection and up to 64 KiB for 10 s; many of them could use up a proxy's sockets, which sheds idle clients. At most 128 requests are now sent to their end after an early reply; beyond that the connection closes at once.

The soak's clients send bodies of 60,000 bytes with a quarter of their mutating requests, and its backends also reply, reset or stall after they ran a request of which they have read 2,000 bytes.

--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -3,6 +3,7 @@
 use crate::http::{self, Message};
 use crate::platform::lock;
 use socket2::SockRef;
+use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -14,6 +15,8 @@
 const SEGMENT_BYTES: u32 = 1460;
 /// The part of a body after which some behaviors execute the request.
 const PART_BYTES: usize = 2000;
+/// The maximum number of connections that a backend keeps open and does not read. Beyond it the oldest one is closed.
+const MAX_UNREAD_CONNECTIONS: usize = 64;
 const STATUS_OK: &str = "HTTP/1.1 200 OK";
 /// An `Attempt-Id` that no request has.
 const UNKNOWN_ATTEMPT: &str = "another";
@@ -101,8 +104,8 @@
     id: String,
     behavior: Mutex<Behavior>,
     executed: Mutex<Vec<ExecutedRequest>>,
-    /// Connections that are kept open and not read.
-    unread: Mutex<Vec<TcpStream>>,
+    /// Connections that are kept open and not read, the oldest first.
+    unread: Mutex<VecDeque<TcpStream>>,
 }
 
 impl FakeBackend {
@@ -195,7 +198,11 @@
         if behavior == Behavior::RespondsBeforeBody {
             let _ = Responder { stream: &mut stream, id: &self.id, attempt }.write_own(STATUS_OK, &self.id);
         }
-        lock(&self.unread).push(stream);
+        let mut unread = lock(&self.unread);
+        unread.push_back(stream);
+        if unread.len() > MAX_UNREAD_CONNECTIONS {
+            unread.pop_front();
+        }
     }
 
     fn record_execution(&self, request: &Message, attempt: &str) {
--- a/programs/gateway/src/backend_connection.rs
+++ b/programs/gateway/src/backend_connection.rs
@@ -148,13 +148,12 @@
         }
     }
 
-    /// Sends the rest of a request whose reply was received early, unless sockets or memory are short; always returns
+    /// Sends the rest of a request whose reply was received early, unless too much is being sent already; always returns
     /// `None`. The process does not exit meanwhile, as long as its shutdown permits.
     async fn send_rest(&self, connection: Connection) -> Option<NextAttempt> {
         let resources = &self.shared.resources;
         resources.count(Counter::RepliesReceivedEarly);
-        if !resources.should_close_idle() {
-            let _unfinished = resources.track_unfinished_request();
+        if let Some(_unfinished) = resources.try_track_unfinished_request() {
             connection.send_rest().await;
         }
         None
--- a/programs/gateway/src/resources.rs
+++ b/programs/gateway/src/resources.rs
@@ -12,6 +12,9 @@
 /// when memory is short.
 pub const SMALL_BUFFER_BYTES: usize = 16 * 1024;
 
+/// The maximum number of requests that are sent to their end after their reply was received, so that backends which never
+/// read on occupy few sockets and little memory.
+const MAX_UNFINISHED_REQUESTS: usize = 128;
 /// File descriptors reserved for the runtime and the log.
 const RESERVED_DESCRIPTORS: usize = 16;
 const MIN_USABLE_SOCKETS: usize = 8;
@@ -148,10 +151,15 @@
         IdleClientGuard(&self.idle_clients)
     }
 
-    /// Counts a request that is still being sent although its reply was received, until the guard is dropped.
-    pub fn track_unfinished_request(&self) -> UnfinishedRequestGuard<'_> {
-        self.unfinished_requests.set(self.unfinished_requests.get() + 1);
-        UnfinishedRequestGuard(self)
+    /// Counts a request that is still being sent although its reply was received, until the guard is dropped. Returns `None`
+    /// if there are [`MAX_UNFINISHED_REQUESTS`] of them, or sockets or memory are short.
+    pub fn try_track_unfinished_request(&self) -> Option<UnfinishedRequestGuard<'_>> {
+        let unfinished = self.unfinished_requests.get();
+        if unfinished >= MAX_UNFINISHED_REQUESTS || self.should_close_idle() {
+            return None;
+        }
+        self.unfinished_requests.set(unfinished + 1);
+        Some(UnfinishedRequestGuard(self))
     }
 
     /// Whether no client is connected and no request is still being sent.
@@ -235,3 +243,6 @@
         resources.socket_closed.notify_waiters();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/programs/soak/src/clients.rs
+++ b/programs/soak/src/clients.rs
@@ -15,6 +15,10 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Values of `Remaining-Milliseconds` from which each request uses one at random. The longest equals the grace period.
 const REMAINING_TIMES_MS: [&str; 3] = ["500", "1000", "2000"];
+/// The fraction of mutating requests with a body of [`LARGE_BODY_BYTES`].
+const LARGE_BODY_PROBABILITY: f64 = 0.25;
+/// Larger than the buffers between a proxy and a backend together, so that a backend can act before it has the body.
+const LARGE_BODY_BYTES: usize = 60_000;
 const PAUSE_BETWEEN_REQUESTS: Duration = Duration::from_millis(4);
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
 
@@ -62,7 +66,9 @@
             ("Remaining-Milliseconds", remaining_time),
             ("X-Api-Key", "key-a"),
         ];
-        if write_message(&mut stream, request_line, &headers, "").is_err() {
+        let is_large = mutating && rand::rng().random_bool(LARGE_BODY_PROBABILITY);
+        let body = if is_large { "b".repeat(LARGE_BODY_BYTES) } else { String::new() };
+        if write_message(&mut stream, request_line, &headers, &body).is_err() {
             return ClientOutcome::NotSent;
         }
         let Ok(Some(response)) = read_message(&mut stream) else {
--- a/programs/soak/src/fault_plan.rs
+++ b/programs/soak/src/fault_plan.rs
@@ -145,8 +145,16 @@
 
     fn add_backend_fault(&mut self, at: Duration, until: Duration) {
         let slow = Behavior::RespondsAfter(self.random_duration(SLOW_RESPONSE_MS));
-        let behaviors =
-            [Behavior::NeverResponds, Behavior::ClosesWithoutResponse, Behavior::Sheds, slow, slow];
+        let behaviors = [
+            Behavior::NeverResponds,
+            Behavior::ClosesWithoutResponse,
+            Behavior::Sheds,
+            Behavior::RespondsBeforeBody,
+            Behavior::ResetsBeforeBody,
+            Behavior::StallsBeforeBody,
+            slow,
+            slow,
+        ];
         let behavior = *behaviors.choose(&mut self.random).unwrap_or(&slow);
         self.add_pair(at, until, Action::SetBackends(behavior), Action::SetBackends(Behavior::Serves));
     }
