--- a/programs/gateway/tests/partly_sent_requests.rs
+++ b/programs/gateway/tests/partly_sent_requests.rs
@@ -70,52 +70,62 @@
     SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
 }
 
+/// A backend that replies `early` before it has read the body, and reads on when it is told to.
+struct EarlyReplier {
+    backend: Backend,
+    runs: Arc<AtomicU32>,
+    read_on: Sender<()>,
+    rest: Receiver<Vec<u8>>,
+}
+
+impl EarlyReplier {
+    fn start() -> EarlyReplier {
+        let (read_on, may_read_on) = channel();
+        let (rests, rest) = channel();
+        let channels = Mutex::new((may_read_on, rests));
+        let (backend, runs) = running_backend("a", move |mut stream| {
+            stream.write_all(reply("early").as_bytes()).expect("the reply is sent");
+            let channels = channels.lock().expect("not poisoned");
+            let _ = channels.0.recv_timeout(TEST_TIMEOUT);
+            let mut rest = Vec::new();
+            let _ = stream.read_to_end(&mut rest);
+            let _ = channels.1.send(rest);
+        });
+        EarlyReplier { backend, runs, read_on, rest }
+    }
+
+    /// Reads on until the gateway closes the connection, and returns what was received.
+    fn read_rest(&self) -> Vec<u8> {
+        self.read_on.send(()).expect("the backend runs");
+        self.rest.recv_timeout(TEST_TIMEOUT).expect("the rest of the body")
+    }
+}
+
 /// Guards against review/3: a success that arrived before the body was sent was not read, and the client got 503.
 #[test]
 fn forwards_a_reply_that_arrives_before_the_body_was_sent_and_sends_the_rest() {
-    let (read_on, may_read_on): (Sender<()>, Receiver<()>) = channel();
-    let (rests, rest): (Sender<Vec<u8>>, Receiver<Vec<u8>>) = channel();
-    let (may_read_on, rests) = (Mutex::new(may_read_on), Mutex::new(rests));
-    let (backend, runs) = running_backend("a", move |mut stream| {
-        stream.write_all(reply("early").as_bytes()).expect("the reply is sent");
-        let _ = may_read_on.lock().expect("not poisoned").recv_timeout(TEST_TIMEOUT);
-        let mut rest = Vec::new();
-        let _ = stream.read_to_end(&mut rest);
-        let _ = rests.lock().expect("not poisoned").send(rest);
-    });
-    let gateway = Gateway::start(&[&backend]);
+    let replier = EarlyReplier::start();
+    let gateway = Gateway::start(&[&replier.backend]);
     let mut client = gateway.client();
     let (answer, took) = timed(|| client.request(&large_book_request(3000)));
     assert_eq!((answer.status(), answer.body.as_slice()), (200, &b"early"[..]));
     assert!(took < Duration::from_millis(1500), "the answer is not held back: {took:?}");
     assert_eq!(gateway.counter("submissions_answered_early"), 1, "the body was not sent before the reply");
-    read_on.send(()).expect("the backend runs");
-    let rest = rest.recv_timeout(TEST_TIMEOUT).expect("the rest of the body");
+    let rest = replier.read_rest();
     assert!(rest == body().as_bytes()[PART_BYTES..], "{} bytes of the rest, or others", rest.len());
-    assert_eq!(runs.load(Ordering::SeqCst), 1);
+    assert_eq!(replier.runs.load(Ordering::SeqCst), 1);
 }
 
 /// Guards against a body cut short by a restart: the client has its answer, and the backend has not read on yet.
 #[test]
 fn sends_the_rest_of_a_body_that_was_replied_to_early_before_it_exits() {
-    let (read_on, may_read_on): (Sender<()>, Receiver<()>) = channel();
-    let (rests, rest): (Sender<usize>, Receiver<usize>) = channel();
-    let (may_read_on, rests) = (Mutex::new(may_read_on), Mutex::new(rests));
-    let (backend, _) = running_backend("a", move |mut stream| {
-        stream.write_all(reply("early").as_bytes()).expect("the reply is sent");
-        let _ = may_read_on.lock().expect("not poisoned").recv_timeout(TEST_TIMEOUT);
-        let mut rest = Vec::new();
-        let _ = stream.read_to_end(&mut rest);
-        let _ = rests.lock().expect("not poisoned").send(rest.len());
-    });
-    let mut gateway = Gateway::start(&[&backend]);
+    let replier = EarlyReplier::start();
+    let mut gateway = Gateway::start(&[&replier.backend]);
     let mut client = gateway.client();
     assert_eq!(client.request(&large_book_request(3000)).status(), 200);
     gateway.signal("-TERM");
     assert!(client.is_closed_by_gateway(), "the idle client is disconnected");
-    read_on.send(()).expect("the backend runs");
-    let rest = rest.recv_timeout(TEST_TIMEOUT).expect("the rest of the body");
-    assert_eq!(rest, BODY_BYTES - PART_BYTES);
+    assert_eq!(replier.read_rest().len(), BODY_BYTES - PART_BYTES);
     assert!(gateway.wait_for_exit().success());
 }
 
