Set up the log of the gateway's crate in one place for both programs

Both call vanewharf_gateway::log::to_stderr now; the proxy needs tracing-subscriber itself no longer. Levels, target and format are unchanged.

--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod discovery;
 pub mod drain;
 pub mod listener;
+pub mod log;
 pub mod messages;
 mod open_ids;
 pub mod open_requests;
--- a/programs/gateway/src/main.rs
+++ b/programs/gateway/src/main.rs
@@ -57,11 +57,7 @@
 
 fn init_log(format: LogFormat) {
     let level = std::env::var("VANEWHARF_LOG").ok().and_then(|level| level.parse().ok());
-    let log = tracing_subscriber::fmt()
-        .with_max_level(level.unwrap_or(tracing::Level::INFO))
-        .with_writer(std::io::stderr)
-        // The logger would report a failed write to standard error on the same closed pipe and panic.
-        .log_internal_errors(false);
+    let log = vanewharf_gateway::log::to_stderr(level.unwrap_or(tracing::Level::INFO));
     match format {
         LogFormat::Text => log.init(),
         LogFormat::Json => log.json().init(),
--- a/programs/proxy/src/server.rs
+++ b/programs/proxy/src/server.rs
@@ -89,13 +89,8 @@
 fn start_data_plane_log() {
     let debug = vanewharf_runtime::log::is_debug_selected();
     let level = if debug { tracing::Level::DEBUG } else { tracing::Level::WARN };
-    let log = tracing_subscriber::fmt()
-        .with_max_level(level)
-        .with_writer(std::io::stderr)
-        // The logger would report a failed write to standard error on the same closed pipe and panic.
-        .log_internal_errors(false);
     // Fails only if another proxy of this process has set it up already.
-    let _ = log.try_init();
+    let _ = vanewharf_gateway::log::to_stderr(level).try_init();
 }
 
 /// Creates the state shared by the gateway's tasks, and the queue of their messages to the router.
