--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -13,6 +13,9 @@
 /// The size of a connection's receive buffer, and of its segments: loopback's own segments would be larger than the buffer.
 const RECEIVE_BUFFER_BYTES: usize = 2048;
 const SEGMENT_BYTES: u32 = 1460;
+/// The size of a body that is larger than the buffers between a proxy and a backend together, so that the backend can act
+/// before it has all of it.
+pub const LARGE_BODY_BYTES: usize = 60_000;
 /// The part of a body after which some behaviors execute the request.
 const PART_BYTES: usize = 2000;
 /// The maximum number of connections that a backend keeps open and does not read. Beyond it the oldest one is closed.
@@ -56,7 +59,8 @@
     TruncatesResponse,
     /// Executes the request and responds 500.
     Fails,
-    /// Executes the request after a part of its body, responds 200, and does not read on.
+    /// Executes the request after a part of its body, responds 200, and does not read on. This and the next two serve
+    /// requests with a small body.
     RespondsBeforeBody,
     /// Executes the request after a part of its body, and resets the connection.
     ResetsBeforeBody,
@@ -159,14 +163,15 @@
         let mut previous_attempt: Option<String> = None;
         while let Ok(Some(mut request)) = http::read_head(&mut stream) {
             let behavior = *lock(&self.behavior);
-            if behavior.executes_before_body() && request.content_length() > PART_BYTES {
+            let is_expected = request.header("Expected-Instance").is_none_or(|expected| expected == self.id);
+            if is_expected && behavior.executes_before_body() && request.content_length() > PART_BYTES {
                 return self.execute_before_body(stream, &request, behavior);
             }
             if http::read_body(&mut stream, &mut request).is_err() {
                 return;
             }
             let attempt = request.header("Attempt-Id").unwrap_or_default().to_owned();
-            if request.header("Expected-Instance").is_some_and(|expected| expected != self.id) {
+            if !is_expected {
                 let headers = [("Instance-Id", self.id.as_str())];
                 let _ = http::write_message(&mut stream, "HTTP/1.1 421 Misdirected Request", &headers, "");
                 continue;
--- a/crates/testkit/tests/backends.rs
+++ b/crates/testkit/tests/backends.rs
@@ -1,7 +1,7 @@
 //! Faulty backends: with every kind of fault, a mutating request that may have been executed is neither retried nor
 //! reported as not executed, and no client receives the response to another request.
 
-use vanewharf_testkit::backend::{Behavior, FakeBackend};
+use vanewharf_testkit::backend::{Behavior, FakeBackend, LARGE_BODY_BYTES};
 use vanewharf_testkit::cluster::TestCluster;
 use vanewharf_testkit::config::config;
 use vanewharf_testkit::http::{Message, send_request};
@@ -121,9 +121,6 @@
     });
 }
 
-/// Larger than the buffers between a proxy and a backend together.
-const LARGE_BODY_BYTES: usize = 60_000;
-
 /// Guards against review/3: a mutating request that ran before the proxy had sent all of its body got 503, or ran twice.
 #[parameterized(
     responds = { Behavior::RespondsBeforeBody, 200 },
--- a/programs/gateway/src/resources/tests.rs
+++ b/programs/gateway/src/resources/tests.rs
@@ -1,13 +1,9 @@
 use super::*;
 
-fn resources() -> Rc<Resources> {
-    Rc::new(Resources::new(ResourceLimits::within(64, 64)))
-}
-
 /// Guards against sockets and memory that backends which reply early and never read on would use up.
 #[test]
 fn requests_are_sent_to_their_end_after_an_early_reply_only_within_bounds() {
-    let resources = resources();
+    let resources = Rc::new(Resources::new(ResourceLimits::within(64, 64)));
     let unfinished: Vec<_> = std::iter::from_fn(|| resources.try_track_unfinished_request()).collect();
     assert_eq!(unfinished.len(), MAX_UNFINISHED_REQUESTS);
     assert!(!resources.is_drained());
--- a/programs/soak/src/clients.rs
+++ b/programs/soak/src/clients.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
+use vanewharf_testkit::backend::LARGE_BODY_BYTES;
 use vanewharf_testkit::http::{Message, read_message, write_message};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -17,8 +18,6 @@
 const REMAINING_TIMES_MS: [&str; 3] = ["500", "1000", "2000"];
 /// The fraction of mutating requests with a body of [`LARGE_BODY_BYTES`].
 const LARGE_BODY_PROBABILITY: f64 = 0.25;
-/// Larger than the buffers between a proxy and a backend together, so that a backend can act before it has the body.
-const LARGE_BODY_BYTES: usize = 60_000;
 const PAUSE_BETWEEN_REQUESTS: Duration = Duration::from_millis(4);
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
 
