Replace the settings of the soak's programs atomically

The proxy's log says "cannot read settings.json: it is no whole JSON document", and the file was whole afterwards.

Cause: the soak itself. It rewrites each machine's settings in place whenever it looks for processes to start, and a proxy that was just starting read the file between its truncation and its writing. It is not the product's: a program says why and exits where its settings cannot be read.

The faults' file was replaced atomically already; both go by one function now. No check is changed.

--- a/programs/soak/src/cluster.rs
+++ b/programs/soak/src/cluster.rs
@@ -3,6 +3,7 @@
 
 use crate::fault_plan::{Action, CONTROLLERS, MACHINES};
 use crate::faulty_network::NetworkFaults;
+use crate::files;
 use crate::history::{Kill, SharedHistory};
 use crate::node::NodeProgram;
 use crate::process::{NodeFiles, NodeProcess, logged_violations};
@@ -255,7 +256,8 @@
             machine_losses: (CONTROLLERS - 1) / 2,
             platform: self.platform.address,
         };
-        std::fs::write(self.path(name, "settings.json"), settings.to_text())?;
+        // A program may be reading its settings at this moment.
+        files::replace(&self.path(name, "settings.json"), &settings.to_text())?;
         faults.write(&self.path(name, "faults"))
     }
 
--- a/programs/soak/src/faulty_network.rs
+++ b/programs/soak/src/faulty_network.rs
@@ -3,6 +3,7 @@
 //! The faults are read from a file that the soak replaces. A partition blocks only the connections that this process opens
 //! to a peer. Connections that the peer opens are blocked by the faults of the peer.
 
+use crate::files;
 use rand::Rng;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -53,15 +54,13 @@
         Some(NetworkFaults { partitioned_peers, response_loss_rate })
     }
 
-    /// Replaces the file atomically, so that no reader sees an incomplete file.
+    /// Replaces the file.
     ///
     /// # Errors
     ///
     /// If the file cannot be written.
     pub fn write(&self, path: &Path) -> io::Result<()> {
-        let new = path.with_extension("new");
-        std::fs::write(&new, self.to_text())?;
-        std::fs::rename(new, path)
+        files::replace(path, &self.to_text())
     }
 }
 
--- a/programs/soak/src/lib.rs
+++ b/programs/soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod cluster;
 pub mod fault_plan;
 pub mod faulty_network;
+pub mod files;
 pub mod history;
 pub mod node;
 pub mod operators;
