--- a/crates/http1/src/tests.rs
+++ b/crates/http1/src/tests.rs
@@ -1,3 +1,5 @@
+mod replies;
+
 use crate::reader::{DEFAULT_MAX_BODY_BYTES, MAX_INTERIM_REPLIES};
 use crate::{ClientCodec, ReadError, ServerCodec};
 use bytes::BytesMut;
--- /dev/null
+++ b/crates/http1/src/tests/replies.rs
@@ -0,0 +1,123 @@
+//! Replies that RFC 9110 and RFC 9112 do not allow are refused, however they arrive; those that they allow are not.
+
+use super::decode_all;
+use crate::ClientCodec;
+
+/// The sizes of the segments in which each reply is decoded: byte by byte, in small pieces, and at once.
+const SEGMENT_SIZES: [usize; 3] = [1, 7, 10_000];
+
+/// Asserts that the reply is refused for this reason, and that nothing is decoded.
+fn assert_refused(reply: &str, reason: &str) {
+    for segment_size in SEGMENT_SIZES {
+        let (replies, error) = decode_all(reply.as_bytes(), segment_size, ClientCodec::default());
+        let decoded: Vec<_> = replies.iter().map(|reply| (reply.status(), reply.body())).collect();
+        let actual = (decoded, error.as_deref());
+        assert_eq!(actual, (vec![], Some(reason)), "{reply:?} in segments of {segment_size}");
+    }
+}
+
+/// A reply with this field line.
+fn with_field(line: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nA: b\r\n{line}\r\nContent-Length: 2\r\n\r\nok")
+}
+
+#[test]
+fn refuses_field_lines_that_are_none() {
+    for line in [
+        "Na me: v",
+        "Name : v",
+        "Name\t: v",
+        " Name: v",
+        "Na\u{1}me: v",
+        "Na\u{0}me: v",
+        "\u{7f}Name: v",
+        "Na\rme: v",
+        "Nam\u{e9}: v",
+        "Na(me: v",
+        ": v",
+        "Name",
+        "Name: a\u{1}b",
+        "Name: a\u{0}b",
+        "Name: a\u{7f}b",
+        "Name: a\rb",
+        "Name: a\r\n b",
+    ] {
+        assert_refused(&with_field(line), "the head cannot be read");
+        let long = "abcdefgh-".repeat(8);
+        let in_long_text = line.replacen('v', &long, 1).replacen('N', &format!("{long}N"), 1);
+        assert_refused(&with_field(&in_long_text), "the head cannot be read");
+    }
+}
+
+/// Asserts that the reply is decoded with this status and body.
+fn assert_accepted(reply: &str, status: u16, body: &str) {
+    for segment_size in SEGMENT_SIZES {
+        let (replies, error) = decode_all(reply.as_bytes(), segment_size, ClientCodec::default());
+        let decoded: Vec<_> = replies.iter().map(|reply| (reply.status(), reply.body())).collect();
+        let expected = (vec![(status, body.as_bytes())], None);
+        assert_eq!((decoded, error), expected, "{reply:?} in segments of {segment_size}");
+    }
+}
+
+#[test]
+fn accepts_status_lines_and_fields_that_are_allowed() {
+    for status_line in [
+        "HTTP/1.1 200 OK",
+        "HTTP/1.0 200 OK",
+        "HTTP/1.1 200 ",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 Caf\u{e9}\tau lait !\"#$%&'()*+,-./:;<=>?@[\\]^_`{|}~",
+    ] {
+        assert_accepted(&format!("{status_line}\r\nContent-Length: 2\r\n\r\nok"), 200, "ok");
+    }
+    for line in [
+        "!#$%&'*+-.^_`|~09azAZ: v",
+        "Name:v",
+        "Name:",
+        "Name: \t ",
+        "Name:\tv\t ",
+        "Name: a\tb \u{e9} \"(),/:;<=>?@[\\]{}\"",
+        "Transfer-Codings: chunked",
+    ] {
+        assert_accepted(&with_field(line), 200, "ok");
+    }
+    assert_accepted("HTTP/1.1 200 OK\nName: v\nContent-Length: 002\n\nok", 200, "ok");
+    assert_accepted("HTTP/1.1 200 OK\r\nTRANSFER-encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok");
+}
+
+#[test]
+fn accepts_all_status_codes_that_are_allowed() {
+    for status in 200..600 {
+        let body = if [204, 304].contains(&status) { "" } else { "ok" };
+        let reply = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        assert_accepted(&reply, status, body);
+    }
+    for interim in (100..200).filter(|&interim| interim != 101) {
+        let reply =
+            format!("HTTP/1.1 {interim} X\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        assert_accepted(&reply, 200, "ok");
+    }
+    // The length is that of the body that a request without a condition would have had.
+    assert_accepted("HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", 304, "");
+}
+
+#[test]
+fn accepts_chunked_bodies_that_are_allowed() {
+    for chunks in [
+        "2\r\nok\r\n0\r\n\r\n",
+        "1\r\no\r\n1\r\nk\r\n000\r\n\r\n",
+        "0002\r\nok\r\n0\r\n\r\n",
+        "2;x\r\nok\r\n0;x=y;z\r\n\r\n",
+        "2 ; x\t=\ty ;z\r\nok\r\n0\r\n\r\n",
+        "2;x=\"\"\r\nok\r\n0\r\n\r\n",
+        "2;x=\"a;b=c \\\" \\\\ \u{e9}\";y=z\r\nok\r\n0\r\n\r\n",
+        "2\r\nok\r\n0\r\nTail: t\r\nOther:\t u \r\n\r\n",
+        "2\r\nok\r\n0\r\nTail: t\n\n",
+    ] {
+        let reply = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
+        assert_accepted(&reply, 200, "ok");
+    }
+    let eleven = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nB\r\nhello world\r\n0\r\n\r\n";
+    assert_accepted(eleven, 200, "hello world");
+    assert_accepted(&eleven.replace("\nB", "\nb"), 200, "hello world");
+}
--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -2,10 +2,12 @@
 
 use crate::http::{self, Message};
 use crate::platform::lock;
+use crate::raw_answer::RawAnswer;
 use socket2::SockRef;
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -55,6 +57,8 @@
     OmitsSeal,
     /// Executes the request and sends bytes that are not HTTP.
     SendsGarbage,
+    /// Executes the request and sends the bytes of this answer.
+    SendsRaw(RawAnswer),
     /// Executes the request and closes the connection in the middle of the response body.
     TruncatesResponse,
     /// Executes the request and responds 500.
@@ -110,6 +114,7 @@
     executed: Mutex<Vec<ExecutedRequest>>,
     /// Connections that are kept open and not read, the oldest first.
     unread: Mutex<VecDeque<TcpStream>>,
+    requests_after_raw_answers: AtomicUsize,
 }
 
 impl FakeBackend {
@@ -130,6 +135,7 @@
             behavior: Mutex::new(Behavior::Serves),
             executed: Mutex::default(),
             unread: Mutex::default(),
+            requests_after_raw_answers: AtomicUsize::new(0),
         });
         let server = Arc::clone(&state);
         thread::spawn(move || {
@@ -150,6 +156,11 @@
     pub fn executed_requests(&self) -> Vec<ExecutedRequest> {
         lock(&self.state.executed).clone()
     }
+
+    /// Returns how many requests it has received on connections on which it had sent a [`RawAnswer`] before.
+    pub fn requests_after_raw_answers(&self) -> usize {
+        self.state.requests_after_raw_answers.load(Ordering::SeqCst)
+    }
 }
 
 /// Whether a connection is used again after a response.
@@ -161,7 +172,11 @@
 impl BackendState {
     fn serve_connection(&self, mut stream: TcpStream) {
         let mut previous_attempt: Option<String> = None;
+        let mut sent_raw_answer = false;
         while let Ok(Some(mut request)) = http::read_head(&mut stream) {
+            if sent_raw_answer {
+                self.requests_after_raw_answers.fetch_add(1, Ordering::SeqCst);
+            }
             let behavior = *lock(&self.behavior);
             let is_expected = request.header("Expected-Instance").is_none_or(|expected| expected == self.id);
             if is_expected && behavior.executes_before_body() && request.content_length() > PART_BYTES {
@@ -182,6 +197,7 @@
                 continue;
             }
             self.record_execution(&request, &attempt);
+            sent_raw_answer |= matches!(behavior, Behavior::SendsRaw(_));
             let mut responder = Responder { stream: &mut stream, id: &self.id, attempt: &attempt };
             match responder.respond(behavior, previous_attempt.as_deref()) {
                 Ok(Connection::KeepAlive) => previous_attempt = Some(attempt),
@@ -249,6 +265,7 @@
                 return Ok(Connection::Close);
             }
             Behavior::SendsGarbage => self.stream.write_all(b"HTP/0.1 so so\r\n\r\n")?,
+            Behavior::SendsRaw(answer) => answer.write(self.stream, self.attempt)?,
             Behavior::Fails => self.write_own("HTTP/1.1 500 Internal Backend Error", "failed")?,
             Behavior::ClaimsStatus(status) => {
                 self.write_own(&format!("HTTP/1.1 {status} So It Says"), "feigned")?;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod http;
 pub mod platform;
 mod process;
+pub mod raw_answer;
 pub mod settings;
--- /dev/null
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -0,0 +1,129 @@
+//! Backends whose answers violate HTTP: no client receives such an answer, and its connection is not used again.
+
+use vanewharf_testkit::backend::{Behavior, FakeBackend};
+use vanewharf_testkit::cluster::TestCluster;
+use vanewharf_testkit::config::config;
+use vanewharf_testkit::http::{Message, send_request};
+use vanewharf_testkit::raw_answer::{Delivery, RawAnswer};
+use yare::parameterized;
+
+/// The text of an answer that is right but for what these parts bring in.
+macro_rules! answer {
+    ($start_line:literal, $rest:literal) => {
+        concat!($start_line, "\r\nAttempt-Id: {attempt}\r\nBackend-Seal: s.1\r\n", $rest)
+    };
+}
+
+/// The body of each answer in this file.
+const BODY: &str = "from the backend";
+/// Few enough that no backend is ejected as an outlier before the last round.
+const ROUNDS: usize = 3;
+
+fn start_cluster() -> TestCluster {
+    let cluster = TestCluster::start(1, |_| {});
+    assert_eq!(cluster.send_command("POST", "/-/Configuration.Replace", &config(1, |_| {})).status(), 200);
+    cluster.wait_for_status(0, "/read/x", Some("key-a"), 200);
+    cluster.wait_until("the mutating route is served", || {
+        let response = cluster.send_request_as(0, "POST", "/write/x", Some("key-a"), "first").ok()?;
+        (response.status() == 200).then_some(())
+    });
+    cluster
+}
+
+/// Sends a request to a route that is read-only, or to one that is mutating.
+fn send(cluster: &TestCluster, mutating: bool, attempt: &str) -> Message {
+    let (method, path) = if mutating { ("POST", "/write/x") } else { ("GET", "/read/x") };
+    let headers = [
+        ("Host", "shop.example"),
+        ("Attempt-Id", attempt),
+        ("Remaining-Milliseconds", "1500"),
+        ("X-Api-Key", "key-a"),
+    ];
+    send_request(cluster.frontend_address(0), method, path, &headers, "").expect("an answer")
+}
+
+fn count_executions<'a>(backends: impl IntoIterator<Item = &'a FakeBackend>, attempt: &str) -> usize {
+    let executed = backends.into_iter().flat_map(FakeBackend::executed_requests);
+    executed.filter(|request| request.attempt == attempt).count()
+}
+
+fn answer_raw<'a>(
+    backends: impl IntoIterator<Item = &'a FakeBackend>,
+    text: &'static str,
+    delivery: Delivery,
+) {
+    let behavior = Behavior::SendsRaw(RawAnswer { text, delivery });
+    backends.into_iter().for_each(|backend| backend.set_behavior(behavior));
+}
+
+fn assert_no_connection_is_reused(cluster: &TestCluster) {
+    let reused: Vec<_> = cluster.backends.iter().map(FakeBackend::requests_after_raw_answers).collect();
+    assert!(reused.iter().all(|&count| count == 0), "requests after a malformed answer: {reused:?}");
+}
+
+/// Sends a request while all backends answer with something malformed, and returns whether any has executed it.
+fn assert_no_answer_is_passed_on(cluster: &TestCluster, mutating: bool, attempt: &str) -> bool {
+    let response = send(cluster, mutating, attempt);
+    let executions = count_executions(&cluster.backends, attempt);
+    let context = format!("{attempt}, executed {executions} times: {response:?}");
+    assert!(!response.body.contains(BODY) && response.header("Backend-Seal").is_none(), "{context}");
+    if mutating {
+        let expected = if executions == 0 { 503 } else { 502 };
+        assert_eq!(response.status(), expected, "{context}");
+        assert!(executions <= 1, "executed more than once: {context}");
+    } else {
+        assert!([502, 503].contains(&response.status()), "{context}");
+    }
+    executions > 0
+}
+
+#[parameterized(
+    blank_in_name = { answer!("HTTP/1.1 200 OK", "Na me: v\r\nContent-Length: 16\r\n\r\nfrom the backend") },
+    blank_after_name = { answer!("HTTP/1.1 200 OK", "Name : v\r\nContent-Length: 16\r\n\r\nfrom the backend") },
+    control_byte_in_name = { answer!("HTTP/1.1 200 OK", "Na\u{1}me: v\r\nContent-Length: 16\r\n\r\nfrom the backend") },
+    blank_in_name_of_length = { answer!("HTTP/1.1 200 OK", "Content-Length : 16\r\n\r\nfrom the backend") },
+)]
+fn a_malformed_answer_is_not_passed_on(text: &'static str) {
+    let cluster = start_cluster();
+    for mutating in [true, false] {
+        for delivery in [Delivery::Whole, Delivery::Bytewise] {
+            answer_raw(&cluster.backends, text, delivery);
+            let executed = (0..ROUNDS).filter(|round| {
+                let attempt = format!("{mutating}-{delivery:?}-{round}");
+                assert_no_answer_is_passed_on(&cluster, mutating, &attempt)
+            });
+            assert!(executed.count() > 0, "a request is executed, mutating {mutating}, {delivery:?}");
+        }
+    }
+    assert_no_connection_is_reused(&cluster);
+}
+
+#[parameterized(
+    without_reason = { answer!("HTTP/1.1 200 ", "Content-Length: 16\r\n\r\nfrom the backend") },
+    of_http_1_0 = { answer!("HTTP/1.0 200 OK", "Content-Length: 16\r\n\r\nfrom the backend") },
+    after_interim_answers = {
+        answer!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK",
+            "Content-Length: 16\r\n\r\nfrom the backend")
+    },
+    in_chunks = {
+        answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n4 ;a=\"b;c\"\r\nfrom\r\n0C\r\n the backend\r\n\
+            0\r\nTail: t\r\n\r\n")
+    },
+    with_other_line_ends = {
+        "HTTP/1.1 200 OK\nAttempt-Id: {attempt}\nBackend-Seal: s.1\nContent-Length: 16\n\nfrom the backend"
+    },
+)]
+fn an_unusual_answer_that_is_allowed_is_passed_on(text: &'static str) {
+    let cluster = start_cluster();
+    for mutating in [true, false] {
+        for delivery in [Delivery::Whole, Delivery::Bytewise] {
+            answer_raw(&cluster.backends, text, delivery);
+            for round in 0..ROUNDS {
+                let attempt = format!("{mutating}-{delivery:?}-{round}");
+                let response = send(&cluster, mutating, &attempt);
+                let received = (response.status(), response.body.as_str(), response.header("Attempt-Id"));
+                assert_eq!(received, (200, BODY, Some(attempt.as_str())), "{response:?}");
+            }
+        }
+    }
+}
