--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -6,10 +6,13 @@
 use bytes::BytesMut;
 use httparse::{Header, Status};
 use std::mem::MaybeUninit;
+use std::ops::RangeInclusive;
 
 /// Maximum size of a head, with the empty line after it.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 const MAX_FIELDS: usize = 64;
+/// The status codes that exist (RFC 9110, section 15). The parser accepts any three digits.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// A complete head, with the framing of the rest of the message.
 pub(crate) struct Head<L> {
@@ -119,7 +122,8 @@
         let Some(length) = head_length(result, src)? else {
             return Ok(None);
         };
-        let line = StatusLine { status: parsed.code.unwrap_or_default() };
+        let status = parsed.code.filter(|code| STATUS_CODES.contains(code));
+        let line = StatusLine { status: status.ok_or(ReadError::Malformed("the status code is not valid"))? };
         let framing = Framing::parse(parsed.headers)?;
         let closes_connection = framing.closes_connection(parsed.version.unwrap_or_default());
         let body = match framing.length {
--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -37,13 +37,14 @@
 }
 
 /// The first line of a reply.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct StatusLine {
+    /// From 100 to 599.
     pub(crate) status: u16,
 }
 
 /// A message with a first line of type `L`, fields and a body.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Message<L> {
     pub(crate) line: L,
     pub(crate) text: Vec<u8>,
@@ -118,7 +119,7 @@
 }
 
 impl Reply {
-    /// Returns the status code.
+    /// Returns the status code, which is from 100 to 599.
     pub fn status(&self) -> u16 {
         self.line.status
     }
--- a/crates/http1/src/tests/replies.rs
+++ b/crates/http1/src/tests/replies.rs
@@ -49,6 +49,26 @@
     }
 }
 
+#[test]
+fn refuses_status_codes_outside_100_to_599() {
+    for status in (0..100).chain(600..1000) {
+        let status_line = format!("HTTP/1.1 {status:03} X");
+        for reply in [
+            format!("{status_line}\r\nContent-Length: 2\r\n\r\nok"),
+            format!("{status_line}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+            format!("HTTP/1.1 100 Continue\r\n\r\n{status_line}\r\nContent-Length: 2\r\n\r\nok"),
+        ] {
+            assert_refused(&reply, "the status code is not valid");
+        }
+    }
+    for status in ["", "2", "20", "2000", "2x0", "-20", "0x0"] {
+        assert_refused(
+            &format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok"),
+            "the head cannot be read",
+        );
+    }
+}
+
 /// Asserts that the reply is decoded with this status and body.
 fn assert_accepted(reply: &str, status: u16, body: &str) {
     for segment_size in SEGMENT_SIZES {
--- a/crates/rpc/src/client/tests.rs
+++ b/crates/rpc/src/client/tests.rs
@@ -231,3 +231,35 @@
     })
     .await;
 }
+
+/// A server of either kind answers with bytes that are not HTTP. The platform's list is read in the second way.
+#[parameterized(
+    status_000_of_a_program = { ServerKind::Internal, "HTTP/1.1 000 X\r\n{id}Content-Length: 1\r\n\r\n1" },
+    status_000_of_another_server = { ServerKind::External, "HTTP/1.1 000 X\r\nContent-Length: 1\r\n\r\n1" },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn a_malformed_response_is_an_error_and_ends_its_connection(server: ServerKind, text: &str) {
+    run_with_deadline(async {
+        let (mut client, mut arriving) = client_and_connections();
+        let calls = async {
+            let call = || Call { method: "GET", path: "/instances", body: "", server };
+            let malformed = client.send_with_retry(call(), INACTIVITY_TIMEOUT).await;
+            assert!(matches!(malformed, Err(RpcError::Malformed)), "{malformed:?}");
+            client.send_with_retry(call(), INACTIVITY_TIMEOUT).await.expect("answered")
+        };
+        let server = async {
+            let mut first = TestServer::accept(&mut arriving).await;
+            let (_, id) = first.receive().await;
+            let id = id.map_or(String::new(), |id| format!("{CALL_ID}: {id}\r\n"));
+            let bytes = text.replace("{id}", &id);
+            first.0.get_mut().write_all(bytes.as_bytes()).await.expect("connected");
+            let mut second = TestServer::accept(&mut arriving).await;
+            assert!(first.0.next().await.is_none(), "the client closes the connection");
+            let (_, id) = second.receive().await;
+            second.respond(id.as_deref(), "2").await;
+        };
+        let (response, ()) = tokio::join!(calls, server);
+        assert_eq!(response, RawResponse { status: 200, body: b"2".to_vec() });
+    })
+    .await;
+}
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -82,6 +82,18 @@
     blank_after_name = { answer!("HTTP/1.1 200 OK", "Name : v\r\nContent-Length: 16\r\n\r\nfrom the backend") },
     control_byte_in_name = { answer!("HTTP/1.1 200 OK", "Na\u{1}me: v\r\nContent-Length: 16\r\n\r\nfrom the backend") },
     blank_in_name_of_length = { answer!("HTTP/1.1 200 OK", "Content-Length : 16\r\n\r\nfrom the backend") },
+    status_000 = { answer!("HTTP/1.1 000 X", "Content-Length: 16\r\n\r\nfrom the backend") },
+    status_000_in_chunks = {
+        answer!("HTTP/1.1 000 X", "Transfer-Encoding: chunked\r\n\r\n10\r\nfrom the backend\r\n0\r\n\r\n")
+    },
+    status_000_after_interim_answer = {
+        answer!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X", "Content-Length: 16\r\n\r\nfrom the backend")
+    },
+    status_099 = { answer!("HTTP/1.1 099 X", "Content-Length: 16\r\n\r\nfrom the backend") },
+    status_600 = { answer!("HTTP/1.1 600 X", "Content-Length: 16\r\n\r\nfrom the backend") },
+    status_999_without_execution = {
+        answer!("HTTP/1.1 999 X", "Not-Executed: 1\r\nContent-Length: 16\r\n\r\nfrom the backend")
+    },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
     let cluster = start_cluster();
@@ -98,6 +110,26 @@
     assert_no_connection_is_reused(&cluster);
 }
 
+/// The answer of one backend is malformed, that of the other one is not.
+#[test]
+fn a_repeatable_request_is_retried_at_another_backend_after_a_malformed_answer() {
+    let cluster = start_cluster();
+    assert_eq!(send(&cluster, false, "first").status(), 200);
+    let mut preferred = cluster.backends.iter().filter(|backend| count_executions([*backend], "first") > 0);
+    let broken = preferred.next().expect("a backend that was chosen");
+    let malformed = answer!("HTTP/1.1 000 X", "Content-Length: 16\r\n\r\nfrom the backend");
+    answer_raw([broken], malformed, Delivery::Whole);
+    let mut sent = 0;
+    cluster.wait_until("a request is answered with 000 at first", || {
+        sent += 1;
+        let attempt = format!("read-{sent}");
+        let response = send(&cluster, false, &attempt);
+        assert_eq!((response.status(), response.header("Attempt-Id")), (200, Some(attempt.as_str())));
+        (count_executions([broken], &attempt) > 0).then_some(())
+    });
+    assert_no_connection_is_reused(&cluster);
+}
+
 #[parameterized(
     without_reason = { answer!("HTTP/1.1 200 ", "Content-Length: 16\r\n\r\nfrom the backend") },
     of_http_1_0 = { answer!("HTTP/1.0 200 OK", "Content-Length: 16\r\n\r\nfrom the backend") },
--- a/programs/gateway/tests/malformed_replies.rs
+++ b/programs/gateway/tests/malformed_replies.rs
@@ -6,10 +6,12 @@
 use support::*;
 
 /// Replies that are not valid, all with a body that must not reach a client.
-const MALFORMED_REPLIES: [&str; 3] = [
+const MALFORMED_REPLIES: [&str; 5] = [
     "HTTP/1.1 200 OK\r\nNa me: v\r\nContent-Length: 6\r\n\r\nforged",
     "HTTP/1.1 200 OK\r\nName : v\r\nContent-Length: 6\r\n\r\nforged",
     "HTTP/1.1 200 OK\r\nNa\u{1}me: v\r\nContent-Length: 6\r\n\r\nforged",
+    "HTTP/1.1 000 X\r\nContent-Length: 6\r\n\r\nforged",
+    "HTTP/1.1 700 X\r\nContent-Length: 6\r\n\r\nforged",
 ];
 
 fn reply(text: &str) -> Reaction {
