--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -1,8 +1,8 @@
 //! Incremental reading of a message body, either with a known length or chunked.
 
+use crate::chunk_size::{ChunkSizeLine, InvalidChunkSize};
 use crate::error::ReadError;
 use bytes::{Buf, BytesMut};
-use httparse::Status;
 
 /// Maximum size of a chunk's size line with its extensions, and of a whole trailer section.
 const MAX_CHUNK_OVERHEAD_BYTES: usize = 4 * 1024;
@@ -80,17 +80,17 @@
     }
 
     fn read_chunk_size(&mut self, src: &mut BytesMut, max_size: usize) -> Result<Step, ReadError> {
-        match httparse::parse_chunk_size(src) {
-            Ok(Status::Complete((line_length, size))) => {
-                if size > max_size as u64 {
-                    return Err(ReadError::BodyTooLarge);
-                }
-                src.advance(line_length);
+        // The limit applies however much of the line arrives at once.
+        let line = &src[..src.len().min(MAX_CHUNK_OVERHEAD_BYTES)];
+        match ChunkSizeLine::parse(line) {
+            Ok(Some(ChunkSizeLine { size, .. })) if size > max_size as u64 => Err(ReadError::BodyTooLarge),
+            Ok(Some(ChunkSizeLine { length, size })) => {
+                src.advance(length);
                 *self = if size == 0 { BodyState::Trailer(0) } else { BodyState::Chunk(size as usize) };
                 Ok(Step::Advanced)
             }
-            Ok(Status::Partial) if src.len() <= MAX_CHUNK_OVERHEAD_BYTES => Ok(Step::Stopped),
-            _ => Err(ReadError::Malformed("a chunk's size cannot be read")),
+            Ok(None) if src.len() <= MAX_CHUNK_OVERHEAD_BYTES => Ok(Step::Stopped),
+            Ok(None) | Err(InvalidChunkSize) => Err(ReadError::Malformed("a chunk's size cannot be read")),
         }
     }
 
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -7,9 +7,11 @@
 #![forbid(unsafe_code)]
 
 mod body;
+mod chunk_size;
 mod codec;
 mod encode;
 mod error;
+mod grammar;
 mod head;
 mod message;
 mod reader;
--- a/crates/http1/src/tests.rs
+++ b/crates/http1/src/tests.rs
@@ -91,6 +91,7 @@
         (format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\n", "9".repeat(30)), "the body is too large"),
         (oversized(chunked, "5\r\nabcde\r\n"), "the body is too large"),
         (format!("{chunked}fffffffffffffff\r\n"), "the body is too large"),
+        (format!("{chunked}10000000000000005\r\nabcde\r\n0\r\n\r\n"), "the body is too large"),
         (oversized(&format!("{chunked}1;"), "x"), "a chunk's size cannot be read"),
         (oversized(&format!("{chunked}0\r\n"), "T: t\r\n"), "the trailer is too large"),
         (format!("{chunked}1\r\nabc\r\n"), "a chunk does not end where it should"),
--- a/crates/http1/src/tests/replies.rs
+++ b/crates/http1/src/tests/replies.rs
@@ -1,7 +1,7 @@
 //! Replies that RFC 9110 and RFC 9112 do not allow are refused, however they arrive; those that they allow are not.
 
 use super::decode_all;
-use crate::ClientCodec;
+use crate::{ClientCodec, ServerCodec};
 
 /// The sizes of the segments in which each reply is decoded: byte by byte, in small pieces, and at once.
 const SEGMENT_SIZES: [usize; 3] = [1, 7, 10_000];
@@ -69,6 +69,79 @@
     }
 }
 
+/// Lines that are not the size of a chunk of two bytes, without their end.
+const MALFORMED_CHUNK_SIZES: [&str; 34] = [
+    "",
+    " ",
+    ";x",
+    "=2",
+    " 2",
+    "\t2",
+    "2 ",
+    "2\t",
+    "2 2",
+    "2 x",
+    "g",
+    "0x2",
+    "+2",
+    "-2",
+    "2,",
+    "2\r",
+    "2\rx",
+    "2\n\r",
+    "2;",
+    "2; ",
+    "2;;x",
+    "2;=y",
+    "2;x=",
+    "2;x y",
+    "2;x=y z",
+    "2;x=y=z",
+    "2;x=(y)",
+    "2;x=\u{e9}",
+    "2;x\n",
+    "2;x\u{1}",
+    "2;x=\"y",
+    "2;x=\"y\"z",
+    "2;x=\"\u{1}\"",
+    "2;x=\"\\\u{7f}\"",
+];
+
+#[test]
+fn refuses_chunks_whose_size_is_not_one() {
+    for size in MALFORMED_CHUNK_SIZES {
+        let start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        // The parts of a cut body must not look like a complete one, and an invalid line not like the last chunk.
+        for chunks in [format!("{size}\r\nok\r\n0\r\n\r\n"), format!("2\r\nok\r\n{size}\r\n\r\n\r\n")] {
+            assert_refused(&format!("{start}{chunks}"), "a chunk's size cannot be read");
+            assert_request_is_refused(
+                &format!("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"),
+                "a chunk's size cannot be read",
+            );
+        }
+    }
+    let without_carriage_return = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\nok\r\n0\r\n\r\n";
+    assert_refused(without_carriage_return, "a chunk's size cannot be read");
+}
+
+/// Asserts that the request is refused for this reason, and that nothing is decoded.
+fn assert_request_is_refused(request: &str, reason: &str) {
+    for segment_size in SEGMENT_SIZES {
+        let (requests, error) = decode_all(request.as_bytes(), segment_size, ServerCodec::default());
+        let actual = (requests.len(), error.as_deref());
+        assert_eq!(actual, (0, Some(reason)), "{request:?} in segments of {segment_size}");
+    }
+}
+
+/// A backend that sends a part of a malformed line and then nothing must not be waited for.
+#[test]
+fn refuses_a_malformed_chunk_size_before_its_line_ends() {
+    for size in ["so", "2 x", "2;x=\"\u{1}", "\n"] {
+        let reply = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{size}");
+        assert_refused(&reply, "a chunk's size cannot be read");
+    }
+}
+
 /// Asserts that the reply is decoded with this status and body.
 fn assert_accepted(reply: &str, status: u16, body: &str) {
     for segment_size in SEGMENT_SIZES {
@@ -126,7 +199,7 @@
     for chunks in [
         "2\r\nok\r\n0\r\n\r\n",
         "1\r\no\r\n1\r\nk\r\n000\r\n\r\n",
-        "0002\r\nok\r\n0\r\n\r\n",
+        "00000000000000000002\r\nok\r\n0\r\n\r\n",
         "2;x\r\nok\r\n0;x=y;z\r\n\r\n",
         "2 ; x\t=\ty ;z\r\nok\r\n0\r\n\r\n",
         "2;x=\"\"\r\nok\r\n0\r\n\r\n",
--- a/crates/rpc/src/client/tests.rs
+++ b/crates/rpc/src/client/tests.rs
@@ -236,6 +236,9 @@
 #[parameterized(
     status_000_of_a_program = { ServerKind::Internal, "HTTP/1.1 000 X\r\n{id}Content-Length: 1\r\n\r\n1" },
     status_000_of_another_server = { ServerKind::External, "HTTP/1.1 000 X\r\nContent-Length: 1\r\n\r\n1" },
+    cut_before_a_chunk = {
+        ServerKind::External, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n1\r\n\r\n\r\n"
+    },
 )]
 #[test_macro(tokio::test(start_paused = true))]
 async fn a_malformed_response_is_an_error_and_ends_its_connection(server: ServerKind, text: &str) {
--- a/crates/testkit/tests/bad_input.rs
+++ b/crates/testkit/tests/bad_input.rs
@@ -155,8 +155,10 @@
     let with_headers = |headers: &str| request(method, path, headers, b"");
     let huge_length =
         format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 99999999999\r\n\r\n");
-    let invalid_chunk =
-        format!("{method} {path} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nso\r\n");
+    let chunked = |chunks: &str| {
+        let head = format!("{method} {path} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        (head + chunks).into_bytes()
+    };
     let mut garbled = with_headers("");
     garbled[1] = 0xff;
     let (address, mut failures, before) = (port.address(&cluster), Failures::default(), state(&cluster));
@@ -173,7 +175,9 @@
         (with_headers("Transfer-Encoding: gzip\r\n"), 400, "transfer coding"),
         (with_headers("Host: another\r\n"), 400, "host"),
         (with_headers("X-Spaced : 1\r\n"), 400, "head"),
-        (invalid_chunk.into_bytes(), 400, "chunk"),
+        (chunked("so\r\n"), 400, "chunk"),
+        (chunked("1\r\n{\r\n\r\n\r\n"), 400, "chunk"),
+        (chunked("1;\u{1}\r\n{\r\n0\r\n\r\n"), 400, "chunk"),
     ] {
         failures.expect_rejection(address, port, &bytes, (status, expected_text));
     }
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -94,6 +94,15 @@
     status_999_without_execution = {
         answer!("HTTP/1.1 999 X", "Not-Executed: 1\r\nContent-Length: 16\r\n\r\nfrom the backend")
     },
+    cut_before_a_chunk = {
+        answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n10\r\nfrom the backend\r\n\r\n\r\n")
+    },
+    chunk_size_with_extension_only = {
+        answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n10\r\nfrom the backend\r\n;x\r\n\r\n")
+    },
+    control_byte_in_chunk_extension = {
+        answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n10;\u{1}\r\nfrom the backend\r\n0\r\n\r\n")
+    },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
     let cluster = start_cluster();
