Let the test of waiting for leased tokens not depend on how fast it runs

Cause, in the test: its fleet has no controller in the proxy's region, so the proxy also requests tokens in advance, one as soon as its tenant's average reaches 2.0 requests/s. The test's fourth request makes that exactly 2.0 if all four fall into one tick of 0.1 ms, and less otherwise; the test then finds a request for tokens that it takes for one too many. What the proxy does is right in both cases.

The lenders are in the proxy's region now, where nothing is requested in advance.

--- a/programs/proxy/src/pools/tests.rs
+++ b/programs/proxy/src/pools/tests.rs
@@ -6,11 +6,12 @@
 use crate::gate_state::AuthorizedRequest;
 use crate::routing::ResolvedRoute;
 use crate::update::{TokenAnswer, TokenGrants, WaitingAnswer};
+use std::net::Ipv4Addr;
 use std::time::Duration;
 use vanewharf_health::RetryBudget;
 use vanewharf_policy::interface::{AttemptNumber, AttemptReport, Outcome};
 use vanewharf_protocol::messages::{
-    Backend, BackendList, Ballot, Membership, Revision, TenantUsage, Version,
+    Backend, BackendList, Ballot, ControllerEntry, Membership, Revision, TenantUsage, Version,
 };
 use vanewharf_quota::{InitialFill, TokenBuckets};
 
@@ -61,14 +62,19 @@
     })
 }
 
-/// Returns the summary of a fleet of this proxy alone, with the given number of token lenders.
+/// Returns the summary of a fleet of this proxy alone, with the given number of token lenders. They are in the proxy's
+/// region, as it would otherwise also request tokens in advance once it has received requests fast enough.
 fn fleet_summary(lenders: Option<u32>) -> Update {
     let tenants = [("t".to_owned(), TenantUsage { requests_per_s: 0.0, quota_shares: 0.0 })].into();
     let version = Version { ballot: Ballot(1), number: 1 };
+    let lender =
+        |number| ControllerEntry { ip: Ipv4Addr::from_bits(number).into(), zone: "east-a".to_owned() };
+    let controllers = (0..lenders.unwrap_or(0)).map(lender).collect();
     Update::FleetSummary(Rc::new(FleetSummary {
         version,
         quota_divisor: 1,
         tenants,
+        controllers,
         token_lenders: lenders,
         ..FleetSummary::default()
     }))
