--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -2,6 +2,7 @@
 
 use crate::chunk_size::{ChunkSizeLine, InvalidChunkSize};
 use crate::error::ReadError;
+use crate::grammar::is_field_line;
 use bytes::{Buf, BytesMut};
 
 /// Maximum size of a chunk's size line with its extensions, and of a whole trailer section.
@@ -106,7 +107,7 @@
         Ok(Step::Advanced)
     }
 
-    /// Discards one line of the trailer section; an empty line completes the body.
+    /// Checks and discards one line of the trailer section; an empty line completes the body.
     fn read_trailer_line(&mut self, src: &mut BytesMut) -> Result<Step, ReadError> {
         let BodyState::Trailer(read) = self else {
             return Ok(Step::Stopped);
@@ -118,10 +119,15 @@
         let Some(line_end) = line_end else {
             return Ok(Step::Stopped);
         };
-        let is_empty = src[..line_end].iter().all(|&byte| byte == b'\r');
+        // As in a head, a line may end without a carriage return.
+        let line = src[..line_end].strip_suffix(b"\r").unwrap_or(&src[..line_end]);
+        let is_last = line.is_empty();
+        if !is_last && !is_field_line(line) {
+            return Err(ReadError::Malformed("the trailer cannot be read"));
+        }
         src.advance(line_end + 1);
         *read += line_end + 1;
-        if is_empty {
+        if is_last {
             *self = BodyState::COMPLETE;
             return Ok(Step::Stopped);
         }
--- a/crates/http1/src/grammar.rs
+++ b/crates/http1/src/grammar.rs
@@ -15,3 +15,12 @@
 pub(crate) fn is_blank(byte: u8) -> bool {
     matches!(byte, b' ' | b'\t')
 }
+
+/// Whether the line, without its end, is a field: `field-name ":" OWS field-value OWS`.
+pub(crate) fn is_field_line(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|&byte| byte == b':') else {
+        return false;
+    };
+    let (name, value) = line.split_at(colon);
+    !name.is_empty() && name.iter().copied().all(is_token_byte) && value.iter().copied().all(is_text_byte)
+}
--- a/crates/http1/src/tests/replies.rs
+++ b/crates/http1/src/tests/replies.rs
@@ -133,6 +133,35 @@
     }
 }
 
+#[test]
+fn refuses_trailers_that_are_not_fields() {
+    for line in [
+        "garbage",
+        "Na me: v",
+        "Name : v",
+        " Name: v",
+        "Name: v\r\n folded",
+        ": v",
+        "Na\u{1}me: v",
+        "Nam\u{e9}: v",
+        "Name: a\u{0}b",
+        "Name: a\u{7f}b",
+        "Name: a\rb",
+        "Name: a\r",
+        "\r",
+        "\rName: v",
+        "HTTP/1.1 200 OK",
+    ] {
+        let chunks = format!("2\r\nok\r\n0\r\nTail: t\r\n{line}\r\n\r\n");
+        let reply = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
+        assert_refused(&reply, "the trailer cannot be read");
+        assert_request_is_refused(
+            &format!("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"),
+            "the trailer cannot be read",
+        );
+    }
+}
+
 /// A backend that sends a part of a malformed line and then nothing must not be waited for.
 #[test]
 fn refuses_a_malformed_chunk_size_before_its_line_ends() {
@@ -206,6 +235,7 @@
         "2;x=\"a;b=c \\\" \\\\ \u{e9}\";y=z\r\nok\r\n0\r\n\r\n",
         "2\r\nok\r\n0\r\nTail: t\r\nOther:\t u \r\n\r\n",
         "2\r\nok\r\n0\r\nTail: t\n\n",
+        "2\r\nok\r\n0\r\nTail:\r\n!#$%&'*+-.^_`|~09azAZ: a\tb \u{e9} \"(),/:;<=>?@[\\]{}\"\r\n\r\n",
     ] {
         let reply = format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
         assert_accepted(&reply, 200, "ok");
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -103,6 +103,14 @@
     control_byte_in_chunk_extension = {
         answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n10;\u{1}\r\nfrom the backend\r\n0\r\n\r\n")
     },
+    trailer_that_is_another_answer = {
+        answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n10\r\nfrom the backend\r\n0\r\n\
+            HTTP/1.1 200 OK\r\n\r\n")
+    },
+    control_byte_in_trailer = {
+        answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n10\r\nfrom the backend\r\n0\r\n\
+            Ta\u{1}il: t\r\n\r\n")
+    },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
     let cluster = start_cluster();
