--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -14,6 +14,9 @@
 /// The status codes that exist (RFC 9110, section 15). The parser accepts any three digits.
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
+/// The head does not follow the grammar.
+pub(crate) const UNREADABLE_HEAD: ReadError = ReadError::Malformed("the head cannot be read");
+
 /// A complete head, with the framing of the rest of the message.
 pub(crate) struct Head<L> {
     pub(crate) line: L,
@@ -27,6 +30,9 @@
 
 /// The first line of a request or reply, which determines how the head is parsed.
 pub(crate) trait FirstLine: Sized {
+    /// Whether empty lines before the head are skipped.
+    const SKIPS_EMPTY_LINES: bool;
+
     /// Parses a head; returns `None` if it is not complete yet.
     fn parse(src: &BytesMut, max_body: usize) -> Result<Option<Head<Self>>, ReadError>;
 
@@ -89,6 +95,8 @@
 }
 
 impl FirstLine for RequestLine {
+    const SKIPS_EMPTY_LINES: bool = true;
+
     fn parse(src: &BytesMut, max_body: usize) -> Result<Option<Head<RequestLine>>, ReadError> {
         let mut headers = [const { MaybeUninit::uninit() }; MAX_FIELDS];
         let mut parsed = httparse::Request::new(&mut []);
@@ -114,6 +122,9 @@
 }
 
 impl FirstLine for StatusLine {
+    /// RFC 9112, section 2.2, allows them before requests only. The parser would skip them here as well.
+    const SKIPS_EMPTY_LINES: bool = false;
+
     fn parse(src: &BytesMut, max_body: usize) -> Result<Option<Head<StatusLine>>, ReadError> {
         let mut headers = [const { MaybeUninit::uninit() }; MAX_FIELDS];
         let mut parsed = httparse::Response::new(&mut []);
@@ -147,7 +158,7 @@
         Ok(Status::Complete(length)) if length <= MAX_HEAD_BYTES => Ok(Some(length)),
         Ok(Status::Partial) if src.len() <= MAX_HEAD_BYTES => Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(ReadError::HeadTooLarge),
-        Err(_) => Err(ReadError::Malformed("the head cannot be read")),
+        Err(_) => Err(UNREADABLE_HEAD),
     }
 }
 
--- a/crates/http1/src/reader.rs
+++ b/crates/http1/src/reader.rs
@@ -2,7 +2,7 @@
 
 use crate::body::BodyState;
 use crate::error::ReadError;
-use crate::head::{FirstLine, Head, MAX_HEAD_BYTES};
+use crate::head::{FirstLine, Head, MAX_HEAD_BYTES, UNREADABLE_HEAD};
 use crate::message::Message;
 use bytes::{Buf, BytesMut};
 
@@ -51,22 +51,6 @@
         self.partial.as_ref().map_or(0, |partial| partial.message.memory_bytes())
     }
 
-    /// Returns whether the new input contains a line end, so that the head may be complete. Discards empty lines
-    /// before the head.
-    fn head_may_have_ended(&mut self, src: &mut BytesMut) -> bool {
-        if src.is_empty() {
-            // This compacts the buffer, so that the next message is not read in two pieces for lack of space at the
-            // end.
-            src.reserve(RESERVED_BUFFER_BYTES);
-        }
-        let empty_lines = src.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
-        src.advance(empty_lines);
-        self.scanned = self.scanned.saturating_sub(empty_lines).min(src.len());
-        let has_line_end = src[self.scanned..].contains(&b'\n');
-        self.scanned = src.len();
-        has_line_end
-    }
-
     /// Starts a message with a complete head, which is moved out of `src`.
     fn begin(&mut self, src: &mut BytesMut, head: Head<L>) {
         let Head { line, length, fields, body, closes_connection } = head;
@@ -92,10 +76,29 @@
 }
 
 impl<L: FirstLine> MessageReader<L> {
+    /// Returns whether the new input contains a line end, so that the head may be complete. Discards empty lines
+    /// before the head, or fails if there must be none.
+    fn head_may_have_ended(&mut self, src: &mut BytesMut) -> Result<bool, ReadError> {
+        if src.is_empty() {
+            // This compacts the buffer, so that the next message is not read in two pieces for lack of space at the
+            // end.
+            src.reserve(RESERVED_BUFFER_BYTES);
+        }
+        let empty_lines = src.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+        if empty_lines > 0 && !L::SKIPS_EMPTY_LINES {
+            return Err(UNREADABLE_HEAD);
+        }
+        src.advance(empty_lines);
+        self.scanned = self.scanned.saturating_sub(empty_lines).min(src.len());
+        let has_line_end = src[self.scanned..].contains(&b'\n');
+        self.scanned = src.len();
+        Ok(has_line_end)
+    }
+
     /// Reads the next complete message, if `src` contains the rest of it.
     pub(crate) fn read(&mut self, src: &mut BytesMut) -> Result<Option<Message<L>>, ReadError> {
         while self.partial.is_none() {
-            if !self.head_may_have_ended(src) {
+            if !self.head_may_have_ended(src)? {
                 return if src.len() > MAX_HEAD_BYTES { Err(ReadError::HeadTooLarge) } else { Ok(None) };
             }
             let Some(head) = L::parse(src, self.max_body)? else {
--- a/crates/http1/src/tests/replies.rs
+++ b/crates/http1/src/tests/replies.rs
@@ -133,6 +133,18 @@
     }
 }
 
+/// Empty lines may precede a request, but not a reply: they may be the rest of an earlier one.
+#[test]
+fn refuses_replies_that_do_not_begin_with_their_status_line() {
+    let reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for before in ["\r\n", "\n", "\r", "\r\n\r\n", " ", "\t", "\u{0}", "ok"] {
+        assert_refused(&format!("{before}{reply}"), "the head cannot be read");
+        let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        assert_refused(&format!("{interim}{before}{reply}"), "the head cannot be read");
+    }
+    assert_refused("\r", "the head cannot be read");
+}
+
 #[test]
 fn refuses_trailers_that_are_not_fields() {
     for line in [
--- a/crates/rpc/src/client/tests.rs
+++ b/crates/rpc/src/client/tests.rs
@@ -242,6 +242,9 @@
     trailer_without_colon = {
         ServerKind::External, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n1\r\n0\r\nTail\r\n\r\n"
     },
+    empty_line_before_status_line = {
+        ServerKind::External, "\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1"
+    },
 )]
 #[test_macro(tokio::test(start_paused = true))]
 async fn a_malformed_response_is_an_error_and_ends_its_connection(server: ServerKind, text: &str) {
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -111,6 +111,10 @@
         answer!("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n\r\n10\r\nfrom the backend\r\n0\r\n\
             Ta\u{1}il: t\r\n\r\n")
     },
+    empty_line_before_status_line = { answer!("\r\nHTTP/1.1 200 OK", "Content-Length: 16\r\n\r\nfrom the backend") },
+    line_feed_after_interim_answer = {
+        answer!("HTTP/1.1 103 Early Hints\r\n\r\n\nHTTP/1.1 200 OK", "Content-Length: 16\r\n\r\nfrom the backend")
+    },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
     let cluster = start_cluster();
