--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -13,6 +13,9 @@
 const MAX_FIELDS: usize = 64;
 /// The status codes that exist (RFC 9110, section 15). The parser accepts any three digits.
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+/// The status after which the connection carries another protocol. No request is sent with an `Upgrade` field, so no
+/// server may reply with it (RFC 9110, section 7.8).
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// The head does not follow the grammar.
 pub(crate) const UNREADABLE_HEAD: ReadError = ReadError::Malformed("the head cannot be read");
@@ -133,8 +136,7 @@
         let Some(length) = head_length(result, src)? else {
             return Ok(None);
         };
-        let status = parsed.code.filter(|code| STATUS_CODES.contains(code));
-        let line = StatusLine { status: status.ok_or(ReadError::Malformed("the status code is not valid"))? };
+        let line = StatusLine { status: checked_status(parsed.code)? };
         let framing = Framing::parse(parsed.headers)?;
         let closes_connection = framing.closes_connection(parsed.version.unwrap_or_default());
         let body = match framing.length {
@@ -152,6 +154,15 @@
     }
 }
 
+/// Returns the status code, or an error if it does not exist or cannot answer any request.
+fn checked_status(code: Option<u16>) -> Result<u16, ReadError> {
+    match code {
+        Some(SWITCHING_PROTOCOLS) => Err(ReadError::Malformed("the answer switches to another protocol")),
+        Some(code) if STATUS_CODES.contains(&code) => Ok(code),
+        _ => Err(ReadError::Malformed("the status code is not valid")),
+    }
+}
+
 /// Returns the length of the head if it is complete, or an error if it is malformed or too large.
 fn head_length(parsed: httparse::Result<usize>, src: &BytesMut) -> Result<Option<usize>, ReadError> {
     match parsed {
--- a/crates/http1/src/tests/replies.rs
+++ b/crates/http1/src/tests/replies.rs
@@ -145,6 +145,19 @@
     assert_refused("\r", "the head cannot be read");
 }
 
+/// No request asks for another protocol, so no server may switch to one, and what follows is not HTTP/1.1.
+#[test]
+fn refuses_a_switch_of_protocols() {
+    let switch = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n";
+    assert_refused(switch, "the answer switches to another protocol");
+    let reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    assert_refused(&format!("{switch}{reply}"), "the answer switches to another protocol");
+    assert_refused(
+        &format!("HTTP/1.1 100 Continue\r\n\r\n{switch}{reply}"),
+        "the answer switches to another protocol",
+    );
+}
+
 #[test]
 fn refuses_trailers_that_are_not_fields() {
     for line in [
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -115,6 +115,10 @@
     line_feed_after_interim_answer = {
         answer!("HTTP/1.1 103 Early Hints\r\n\r\n\nHTTP/1.1 200 OK", "Content-Length: 16\r\n\r\nfrom the backend")
     },
+    after_a_switch_of_protocols = {
+        answer!("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK",
+            "Content-Length: 16\r\n\r\nfrom the backend")
+    },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
     let cluster = start_cluster();
