--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -11,6 +11,8 @@
 /// Maximum size of a head, with the empty line after it.
 pub(crate) const MAX_HEAD_BYTES: usize = 64 * 1024;
 const MAX_FIELDS: usize = 64;
+/// The parser's number of version 1.0; that of version 1.1 is 1.
+const HTTP_1_0: u8 = 0;
 /// The status codes that exist (RFC 9110, section 15). The parser accepts any three digits.
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 /// The status after which the connection carries another protocol. No request is sent with an `Upgrade` field, so no
@@ -90,10 +92,9 @@
         Ok(())
     }
 
-    /// Returns whether the connection ends after the message. Minor version 0 is HTTP/1.0, in which connections are not
-    /// persistent by default.
+    /// Returns whether the connection ends after the message. In HTTP/1.0, connections are not persistent by default.
     fn closes_connection(&self, version: u8) -> bool {
-        self.close || version == 0
+        self.close || version == HTTP_1_0
     }
 }
 
@@ -137,8 +138,12 @@
             return Ok(None);
         };
         let line = StatusLine { status: checked_status(parsed.code)? };
+        let version = parsed.version.unwrap_or_default();
         let framing = Framing::parse(parsed.headers)?;
-        let closes_connection = framing.closes_connection(parsed.version.unwrap_or_default());
+        if framing.chunked && version == HTTP_1_0 {
+            return Err(ReadError::Malformed("an HTTP/1.0 answer has a transfer coding"));
+        }
+        let closes_connection = framing.closes_connection(version);
         let body = match framing.length {
             _ if line.is_interim() || matches!(line.status, 204 | 304) => BodyState::COMPLETE,
             _ if framing.chunked => BodyState::ChunkSize,
--- a/crates/http1/src/tests/replies.rs
+++ b/crates/http1/src/tests/replies.rs
@@ -158,6 +158,47 @@
     );
 }
 
+/// HTTP/1.0 has no transfer codings, so the framing of such a reply is faulty (RFC 9112, section 6.1).
+#[test]
+fn refuses_a_transfer_coding_of_http_1_0() {
+    let reply = "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    assert_refused(reply, "an HTTP/1.0 answer has a transfer coding");
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    assert_refused(&format!("{interim}{reply}"), "an HTTP/1.0 answer has a transfer coding");
+    assert_accepted("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", 200, "ok");
+}
+
+#[test]
+fn refuses_bodies_whose_length_is_not_one() {
+    let reply = |fields: &str| format!("HTTP/1.1 200 OK\r\n{fields}\r\n\r\nok");
+    for value in ["", "+2", "-2", "0x2", "2 2", "2,3", "2, 2", "two", "2\u{b}", "2;x"] {
+        let length = reply(&format!("Content-Length: {value}"));
+        assert_refused_for_any_reason(&length);
+    }
+    for fields in [
+        "Content-Length: 2\r\nContent-Length: 3",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: chunked;x=y",
+        "Transfer-Encoding:",
+    ] {
+        assert_refused_for_any_reason(&reply(fields));
+    }
+}
+
+/// Asserts that the reply is refused because it is malformed, and not because its end is missing.
+fn assert_refused_for_any_reason(reply: &str) {
+    for segment_size in SEGMENT_SIZES {
+        let (replies, error) = decode_all(reply.as_bytes(), segment_size, ClientCodec::default());
+        let error = error.unwrap_or_default();
+        let is_malformed = !error.is_empty() && error != "the connection ended in mid-message";
+        assert!(is_malformed && replies.is_empty(), "{reply:?} in segments of {segment_size}: {error}");
+    }
+}
+
 #[test]
 fn refuses_trailers_that_are_not_fields() {
     for line in [
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -119,6 +119,15 @@
         answer!("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK",
             "Content-Length: 16\r\n\r\nfrom the backend")
     },
+    in_chunks_of_http_1_0 = {
+        answer!("HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n\r\n10\r\nfrom the backend\r\n0\r\n\r\n")
+    },
+    with_two_lengths = {
+        answer!("HTTP/1.1 200 OK", "Content-Length: 16\r\nContent-Length: 4\r\n\r\nfrom the backend")
+    },
+    with_length_and_transfer_coding = {
+        answer!("HTTP/1.1 200 OK", "Content-Length: 16\r\nTransfer-Encoding: chunked\r\n\r\nfrom the backend")
+    },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
     let cluster = start_cluster();
--- a/programs/gateway/tests/malformed_replies.rs
+++ b/programs/gateway/tests/malformed_replies.rs
@@ -6,7 +6,7 @@
 use support::*;
 
 /// Replies that are not valid, all with a body that must not reach a client.
-const MALFORMED_REPLIES: [&str; 9] = [
+const MALFORMED_REPLIES: [&str; 10] = [
     "HTTP/1.1 200 OK\r\nNa me: v\r\nContent-Length: 6\r\n\r\nforged",
     "HTTP/1.1 200 OK\r\nName : v\r\nContent-Length: 6\r\n\r\nforged",
     "HTTP/1.1 200 OK\r\nNa\u{1}me: v\r\nContent-Length: 6\r\n\r\nforged",
@@ -16,6 +16,7 @@
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nforged\r\n0\r\ngarbage\r\n\r\n",
     "\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged",
     "HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged",
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nforged\r\n0\r\n\r\n",
 ];
 
 fn reply(text: &str) -> Reaction {
