--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -18,6 +18,9 @@
 /// The status after which the connection carries another protocol. No request is sent with an `Upgrade` field, so no
 /// server may reply with it (RFC 9110, section 7.8).
 const SWITCHING_PROTOCOLS: u16 = 101;
+const NO_CONTENT: u16 = 204;
+/// Its fields may state the length of the body that a request without a condition would have had.
+const NOT_MODIFIED: u16 = 304;
 
 /// The head does not follow the grammar.
 pub(crate) const UNREADABLE_HEAD: ReadError = ReadError::Malformed("the head cannot be read");
@@ -92,6 +95,10 @@
         Ok(())
     }
 
+    fn announces_content(&self) -> bool {
+        self.chunked || self.length.is_some_and(|length| length > 0)
+    }
+
     /// Returns whether the connection ends after the message. In HTTP/1.0, connections are not persistent by default.
     fn closes_connection(&self, version: u8) -> bool {
         self.close || version == HTTP_1_0
@@ -143,9 +150,11 @@
         if framing.chunked && version == HTTP_1_0 {
             return Err(ReadError::Malformed("an HTTP/1.0 answer has a transfer coding"));
         }
-        let closes_connection = framing.closes_connection(version);
+        // A body that such a reply announces all the same may still come, and would be taken for the next reply.
+        let announces_content = line.status == NO_CONTENT && framing.announces_content();
+        let closes_connection = framing.closes_connection(version) || announces_content;
         let body = match framing.length {
-            _ if line.is_interim() || matches!(line.status, 204 | 304) => BodyState::COMPLETE,
+            _ if line.is_interim() || matches!(line.status, NO_CONTENT | NOT_MODIFIED) => BodyState::COMPLETE,
             _ if framing.chunked => BodyState::ChunkSize,
             Some(length) => sized_body(length, max_body)?,
             // A body delimited by the end of the connection cannot be distinguished from a truncated one.
--- a/crates/http1/src/tests/replies.rs
+++ b/crates/http1/src/tests/replies.rs
@@ -310,3 +310,22 @@
     assert_accepted(eleven, 200, "hello world");
     assert_accepted(&eleven.replace("\nB", "\nb"), 200, "hello world");
 }
+
+/// A reply of status 204 ends with its head whatever its fields say, and the body that they announce may still come.
+#[test]
+fn the_connection_ends_after_a_reply_without_content_that_announces_some() {
+    for (head, closes) in [
+        ("204 No Content\r\nContent-Length: 2", true),
+        ("204 No Content\r\nTransfer-Encoding: chunked", true),
+        ("204 No Content\r\nContent-Length: 0", false),
+        ("204 No Content\r\nA: b", false),
+        // The length is that of the body that a request without a condition would have had.
+        ("304 Not Modified\r\nContent-Length: 2", false),
+        ("304 Not Modified\r\nTransfer-Encoding: chunked", false),
+    ] {
+        let reply = format!("HTTP/1.1 {head}\r\n\r\n");
+        let (replies, error) = decode_all(reply.as_bytes(), reply.len(), ClientCodec::default());
+        let decoded: Vec<_> = replies.iter().map(|reply| (reply.body(), reply.closes_connection())).collect();
+        assert_eq!((decoded, error), (vec![(&b""[..], closes)], None), "{head}");
+    }
+}
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -164,6 +164,18 @@
     assert_no_connection_is_reused(&cluster);
 }
 
+/// The body may still come, and must not be taken for the answer to the next request.
+#[test]
+fn a_connection_is_not_used_again_after_an_answer_without_content_that_announces_some() {
+    let cluster = start_cluster();
+    let announcing = answer!("HTTP/1.1 204 No Content", "Content-Length: 16\r\n\r\n");
+    answer_raw(&cluster.backends, announcing, Delivery::Whole);
+    for round in 0..ROUNDS {
+        assert_eq!(send(&cluster, true, &format!("write-{round}")).status(), 204);
+    }
+    assert_no_connection_is_reused(&cluster);
+}
+
 #[parameterized(
     without_reason = { answer!("HTTP/1.1 200 ", "Content-Length: 16\r\n\r\nfrom the backend") },
     of_http_1_0 = { answer!("HTTP/1.0 200 OK", "Content-Length: 16\r\n\r\nfrom the backend") },
--- a/programs/gateway/tests/malformed_replies.rs
+++ b/programs/gateway/tests/malformed_replies.rs
@@ -53,3 +53,15 @@
         assert!(retried, "no request reached the first backend: {malformed:?}");
     }
 }
+
+/// The body that a reply of status 204 announces may still come, and must not be taken for the reply to the next request.
+#[test]
+fn a_connection_ends_after_a_reply_without_content_that_announces_some() {
+    let announcing = reply("HTTP/1.1 204 No Content\r\nContent-Length: 43\r\n\r\n");
+    let backend = Backend::new("a", vec![announcing, ok("", "well-formed")]);
+    let gateway = Gateway::start(&[&backend]);
+    let mut client = gateway.client();
+    client.request(&book_request());
+    assert_eq!(client.request(&book_request()).body, b"well-formed");
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 2, "the connection is not used again");
+}
