--- a/programs/gateway/src/backend_connection/connection.rs
+++ b/programs/gateway/src/backend_connection/connection.rs
@@ -5,13 +5,11 @@
 use crate::clock::to_duration;
 use crate::counters::Counter;
 use crate::messages::Attempt;
+use crate::quiet_connection::is_quiet;
 use crate::resources::{SMALL_BUFFER_BYTES, SocketGuard, SocketKind};
 use crate::shared::Shared;
 use bytes::BytesMut;
 use futures_util::StreamExt;
-use socket2::SockRef;
-use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::oneshot;
@@ -70,17 +68,6 @@
         }
     }
 
-    /// Whether the connection is open and nothing was received since the last reply.
-    ///
-    /// This peeks at the socket directly, because the runtime learns of received bytes only when it next polls for I/O.
-    /// Otherwise, a request written after the backend closed the connection would count as one that may have run, and
-    /// unsolicited bytes would be taken for the request's reply.
-    fn is_quiet(&self) -> bool {
-        let received = SockRef::from(self.framed.get_ref()).peek(&mut [MaybeUninit::uninit()]);
-        self.framed.read_buffer().is_empty()
-            && received.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
-    }
-
     /// Waits for the next attempt. The connection is lost if the backend sends anything or closes it first.
     pub(super) async fn idle(&mut self, next: &mut oneshot::Receiver<Attempt>) -> IdleEnd {
         // Cancel safe: if the read completes first, the receiver is closed before an attempt already sent is taken
@@ -92,7 +79,7 @@
                 IdleEnd::Lost(next.try_recv().ok())
             }
             attempt = &mut *next => match attempt {
-                Ok(attempt) if self.is_quiet() => IdleEnd::Assigned(attempt),
+                Ok(attempt) if is_quiet(&self.framed) => IdleEnd::Assigned(attempt),
                 attempt => IdleEnd::Lost(attempt.ok()),
             },
         }
--- a/programs/gateway/src/backend_connection/connection/exchange.rs
+++ b/programs/gateway/src/backend_connection/connection/exchange.rs
@@ -4,6 +4,7 @@
 use crate::clock::TICKS_PER_MS;
 use crate::dialect::ReplyMatch;
 use crate::messages::Attempt;
+use crate::quiet_connection::is_quiet;
 use crate::shared::Shared;
 use futures_util::{SinkExt, StreamExt};
 use std::future::poll_fn;
@@ -191,7 +192,7 @@
         TransferState {
             request_bytes: self.request_bytes,
             sent_bytes: self.request_bytes - self.framed.write_buffer().len(),
-            has_unread_input: !self.is_quiet(),
+            has_unread_input: !is_quiet(&self.framed),
         }
     }
 }
--- a/programs/gateway/src/backend_connection/connection/tests.rs
+++ b/programs/gateway/src/backend_connection/connection/tests.rs
@@ -14,12 +14,12 @@
         let (mut backend, _) = listener.accept().expect("an accepted connection");
         let guard = SocketGuard::new(&resources, SocketKind::Upstream);
         let connection = Connection::new(stream, guard);
-        assert!(connection.is_quiet());
+        assert!(is_quiet(&connection.framed));
         if closes {
             drop(backend);
         } else {
             backend.write_all(b"H").expect("the byte is sent");
         }
-        assert!(!connection.is_quiet());
+        assert!(!is_quiet(&connection.framed));
     }
 }
--- a/programs/gateway/src/discovery.rs
+++ b/programs/gateway/src/discovery.rs
@@ -11,6 +11,7 @@
 
 use crate::counters::Counter;
 use crate::messages::{BackendUpdate, RouterMessage};
+use crate::quiet_connection::is_quiet;
 use crate::resources::{SocketGuard, SocketKind};
 use crate::shared::Shared;
 use backend_table::BackendTable;
@@ -149,6 +150,8 @@
 
     async fn call(&mut self) -> Result<PublishedList, CallError> {
         let address = *self.agent_address.borrow();
+        // What has arrived since the last reply answers no call.
+        self.connection = self.connection.take().filter(|connection| is_quiet(&connection.framed));
         let connection = match &mut self.connection {
             Some(connection) => connection,
             None => self.connection.insert(connect(address, &self.shared).await?),
--- a/programs/gateway/src/lib.rs
+++ b/programs/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod peers;
 mod platform_config;
 mod platform_dialect;
+mod quiet_connection;
 mod quota_counter;
 pub mod resources;
 pub mod router;
--- a/programs/gateway/tests/discovery.rs
+++ b/programs/gateway/tests/discovery.rs
@@ -30,6 +30,29 @@
     assert_eq!(client.request(&look_request()).status(), 503, "no backend is left");
 }
 
+/// The reply with status 000 names a backend that must not be used, and so does the second one of two replies to one call.
+#[test]
+fn takes_no_list_from_a_malformed_reply_or_from_one_that_no_call_asked_for() {
+    let (listed, unlisted) =
+        (Backend::new("a", vec![ok("", "listed")]), Backend::new("b", vec![ok("", "other")]));
+    let gateway = Gateway::start(&[&listed]);
+    let mut client = gateway.client();
+    let publish = |text: String| gateway.agent.lists.send(text).expect("the agent runs");
+    let raw = |status: &str, body: &str| {
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    let wrong = list(9, true, &[unlisted.entry("SERVING")]);
+    assert_eq!(gateway.agent.next_call(), "GET /v1/servers?index=4&wait=2000 HTTP/1.1");
+    publish(format!("{RAW}{}", raw("000 X", &wrong)));
+    assert_eq!(gateway.agent.next_call(), "GET /v1/servers HTTP/1.1", "changes may have been missed");
+    let right = list(5, true, &[listed.entry("SERVING")]);
+    publish(format!("{RAW}{}{}", raw("200 OK", &right), raw("200 OK", &wrong)));
+    assert_eq!(gateway.agent.next_call(), "GET /v1/servers?index=5&wait=2000 HTTP/1.1");
+    publish(list(6, false, &[]));
+    assert_eq!(gateway.agent.next_call(), "GET /v1/servers?index=6&wait=2000 HTTP/1.1");
+    assert_eq!(client.request(&look_request()).body, b"listed");
+}
+
 #[test]
 fn backs_off_when_discovery_refuses_calls_and_resumes_from_the_known_version() {
     let (old, new) = (Backend::new("a", vec![ok("", "old")]), Backend::new("b", vec![ok("", "new")]));
--- a/programs/gateway/tests/support/agent.rs
+++ b/programs/gateway/tests/support/agent.rs
@@ -12,6 +12,8 @@
 pub const CLOSE: &str = "close";
 pub const UNRESPONSIVE: &str = "unresponsive";
 pub const REFUSE: &str = "refuse";
+/// Sent before a reply, this makes the agent write it byte for byte.
+pub const RAW: &str = "raw:";
 
 /// A discovery agent that answers each call with the next list from the test.
 pub struct Agent {
@@ -49,6 +51,10 @@
                 UNRESPONSIVE => return reader.read_to_end(&mut Vec::new()).ok().map(drop),
                 _ => {}
             }
+            if let Some(raw) = body.strip_prefix(RAW) {
+                stream.write_all(raw.as_bytes()).ok()?;
+                continue;
+            }
             let status = if body == REFUSE { "503 Service Unavailable" } else { "200 OK" };
             let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
             stream.write_all((head + &body).as_bytes()).ok()?;
