--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -36,6 +36,15 @@
     idle_connection: Option<Connection>,
     /// The id of the last call that was sent.
     last_call_id: CallId,
+    /// Whether a malformed response was logged since the last one that was not.
+    has_logged_malformed: bool,
+}
+
+/// Why no response was read.
+enum ReadFailure {
+    ConnectionLost,
+    TimedOut,
+    Malformed(ReadError),
 }
 
 /// The status and body of a response.
@@ -74,7 +83,8 @@
     /// Creates a client, which connects at its first call.
     pub fn new(address: SocketAddr, network: &Rc<dyn Network>) -> RpcClient {
         let last_call_id = CallId { caller: network.unique_id(), sequence: 0 };
-        RpcClient { address, network: Rc::clone(network), idle_connection: None, last_call_id }
+        let network = Rc::clone(network);
+        RpcClient { address, network, idle_connection: None, last_call_id, has_logged_malformed: false }
     }
 
     /// Sends a JSON message to a vanewharf program and returns the JSON response. `inactivity_timeout` limits the time
@@ -183,7 +193,9 @@
             Ok(Err(_)) => return Err(RpcError::ConnectionLost),
             Err(_) => return Err(RpcError::Timeout),
         }
-        let reply = read_reply(&mut connection, inactivity_timeout).await?;
+        let reply = read_reply(&mut connection, inactivity_timeout).await;
+        let reply = reply.map_err(|failure| self.log_if_malformed(failure))?;
+        self.has_logged_malformed = false;
         // A connection with a mismatch is closed, as no later response on it can be attributed to a call.
         let is_internal = call.server == ServerKind::Internal;
         if is_internal
@@ -217,6 +229,24 @@
         )
     }
 
+    /// Returns the error of the call. The reason why a response is malformed is logged once until the server sends another
+    /// one, because a line for each call could fill the disk.
+    fn log_if_malformed(&mut self, failure: ReadFailure) -> RpcError {
+        match failure {
+            ReadFailure::ConnectionLost => RpcError::ConnectionLost,
+            ReadFailure::TimedOut => RpcError::Timeout,
+            ReadFailure::Malformed(reason) => {
+                if !std::mem::replace(&mut self.has_logged_malformed, true) {
+                    spdlog::warn!(
+                        "malformed response",
+                        kv: { event = "response_malformed", server: = self.address, reason: = reason }
+                    );
+                }
+                RpcError::Malformed
+            }
+        }
+    }
+
     async fn connect(&self) -> Result<Connection, RpcError> {
         match timeout(CONNECT_TIMEOUT, self.network.connect(self.address)).await {
             Ok(Ok(stream)) => Ok(Framed::new(stream, ClientCodec::with_max_body(MAX_BODY_BYTES))),
@@ -231,18 +261,18 @@
     (!has_input && connection.read_buffer().is_empty()).then_some(connection)
 }
 
-async fn read_reply(connection: &mut Connection, inactivity_timeout: Duration) -> Result<Reply, RpcError> {
+async fn read_reply(connection: &mut Connection, inactivity_timeout: Duration) -> Result<Reply, ReadFailure> {
     let started = Instant::now();
     loop {
         let received = received_bytes(connection);
         match timeout(inactivity_timeout, connection.next()).await {
             Ok(Some(Ok(reply))) => return Ok(reply),
             Ok(None | Some(Err(ReadError::Io(_) | ReadError::UnexpectedEof))) => {
-                return Err(RpcError::ConnectionLost);
+                return Err(ReadFailure::ConnectionLost);
             }
-            Ok(Some(Err(_))) => return Err(RpcError::Malformed),
-            Err(_) if received == received_bytes(connection) => return Err(RpcError::Timeout),
-            Err(_) if started.elapsed() > RESPONSE_TIMEOUT => return Err(RpcError::Timeout),
+            Ok(Some(Err(error))) => return Err(ReadFailure::Malformed(error)),
+            Err(_) if received == received_bytes(connection) => return Err(ReadFailure::TimedOut),
+            Err(_) if started.elapsed() > RESPONSE_TIMEOUT => return Err(ReadFailure::TimedOut),
             // Some bytes have arrived since, so the server is still sending.
             Err(_) => {}
         }
--- a/crates/rpc/src/client/tests.rs
+++ b/crates/rpc/src/client/tests.rs
@@ -1,7 +1,11 @@
 use super::*;
 use futures_util::SinkExt;
+use spdlog::formatter::{Formatter, FormatterContext, FullFormatter};
+use spdlog::sink::{GetSinkProp, Sink, SinkProp};
+use spdlog::{Logger, Record, StringBuf};
 use std::cell::Cell;
 use std::io;
+use std::sync::{Arc, Mutex};
 use tokio::io::duplex;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
@@ -272,3 +276,66 @@
     })
     .await;
 }
+
+/// Keeps the lines of the log.
+#[derive(Default)]
+struct LogLines {
+    prop: SinkProp,
+    lines: Mutex<Vec<String>>,
+}
+
+impl LogLines {
+    fn containing(&self, text: &str) -> Vec<String> {
+        let lines = self.lines.lock().expect("not poisoned");
+        lines.iter().filter(|line| line.contains(text)).cloned().collect()
+    }
+}
+
+impl GetSinkProp for LogLines {
+    fn prop(&self) -> &SinkProp {
+        &self.prop
+    }
+}
+
+impl Sink for LogLines {
+    fn log(&self, record: &Record) -> spdlog::Result<()> {
+        let mut line = StringBuf::new();
+        FullFormatter::new().format(record, &mut line, &mut FormatterContext::new())?;
+        self.lines.lock().expect("not poisoned").push(line.to_string());
+        Ok(())
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        Ok(())
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_reason_why_responses_are_malformed_is_logged_once_until_one_is_not() {
+    let log = Arc::new(LogLines::default());
+    let logger = Logger::builder().sink(Arc::clone(&log) as Arc<dyn Sink>).build();
+    spdlog::set_default_logger(Arc::new(logger.expect("a logger")));
+    // No other test has this reason, so that their lines are not counted.
+    let (malformed, reason) = (
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n1\r\n0\r\n\r\n",
+        "reason=an HTTP/1.0 answer has a transfer coding",
+    );
+    run_with_deadline(async {
+        let (mut client, mut arriving) = client_and_connections();
+        for (is_malformed, logged) in [(true, 1), (true, 1), (false, 1), (true, 2)] {
+            let call = Call { method: "GET", path: "/instances", body: "", server: ServerKind::External };
+            let server = async {
+                let mut server = TestServer::accept(&mut arriving).await;
+                server.receive().await;
+                let text = if is_malformed { malformed } else { "HTTP/1.0 204 None\r\n\r\n" };
+                server.0.get_mut().write_all(text.as_bytes()).await.expect("connected");
+            };
+            let (response, ()) = tokio::join!(client.send_with_retry(call, INACTIVITY_TIMEOUT), server);
+            assert_eq!(response.is_err(), is_malformed, "{response:?}");
+            let lines = log.containing(reason);
+            assert_eq!(lines.len(), logged, "{lines:?}");
+            assert!(lines.iter().all(|line| line.contains("server=10.0.0.1:7600")), "{lines:?}");
+        }
+    })
+    .await;
+}
--- a/programs/gateway/src/backend_connection.rs
+++ b/programs/gateway/src/backend_connection.rs
@@ -8,13 +8,13 @@
 use crate::counters::Counter;
 use crate::messages::{Attempt, AttemptResult, IdleConnection, RouterMessage};
 use crate::shared::Shared;
-use connection::exchange::{Exchange, TransferState};
+use connection::exchange::{Exchange, MalformedReply, TransferState};
 use connection::{Connection, IdleEnd};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 use vanewharf_exchange::{AttemptEffect, CancelReason, ConnectionEvent, ConnectionState};
-use vanewharf_policy::interface::{Outcome, Ticks};
+use vanewharf_policy::interface::{AttemptNumber, Outcome, Ticks, TxnId};
 
 /// Makes an attempt on a new connection, and then the attempts that the router assigns to it, until the connection
 /// ends.
@@ -63,7 +63,11 @@
                 Err(outcome) => return self.end(result(outcome)),
             },
         };
-        let Exchange { progress, event, reply } = connection.exchange(&mut attempt, &self.shared).await;
+        let Exchange { progress, event, reply, malformed } =
+            connection.exchange(&mut attempt, &self.shared).await;
+        if let Some(reason) = &malformed {
+            self.log_malformed_reply(txn, number, reason);
+        }
         if tracing::enabled!(tracing::Level::DEBUG) {
             let TransferState { request_bytes, sent_bytes, has_unread_input } = connection.transfer_state();
             tracing::debug!(
@@ -166,6 +170,15 @@
         None
     }
 
+    fn log_malformed_reply(&self, txn: TxnId, number: AttemptNumber, reason: &MalformedReply) {
+        let Shared { resources, clock, malformed_reply_lines, .. } = &*self.shared;
+        resources.count(Counter::RepliesMalformed);
+        if let Some(omitted) = malformed_reply_lines.try_log(clock.now()) {
+            let backend = self.address;
+            tracing::warn!(%backend, txn = txn.0, no = number.0, %reason, omitted, "malformed reply of a backend");
+        }
+    }
+
     fn report(&self, result: AttemptResult) {
         let AttemptResult { txn, number, outcome, ref idle_connection, .. } = result;
         tracing::debug!(
--- a/programs/gateway/src/backend_connection/connection/exchange.rs
+++ b/programs/gateway/src/backend_connection/connection/exchange.rs
@@ -11,11 +11,13 @@
 use std::io;
 use std::task::{Context, Poll};
 use std::time::Duration;
+use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use vanewharf_exchange::{CancelReason, ConnectionEvent};
 use vanewharf_http1::{ForwardedRequest, ReadError, Reply};
+use vanewharf_policy::interface::Outcome;
 
 /// How long the rest of a request is sent after its reply was received. The backend may do other work before it reads on.
 const SENDING_REST_TIMEOUT: Duration = Duration::from_secs(10);
@@ -47,6 +49,49 @@
     pub(in crate::backend_connection) event: ConnectionEvent,
     /// The reply to the request, if one was received.
     pub(in crate::backend_connection) reply: Option<Reply>,
+    /// Why what was received is not a valid reply, if that ended the exchange.
+    pub(in crate::backend_connection) malformed: Option<MalformedReply>,
+}
+
+/// Why received bytes are not a valid reply to the request.
+#[derive(Debug, Error)]
+pub(in crate::backend_connection) enum MalformedReply {
+    /// They are not a complete HTTP message.
+    #[error(transparent)]
+    Unreadable(ReadError),
+    /// The reply cannot be matched to any request.
+    #[error("it does not identify the request that it answers")]
+    Unidentified,
+}
+
+/// What was received in an exchange.
+enum Received {
+    Reply {
+        reply: Reply,
+        outcome: Outcome,
+        close: bool,
+    },
+    Malformed(MalformedReply),
+    /// No reply, because of this event.
+    Nothing(ConnectionEvent),
+}
+
+impl Received {
+    /// The end of an exchange in which this was received.
+    fn into_exchange(self, progress: SendProgress) -> Exchange {
+        let (event, reply, malformed) = match self {
+            Received::Reply { reply, outcome, close } => {
+                (ConnectionEvent::Replied { outcome, close }, Some(reply), None)
+            }
+            Received::Malformed(reason) => (ConnectionEvent::MalformedReply, None, Some(reason)),
+            Received::Nothing(event) => (event, None, None),
+        };
+        if progress == SendProgress::Nothing && !matches!(event, ConnectionEvent::Cancelled(_)) {
+            // What was received before anything was sent does not answer the request.
+            return Exchange { progress, event: ConnectionEvent::Broken, reply: None, malformed };
+        }
+        Exchange { progress, event, reply, malformed }
+    }
 }
 
 /// How much of an exchange was transferred, for the log.
@@ -73,13 +118,8 @@
         shared: &Shared,
     ) -> Exchange {
         self.encode_request(attempt, shared).await;
-        let (event, reply) = self.send_and_receive(attempt, shared).await;
-        let progress = self.send_progress();
-        if progress == SendProgress::Nothing && !matches!(event, ConnectionEvent::Cancelled(_)) {
-            // What was received before anything was sent does not answer the request.
-            return Exchange { progress, event: ConnectionEvent::Broken, reply: None };
-        }
-        Exchange { progress, event, reply }
+        let received = self.send_and_receive(attempt, shared).await;
+        received.into_exchange(self.send_progress())
     }
 
     /// Encodes the request into the write buffer.
@@ -100,12 +140,8 @@
         self.request_bytes = self.framed.write_buffer().len();
     }
 
-    /// Sends the encoded request, and returns the event that ends the exchange and the reply that was received, if any.
-    async fn send_and_receive(
-        &mut self,
-        attempt: &mut Attempt,
-        shared: &Shared,
-    ) -> (ConnectionEvent, Option<Reply>) {
+    /// Sends the encoded request, and returns what was received until the exchange ended.
+    async fn send_and_receive(&mut self, attempt: &mut Attempt, shared: &Shared) -> Received {
         // Replies to other requests are skipped; the connection is not reused after one.
         let mut skipped_any = false;
         loop {
@@ -113,21 +149,21 @@
             let read = tokio::select! {
                 biased;
                 read = self.next_reply() => read,
-                reason = &mut attempt.cancelled => return (cancelled(reason), None),
+                reason = &mut attempt.cancelled => return Received::Nothing(cancelled(reason)),
             };
             let reply = match read {
                 Some(Ok(reply)) => reply,
-                None | Some(Err(ReadError::Io(_))) => return (ConnectionEvent::Broken, None),
-                Some(Err(_)) => return (ConnectionEvent::MalformedReply, None),
+                None | Some(Err(ReadError::Io(_))) => return Received::Nothing(ConnectionEvent::Broken),
+                Some(Err(error)) => return Received::Malformed(MalformedReply::Unreadable(error)),
             };
             match shared.dialect.match_reply(&attempt.request, &reply) {
                 ReplyMatch::Current(outcome) => {
                     let unread = !self.framed.read_buffer().is_empty();
                     let close = skipped_any || reply.closes_connection() || unread;
-                    return (ConnectionEvent::Replied { outcome, close }, Some(reply));
+                    return Received::Reply { reply, outcome, close };
                 }
                 ReplyMatch::OtherRequest => skipped_any = true,
-                ReplyMatch::Unidentified => return (ConnectionEvent::MalformedReply, None),
+                ReplyMatch::Unidentified => return Received::Malformed(MalformedReply::Unidentified),
             }
         }
     }
--- a/programs/gateway/src/counters.rs
+++ b/programs/gateway/src/counters.rs
@@ -49,6 +49,8 @@
     AttemptsCancelled "submissions_cancelled",
     /// An attempt ended with a reply that was received before its request was sent completely.
     RepliesReceivedEarly "submissions_answered_early",
+    /// An attempt ended because what was received is not a valid reply to it.
+    RepliesMalformed "submissions_malformed",
     /// An attempt was not made because its request had finished or no socket was left.
     AttemptsNotSent "submissions_moot",
     /// A client connection was accepted.
--- a/programs/gateway/src/discovery.rs
+++ b/programs/gateway/src/discovery.rs
@@ -25,7 +25,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, timeout};
 use tokio_util::codec::Framed;
-use vanewharf_http1::{ClientCodec, ForwardedRequest, Reply, Request};
+use vanewharf_http1::{ClientCodec, ForwardedRequest, ReadError, Reply, Request};
 
 /// How long to wait for a reply beyond the long poll's own duration, and for connecting to the agent.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -41,6 +41,9 @@
     /// The connection or the reply failed. Changes may have been missed, so the complete list must be requested.
     #[error("{0}")]
     Failed(&'static str),
+    /// The reply is not a complete HTTP message. Changes may have been missed as well.
+    #[error("malformed reply: {0}")]
+    MalformedReply(ReadError),
 }
 
 /// What the next call requests.
@@ -136,12 +139,12 @@
                 tracing::debug!("{error}");
                 self.pacing.pause_after_refusal()
             }
-            CallError::Failed(reason) => {
+            CallError::Failed(_) | CallError::MalformedReply(_) => {
                 self.connection = None;
                 // Logged once per outage, because a line for each failed call could fill the disk.
                 if self.requested == Requested::Changes {
                     self.requested = Requested::CompleteList;
-                    tracing::info!(reason, "cannot get the backend list from the discovery agent");
+                    tracing::info!(reason = %error, "cannot get the backend list from the discovery agent");
                 }
                 RETRY_PAUSE
             }
@@ -167,7 +170,7 @@
         let request = Request::get(&address.to_string(), &target);
         let reply = timeout(reply_timeout, exchange(connection, &request)).await;
         let reply = reply.map_err(|_| CallError::Failed("no reply within the timeout"))?;
-        let reply = reply.ok_or(CallError::Failed("connection lost"))?;
+        let reply = reply?;
         if reply.closes_connection() {
             self.connection = None;
         }
@@ -187,9 +190,14 @@
     Ok(Connection { framed: Framed::new(stream, ClientCodec::default()), _guard: guard })
 }
 
-/// Sends a request and reads its reply; returns `None` if the connection is lost.
-async fn exchange(connection: &mut Connection, request: &Request) -> Option<Reply> {
+/// Sends a request and reads its reply.
+async fn exchange(connection: &mut Connection, request: &Request) -> Result<Reply, CallError> {
+    const CONNECTION_LOST: CallError = CallError::Failed("connection lost");
     let forwarded = ForwardedRequest { request, set_headers: &[], removed_headers: &[] };
-    connection.framed.send(forwarded).await.ok()?;
-    connection.framed.next().await?.ok()
+    connection.framed.send(forwarded).await.map_err(|_| CONNECTION_LOST)?;
+    match connection.framed.next().await {
+        Some(Ok(reply)) => Ok(reply),
+        None | Some(Err(ReadError::Io(_))) => Err(CONNECTION_LOST),
+        Some(Err(error)) => Err(CallError::MalformedReply(error)),
+    }
 }
--- a/programs/gateway/src/shared.rs
+++ b/programs/gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::dialect::HttpDialect;
+use crate::log::LineLimit;
 use crate::messages::RouterMessage;
 use crate::open_ids::OpenIds;
 use crate::open_requests::OpenRequests;
@@ -26,6 +27,8 @@
     pub open_ids: OpenIds,
     /// The requests that were read and whose answer is not yet written.
     pub open_requests: OpenRequests,
+    /// Limits the log of malformed replies.
+    pub malformed_reply_lines: LineLimit,
     router: mpsc::UnboundedSender<RouterMessage>,
     last_txn: Cell<u64>,
 }
@@ -46,6 +49,7 @@
             timeouts,
             open_ids: OpenIds::default(),
             open_requests: OpenRequests::default(),
+            malformed_reply_lines: LineLimit::default(),
             router,
             last_txn: Cell::new(0),
         }
--- a/programs/gateway/tests/discovery.rs
+++ b/programs/gateway/tests/discovery.rs
@@ -45,6 +45,8 @@
     assert_eq!(gateway.agent.next_call(), "GET /v1/servers?index=4&wait=2000 HTTP/1.1");
     publish(format!("{RAW}{}", raw("000 X", &wrong)));
     assert_eq!(gateway.agent.next_call(), "GET /v1/servers HTTP/1.1", "changes may have been missed");
+    let line = gateway.wait_for_log("cannot get the backend list from the discovery agent");
+    assert!(line.contains("malformed reply: the status code is not valid"), "{line}");
     let right = list(5, true, &[listed.entry("SERVING")]);
     publish(format!("{RAW}{}{}", raw("200 OK", &right), raw("200 OK", &wrong)));
     assert_eq!(gateway.agent.next_call(), "GET /v1/servers?index=5&wait=2000 HTTP/1.1");
--- a/programs/gateway/tests/malformed_replies.rs
+++ b/programs/gateway/tests/malformed_replies.rs
@@ -65,3 +65,20 @@
     assert_eq!(client.request(&book_request()).body, b"well-formed");
     assert_eq!(backend.connections.load(Ordering::SeqCst), 2, "the connection is not used again");
 }
+
+#[test]
+fn the_reason_why_a_reply_is_malformed_is_logged() {
+    for (malformed, reason) in [
+        ("HTTP/1.1 000 X\r\nContent-Length: 6\r\n\r\nforged", "the status code is not valid"),
+        ("HTTP/1.1 200 OK\r\nNa me: v\r\nContent-Length: 6\r\n\r\nforged", "the head cannot be read"),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n", "the body is too large"),
+    ] {
+        let backend = Backend::new("a", vec![reply(malformed)]);
+        let gateway = Gateway::start(&[&backend]);
+        assert_eq!(gateway.client().request(&book_request()).status(), 502);
+        let line = gateway.wait_for_log("malformed reply of a backend");
+        let address = backend.address.to_string();
+        assert!(line.contains("WARN") && line.contains(reason) && line.contains(&address), "{line}");
+        assert_eq!(gateway.counter("submissions_malformed"), 1);
+    }
+}
