--- a/crates/http1/src/message.rs
+++ b/crates/http1/src/message.rs
@@ -70,6 +70,11 @@
         found.and_then(|(_, value)| std::str::from_utf8(value).ok())
     }
 
+    /// Returns whether there is any field with this name.
+    pub fn has_field(&self, name: &str) -> bool {
+        self.fields().any(|(known, _)| known.eq_ignore_ascii_case(name.as_bytes()))
+    }
+
     /// Returns the value of the field with this name if there is exactly one. Of two fields, another parser might use
     /// the other one.
     pub fn unique_field(&self, name: &str) -> Option<&str> {
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -128,6 +128,9 @@
     with_length_and_transfer_coding = {
         answer!("HTTP/1.1 200 OK", "Content-Length: 16\r\nTransfer-Encoding: chunked\r\n\r\nfrom the backend")
     },
+    with_two_attempt_ids = {
+        answer!("HTTP/1.1 200 OK", "Attempt-Id: another\r\nContent-Length: 16\r\n\r\nfrom the backend")
+    },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
     let cluster = start_cluster();
--- a/programs/proxy/src/request_gate.rs
+++ b/programs/proxy/src/request_gate.rs
@@ -150,10 +150,13 @@
     }
 }
 
-/// Classifies a reply of a backend. A reply with another request's id belongs to that request. A success must
-/// contain the request's id and the backend's seal.
+/// Classifies a reply of a backend. A reply with another request's id belongs to that request, one with several ids to
+/// none. A success must contain the request's id and the backend's seal.
 fn classify_reply(request_id: Option<&str>, reply: &Reply) -> ReplyMatch {
-    let (reply_id, status) = (reply.field(REQUEST_ID_HEADER), reply.status());
+    let (reply_id, status) = (reply.unique_field(REQUEST_ID_HEADER), reply.status());
+    if reply_id.is_none() && reply.has_field(REQUEST_ID_HEADER) {
+        return ReplyMatch::Unidentified;
+    }
     if reply_id.is_some() && reply_id != request_id {
         return ReplyMatch::OtherRequest;
     }
@@ -161,7 +164,7 @@
     if status == MISDIRECTED_REQUEST || reply.field(NOT_EXECUTED_HEADER).is_some() && status >= 400 {
         return ReplyMatch::Current(Outcome::Rejected);
     }
-    let encoded = reply.field("Content-Encoding").is_some();
+    let encoded = reply.has_field("Content-Encoding");
     match status {
         200..300 if reply_id.is_none() || encoded || reply.field(BACKEND_SEAL_HEADER).is_none() => {
             ReplyMatch::Unidentified
--- a/programs/proxy/src/request_gate/tests.rs
+++ b/programs/proxy/src/request_gate/tests.rs
@@ -14,7 +14,9 @@
 
 fn reply(status: &str, fields: &str) -> Reply {
     let text = format!("HTTP/1.1 {status} -\r\n{fields}Content-Length: 0\r\n\r\n");
-    let decoded = ClientCodec::with_max_body(MAX_BODY_BYTES).decode(&mut BytesMut::from(text.as_str()));
+    // Each character is one byte, so that values which are not valid UTF-8 can be written.
+    let mut bytes: BytesMut = text.chars().map(|character| character as u8).collect();
+    let decoded = ClientCodec::with_max_body(MAX_BODY_BYTES).decode(&mut bytes);
     decoded.expect("a reply").expect("all of it")
 }
 
@@ -32,6 +34,16 @@
     success = { "200", "Attempt-Id: 9c41d07be2a35f68\r\nBackend-Seal: s\r\n", ReplyMatch::Current(Outcome::Succeeded) },
     success_without_id = { "200", "Backend-Seal: s\r\n", ReplyMatch::Unidentified },
     success_that_did_not_run = { "200", "Not-Executed: 1\r\n", ReplyMatch::Unidentified },
+    success_with_two_ids = {
+        "200", "Attempt-Id: 9c41d07be2a35f68\r\nBackend-Seal: s\r\nAttempt-Id: 77\r\n", ReplyMatch::Unidentified
+    },
+    sheds_with_two_ids = {
+        "503", "Not-Executed: 1\r\nAttempt-Id: 9c41d07be2a35f68\r\nattempt-id: 77\r\n", ReplyMatch::Unidentified
+    },
+    sheds_with_unreadable_id = { "503", "Not-Executed: 1\r\nAttempt-Id: \u{ff}\r\n", ReplyMatch::Unidentified },
+    success_with_unreadable_coding = {
+        "200", "Attempt-Id: 9c41d07be2a35f68\r\nBackend-Seal: s\r\nContent-Encoding: \u{ff}\r\n", ReplyMatch::Unidentified
+    },
     success_without_seal = { "200", "Attempt-Id: 9c41d07be2a35f68\r\n", ReplyMatch::Unidentified },
 )]
 fn replies_are_classified_by_id_status_and_guarantee(status: &str, fields: &str, expected: ReplyMatch) {
