--- a/crates/testkit/src/backend.rs
+++ b/crates/testkit/src/backend.rs
@@ -157,6 +157,11 @@
         lock(&self.state.executed).clone()
     }
 
+    /// Returns how often it has executed the request with this `Attempt-Id`.
+    pub fn count_executions(&self, attempt: &str) -> usize {
+        lock(&self.state.executed).iter().filter(|request| request.attempt == attempt).count()
+    }
+
     /// Returns how many requests it has received on connections on which it had sent a [`RawAnswer`] before.
     pub fn requests_after_raw_answers(&self) -> usize {
         self.state.requests_after_raw_answers.load(Ordering::SeqCst)
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -5,6 +5,7 @@
 //! argument is this number; a `proxy` or `controller` argument counts only machines of that kind, from 0.
 
 use crate::backend::FakeBackend;
+use crate::config::config;
 use crate::http::{self, Message};
 use crate::platform::{FakePlatform, Lifecycle};
 use crate::process::{Process, Program};
@@ -80,6 +81,23 @@
         TestCluster::with_controllers(CONTROLLERS, proxies, change)
     }
 
+    /// Starts a cluster with one proxy, and waits until that serves the read-only and the mutating route.
+    ///
+    /// # Panics
+    ///
+    /// If the configuration is refused, or a route is not served after 20 s.
+    pub fn start_serving() -> TestCluster {
+        let cluster = TestCluster::start(1, |_| {});
+        let replaced = cluster.send_command("POST", "/-/Configuration.Replace", &config(1, |_| {}));
+        assert_eq!(replaced.status(), 200, "the configuration is accepted");
+        cluster.wait_for_status(0, "/read/x", Some("key-a"), 200);
+        cluster.wait_until("the mutating route is served", || {
+            let response = cluster.send_request_as(0, "POST", "/write/x", Some("key-a"), "first").ok()?;
+            (response.status() == 200).then_some(())
+        });
+        cluster
+    }
+
     /// Starts a cluster like [`TestCluster::start`], but with `controllers` controllers. The settings tolerate the loss
     /// of any minority of them.
     pub fn with_controllers(
@@ -282,6 +300,11 @@
         })
     }
 
+    /// Returns how often the backends together have executed the request with this `Attempt-Id`.
+    pub fn count_executions(&self, attempt: &str) -> usize {
+        self.backends.iter().map(|backend| backend.count_executions(attempt)).sum()
+    }
+
     fn settings(&self, machine: usize) -> Settings {
         let is_controller = machine < self.controllers;
         let Machine { name, ip, zone, .. } = &self.machines[machine];
--- a/crates/testkit/tests/backends.rs
+++ b/crates/testkit/tests/backends.rs
@@ -1,23 +1,11 @@
 //! Faulty backends: with every kind of fault, a mutating request that may have been executed is neither retried nor
 //! reported as not executed, and no client receives the response to another request.
 
-use vanewharf_testkit::backend::{Behavior, FakeBackend, LARGE_BODY_BYTES};
+use vanewharf_testkit::backend::{Behavior, LARGE_BODY_BYTES};
 use vanewharf_testkit::cluster::TestCluster;
-use vanewharf_testkit::config::config;
 use vanewharf_testkit::http::{Message, send_request};
 use yare::parameterized;
 
-fn start_cluster() -> TestCluster {
-    let cluster = TestCluster::start(1, |_| {});
-    assert_eq!(cluster.send_command("POST", "/-/Configuration.Replace", &config(1, |_| {})).status(), 200);
-    cluster.wait_for_status(0, "/read/x", Some("key-a"), 200);
-    cluster.wait_until("the mutating route is served", || {
-        let response = cluster.send_request_as(0, "POST", "/write/x", Some("key-a"), "first").ok()?;
-        (response.status() == 200).then_some(())
-    });
-    cluster
-}
-
 fn send(cluster: &TestCluster, path: &str, attempt: &str) -> Option<Message> {
     send_with_body(cluster, path, attempt, "")
 }
@@ -39,11 +27,6 @@
     .ok()
 }
 
-fn count_executions(cluster: &TestCluster, attempt: &str) -> usize {
-    let all = cluster.backends.iter().flat_map(FakeBackend::executed_requests);
-    all.filter(|request| request.attempt == attempt).count()
-}
-
 /// Statuses that assert that a request was not executed and will not be.
 const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -51,7 +34,7 @@
 fn send_and_check(cluster: &TestCluster, behavior: Behavior, mutating: bool, attempt: &str) -> (u16, usize) {
     let path = if mutating { "/write/x" } else { "/read/x" };
     let response = send(cluster, path, attempt);
-    let executions = count_executions(cluster, attempt);
+    let executions = cluster.count_executions(attempt);
     let context = format!("{behavior:?} {path} executed {executions} times: {response:?}");
     let Some(response) = response else {
         panic!("no response: {context}");
@@ -95,7 +78,7 @@
     sheds = { Behavior::Sheds, false },
 )]
 fn faulty_backends_cause_no_duplicate_execution_and_no_foreign_response(behavior: Behavior, served: bool) {
-    let cluster = start_cluster();
+    let cluster = TestCluster::start_serving();
     cluster.backends.iter().for_each(|backend| backend.set_behavior(behavior));
     for mutating in [true, false] {
         let mut total = 0;
@@ -131,7 +114,7 @@
     behavior: Behavior,
     status: u16,
 ) {
-    let cluster = start_cluster();
+    let cluster = TestCluster::start_serving();
     cluster.backends.iter().for_each(|backend| backend.set_behavior(behavior));
     let body = "b".repeat(LARGE_BODY_BYTES);
     for round in 0..6 {
@@ -139,6 +122,6 @@
         let response = send_with_body(&cluster, "/write/x", &attempt, &body);
         let response = response.unwrap_or_else(|| panic!("no response in round {round}"));
         assert_eq!(response.status(), status, "round {round}: {response:?}");
-        assert_eq!(count_executions(&cluster, &attempt), 1, "round {round}");
+        assert_eq!(cluster.count_executions(&attempt), 1, "round {round}");
     }
 }
--- a/crates/testkit/tests/malformed_answers.rs
+++ b/crates/testkit/tests/malformed_answers.rs
@@ -2,7 +2,6 @@
 
 use vanewharf_testkit::backend::{Behavior, FakeBackend};
 use vanewharf_testkit::cluster::TestCluster;
-use vanewharf_testkit::config::config;
 use vanewharf_testkit::http::{Message, send_request};
 use vanewharf_testkit::raw_answer::{Delivery, RawAnswer};
 use yare::parameterized;
@@ -19,17 +18,6 @@
 /// Few enough that no backend is ejected as an outlier before the last round.
 const ROUNDS: usize = 3;
 
-fn start_cluster() -> TestCluster {
-    let cluster = TestCluster::start(1, |_| {});
-    assert_eq!(cluster.send_command("POST", "/-/Configuration.Replace", &config(1, |_| {})).status(), 200);
-    cluster.wait_for_status(0, "/read/x", Some("key-a"), 200);
-    cluster.wait_until("the mutating route is served", || {
-        let response = cluster.send_request_as(0, "POST", "/write/x", Some("key-a"), "first").ok()?;
-        (response.status() == 200).then_some(())
-    });
-    cluster
-}
-
 /// Sends a request to a route that is read-only, or to one that is mutating.
 fn send(cluster: &TestCluster, mutating: bool, attempt: &str) -> Message {
     let (method, path) = if mutating { ("POST", "/write/x") } else { ("GET", "/read/x") };
@@ -42,11 +30,6 @@
     send_request(cluster.frontend_address(0), method, path, &headers, "").expect("an answer")
 }
 
-fn count_executions<'a>(backends: impl IntoIterator<Item = &'a FakeBackend>, attempt: &str) -> usize {
-    let executed = backends.into_iter().flat_map(FakeBackend::executed_requests);
-    executed.filter(|request| request.attempt == attempt).count()
-}
-
 fn answer_raw<'a>(
     backends: impl IntoIterator<Item = &'a FakeBackend>,
     text: &'static str,
@@ -64,7 +47,7 @@
 /// Sends a request while all backends answer with something malformed, and returns whether any has executed it.
 fn assert_no_answer_is_passed_on(cluster: &TestCluster, mutating: bool, attempt: &str) -> bool {
     let response = send(cluster, mutating, attempt);
-    let executions = count_executions(&cluster.backends, attempt);
+    let executions = cluster.count_executions(attempt);
     let context = format!("{attempt}, executed {executions} times: {response:?}");
     assert!(!response.body.contains(BODY) && response.header("Backend-Seal").is_none(), "{context}");
     if mutating {
@@ -133,7 +116,7 @@
     },
 )]
 fn a_malformed_answer_is_not_passed_on(text: &'static str) {
-    let cluster = start_cluster();
+    let cluster = TestCluster::start_serving();
     for mutating in [true, false] {
         for delivery in [Delivery::Whole, Delivery::Bytewise] {
             answer_raw(&cluster.backends, text, delivery);
@@ -150,9 +133,9 @@
 /// The answer of one backend is malformed, that of the other one is not.
 #[test]
 fn a_repeatable_request_is_retried_at_another_backend_after_a_malformed_answer() {
-    let cluster = start_cluster();
+    let cluster = TestCluster::start_serving();
     assert_eq!(send(&cluster, false, "first").status(), 200);
-    let mut preferred = cluster.backends.iter().filter(|backend| count_executions([*backend], "first") > 0);
+    let mut preferred = cluster.backends.iter().filter(|backend| backend.count_executions("first") > 0);
     let broken = preferred.next().expect("a backend that was chosen");
     let malformed = answer!("HTTP/1.1 000 X", "Content-Length: 16\r\n\r\nfrom the backend");
     answer_raw([broken], malformed, Delivery::Whole);
@@ -162,7 +145,7 @@
         let attempt = format!("read-{sent}");
         let response = send(&cluster, false, &attempt);
         assert_eq!((response.status(), response.header("Attempt-Id")), (200, Some(attempt.as_str())));
-        (count_executions([broken], &attempt) > 0).then_some(())
+        (broken.count_executions(&attempt) > 0).then_some(())
     });
     assert_no_connection_is_reused(&cluster);
 }
@@ -170,7 +153,7 @@
 /// The body may still come, and must not be taken for the answer to the next request.
 #[test]
 fn a_connection_is_not_used_again_after_an_answer_without_content_that_announces_some() {
-    let cluster = start_cluster();
+    let cluster = TestCluster::start_serving();
     let announcing = answer!("HTTP/1.1 204 No Content", "Content-Length: 16\r\n\r\n");
     answer_raw(&cluster.backends, announcing, Delivery::Whole);
     for round in 0..ROUNDS {
@@ -195,7 +178,7 @@
     },
 )]
 fn an_unusual_answer_that_is_allowed_is_passed_on(text: &'static str) {
-    let cluster = start_cluster();
+    let cluster = TestCluster::start_serving();
     for mutating in [true, false] {
         for delivery in [Delivery::Whole, Delivery::Bytewise] {
             answer_raw(&cluster.backends, text, delivery);
--- a/crates/testkit/tests/shutdown.rs
+++ b/crates/testkit/tests/shutdown.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use vanewharf_runtime::invariants::total_violations;
-use vanewharf_testkit::backend::{Behavior, FakeBackend};
+use vanewharf_testkit::backend::Behavior;
 use vanewharf_testkit::cluster::{CONTROLLERS, TestCluster};
 use vanewharf_testkit::config::config;
 use vanewharf_testkit::http::{Message, read_message, send_request, write_message};
@@ -21,17 +21,6 @@
 /// the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(100);
 
-fn start_cluster() -> TestCluster {
-    let cluster = TestCluster::start(1, |_| {});
-    assert_eq!(cluster.send_command("POST", "/-/Configuration.Replace", &config(1, |_| {})).status(), 200);
-    cluster.wait_for_status(PROXY, "/read/x", Some("key-a"), 200);
-    cluster.wait_until("the mutating route is served", || {
-        let response = cluster.send_request_as(PROXY, "POST", "/write/x", Some("key-a"), "first").ok()?;
-        (response.status() == 200).then_some(())
-    });
-    cluster
-}
-
 fn send(
     cluster: &TestCluster,
     method: &str,
@@ -49,11 +38,6 @@
     send_request(cluster.frontend_address(PROXY), method, path, &headers, "")
 }
 
-fn count_executions(cluster: &TestCluster, attempt: &str) -> usize {
-    let all = cluster.backends.iter().flat_map(FakeBackend::executed_requests);
-    all.filter(|request| request.attempt == attempt).count()
-}
-
 /// A request and its remaining time.
 #[derive(Clone, Copy, Debug)]
 struct Case {
@@ -76,7 +60,7 @@
     let attempt = format!("{method}-{}-{}", remaining.as_millis(), after.as_millis());
     let sent = Instant::now();
     let response = send(cluster, method, path, &attempt, remaining);
-    let (took, executions) = (sent.elapsed(), count_executions(cluster, &attempt));
+    let (took, executions) = (sent.elapsed(), cluster.count_executions(&attempt));
     let context = format!("{attempt}, executed {executions} times, after {took:?}: {response:?}");
     let Ok(response) = response else {
         panic!("no response: {context}");
@@ -94,7 +78,7 @@
 
 #[test]
 fn a_request_read_after_the_signal_is_served_or_rejected_without_execution() {
-    let mut cluster = start_cluster();
+    let mut cluster = TestCluster::start_serving();
     cluster.backends.iter().for_each(|backend| backend.set_behavior(Behavior::NeverResponds));
     cluster.shut_down_machine(CONTROLLERS + PROXY);
     let signalled = Instant::now();
@@ -118,7 +102,7 @@
 
 #[test]
 fn a_request_in_flight_at_the_end_of_the_grace_period_gets_a_response() {
-    let mut cluster = start_cluster();
+    let mut cluster = TestCluster::start_serving();
     cluster.backends.iter().for_each(|backend| backend.set_behavior(Behavior::NeverResponds));
     let frontend = cluster.frontend_address(PROXY);
     let client = thread::spawn(move || {
@@ -131,7 +115,7 @@
         send_request(frontend, "POST", "/write/x", &headers, "")
     });
     cluster.wait_until("the request reaches a backend", || {
-        (count_executions(&cluster, "long") == 1).then_some(())
+        (cluster.count_executions("long") == 1).then_some(())
     });
     cluster.shut_down_machine(CONTROLLERS + PROXY);
     let response = client.join().expect("the client thread does not panic");
