Reserve the loopback subnet of each test cluster

Two runs of malformed_answers of about 60 failed, each in one case. One was kept: a request got 409 "a request with this id is open", and the cluster's programs had printed "cannot listen on 127.127.27.1:7600: Address already in use": two clusters that ran side by side had drawn the same subnet, so that both tests sent to one of them. The other timed out after 20 s while its cluster started; its output was not kept, so that it had the same cause is inferred. With 29 clusters in a file, eight at a time, of 62,001 subnets, a run meets this about once in 300; all tests with clusters, those of crates/compatibility and the soak could.

A subnet is reserved now by a socket on one of its addresses, for this process and against others. The range and the number of digits in compatibility's goldens are as before.

--- a/crates/compatibility/tests/calls.rs
+++ b/crates/compatibility/tests/calls.rs
@@ -57,7 +57,7 @@
 
 #[test]
 fn client() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let address = subnet.socket_address(OTHER, CONTROLLER_RPC_PORT);
     let recorder = RecordingServer::start(address, |_, _| Some("[]".to_owned()));
     run_on_local_runtime(async {
@@ -75,7 +75,7 @@
 /// Responses of the RPC server: call ids, compression of long responses, and malformed requests.
 #[test]
 fn server() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let address = subnet.socket_address(SELF, CONTROLLER_RPC_PORT);
     std::thread::spawn(move || {
         run_on_local_runtime(async move {
@@ -110,7 +110,7 @@
 /// Vote requests that a controller sends to the other voter, from its first candidacy until it releases the lease.
 #[test]
 fn vote_requests() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let (own, other) =
         (subnet.socket_address(SELF, CONTROLLER_RPC_PORT), subnet.socket_address(OTHER, CONTROLLER_RPC_PORT));
     let register = format!(
@@ -145,7 +145,7 @@
 /// The pull request of a controller that does not hold the lease.
 #[test]
 fn pull_by_controller() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let (own, other) =
         (subnet.socket_address(SELF, CONTROLLER_RPC_PORT), subnet.socket_address(OTHER, CONTROLLER_RPC_PORT));
     let recorder = RecordingServer::start(other, |_, _| None);
@@ -158,7 +158,7 @@
 /// The request of a controller with an empty disk that recovers its promises from the other voter.
 #[test]
 fn recovery() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let (own, other) =
         (subnet.socket_address(SELF, CONTROLLER_RPC_PORT), subnet.socket_address(OTHER, CONTROLLER_RPC_PORT));
     let recorder = RecordingServer::start(other, |_, _| None);
@@ -189,7 +189,7 @@
 /// A restarted controller asks the node to which it had granted a lease whether that node still holds it.
 #[test]
 fn lease_check_after_restart() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let (own, other) =
         (subnet.socket_address(SELF, CONTROLLER_RPC_PORT), subnet.socket_address(OTHER, CONTROLLER_RPC_PORT));
     let recorder = RecordingServer::start(other, |_, _| None);
@@ -209,7 +209,7 @@
 /// The requests that an agent sends to a controller and to another agent, and its responses.
 #[test]
 fn agent() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let own = subnet.socket_address(SELF, AGENT_PEER_PORT);
     let controller = RecordingServer::start(subnet.socket_address(OTHER, CONTROLLER_RPC_PORT), |_, _| None);
     let peer = RecordingServer::start(subnet.socket_address(OTHER, AGENT_PEER_PORT), |_, _| None);
@@ -240,7 +240,7 @@
 /// The responses of a controller to each RPC, and its request to the cloud platform.
 #[test]
 fn controller() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let own = subnet.socket_address(SELF, CONTROLLER_RPC_PORT);
     let disk = TempDir::new().expect("a temporary directory can be created");
     let platform = RecordingServer::start(subnet.socket_address(OTHER, 80), |_, _| None);
@@ -282,7 +282,7 @@
 /// The pull request that a proxy sends to its agent.
 #[test]
 fn proxy() {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let agent = RecordingServer::start(subnet.socket_address(SELF, AGENT_PROXY_PORT), |_, _| None);
     let _proxy = RunningProgram::start(Program::Proxy, &settings(subnet.ip(SELF), &[]));
     assert_call("pull_data_plane", subnet, &agent.wait_for("POST /pull", ""));
--- a/crates/compatibility/tests/data_directory.rs
+++ b/crates/compatibility/tests/data_directory.rs
@@ -100,7 +100,7 @@
 /// the golden files.
 #[track_caller]
 fn assert_served(golden: &str, directory: &Path) {
-    let subnet = Subnet::random();
+    let subnet = Subnet::reserve();
     let own = subnet.socket_address(1, CONTROLLER_RPC_PORT);
     let mut settings = with_data_directory(settings(subnet.ip(1), &voters()), directory);
     settings["initial_start"] = json!(false);
--- a/crates/compatibility/tests/support/wire.rs
+++ b/crates/compatibility/tests/support/wire.rs
@@ -3,12 +3,12 @@
 // No test target uses all of this module.
 #![allow(dead_code)]
 
-use rand::Rng;
 use std::io::{Read, Write};
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use vanewharf_testkit::subnet::reserve_numbers;
 
 /// Exceeds the time that any condition or response in these tests takes.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -18,15 +18,13 @@
 const CALL_ID: &str = "Call-Id: ";
 const CONTENT_LENGTH: &str = "Content-Length: ";
 
-/// The subnet 127.x.y.0/24 of a test, chosen at random so that parallel tests use different addresses. Its numbers have
-/// three digits so that the length of an address does not vary between runs.
+/// The subnet 127.x.y.0/24 of a test, reserved so that parallel tests use different addresses. Its numbers have three digits so that the length of an address does not vary between runs.
 #[derive(Clone, Copy)]
 pub struct Subnet([u8; 2]);
 
 impl Subnet {
-    pub fn random() -> Subnet {
-        let mut rng = rand::rng();
-        Subnet([rng.random_range(100..250), rng.random_range(100..250)])
+    pub fn reserve() -> Subnet {
+        Subnet(reserve_numbers(100..250))
     }
 
     pub fn ip(self, host: u8) -> IpAddr {
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -13,6 +13,7 @@
     CONTROL_PORT, DIRECTORY_PORT, FRONTEND_PORT, INTERNAL_PORT, MachineSettings, READINESS_PORT, ZONES,
     default_limits_table,
 };
+use crate::subnet::Subnet;
 use rand::Rng;
 use serde_json::Value;
 use std::io;
@@ -57,23 +58,6 @@
     controllers: usize,
 }
 
-/// The subnet 127.x.y.0/24 of a cluster. It is chosen at random so that tests that run in parallel use different
-/// addresses.
-#[derive(Clone, Copy, Debug)]
-pub struct Subnet([u8; 2]);
-
-impl Subnet {
-    /// Returns a random subnet, which is unlikely to be in use.
-    pub fn random() -> Subnet {
-        Subnet([rand::rng().random_range(1..250), rand::rng().random_range(1..250)])
-    }
-
-    /// Returns the address of a host of the subnet; host numbers go up to 255.
-    pub fn ip(self, host: usize) -> IpAddr {
-        IpAddr::from([127, self.0[0], self.0[1], host as u8])
-    }
-}
-
 impl TestCluster {
     /// Starts three controllers and `proxies` proxies in two zones, and one backend for each of two services in each
     /// zone. `change` can modify the limits table of the settings.
@@ -105,7 +89,7 @@
         proxies: usize,
         change: impl FnOnce(&mut Value),
     ) -> TestCluster {
-        let subnet = Subnet::random();
+        let subnet = Subnet::reserve();
         let machines =
             (0..controllers + proxies).map(|number| new_machine(number, controllers, subnet)).collect();
         let platform = FakePlatform::start(subnet.ip(PLATFORM_HOST));
@@ -270,7 +254,7 @@
             if let Some(value) = condition() {
                 return value;
             }
-            let subnet = self.subnet.0;
+            let subnet = self.subnet.numbers();
             assert!(
                 started.elapsed() < WAIT_TIMEOUT,
                 "timed out waiting until {description} (subnet 127.{}.{})",
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,3 +12,4 @@
 mod process;
 pub mod raw_answer;
 pub mod settings;
+pub mod subnet;
--- a/programs/soak/src/cluster.rs
+++ b/programs/soak/src/cluster.rs
@@ -14,11 +14,12 @@
 use std::time::Instant;
 use tempfile::TempDir;
 use vanewharf_testkit::backend::{Behavior, FakeBackend};
-use vanewharf_testkit::cluster::{PLATFORM_HOST, Subnet, start_backends};
+use vanewharf_testkit::cluster::{PLATFORM_HOST, start_backends};
 use vanewharf_testkit::platform::{FakePlatform, Lifecycle};
 use vanewharf_testkit::settings::{
     CONTROL_PORT, FRONTEND_PORT, MachineSettings, ZONES, default_limits_table,
 };
+use vanewharf_testkit::subnet::Subnet;
 
 struct Machine {
     name: String,
@@ -48,7 +49,7 @@
     ///
     /// If a file cannot be written or a process cannot be started.
     pub fn start(executable: &Path, history: SharedHistory) -> io::Result<SoakCluster> {
-        let subnet = Subnet::random();
+        let subnet = Subnet::reserve();
         let backends = start_backends(subnet);
         let platform = FakePlatform::start(subnet.ip(PLATFORM_HOST));
         let available: Vec<_> = backends.iter().map(|backend| (backend, Lifecycle::Available)).collect();
