Let backends of the soak answer 000, 999 with Not-Executed, and with a cut body

The soak runs all programs as processes, under kills, signals, pauses and partitions that overlap; its backends answered nothing that violates HTTP.

--- a/programs/soak/src/fault_plan.rs
+++ b/programs/soak/src/fault_plan.rs
@@ -1,5 +1,6 @@
 //! Generates the faults of one run from its seed.
 
+use crate::malformed_answers::{CUT_BEFORE_A_CHUNK, STATUS_000, STATUS_999_NOT_EXECUTED};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -152,6 +153,9 @@
             Behavior::RespondsBeforeBody,
             Behavior::ResetsBeforeBody,
             Behavior::StallsBeforeBody,
+            Behavior::SendsRaw(STATUS_000),
+            Behavior::SendsRaw(STATUS_999_NOT_EXECUTED),
+            Behavior::SendsRaw(CUT_BEFORE_A_CHUNK),
             slow,
             slow,
         ];
--- a/programs/soak/src/lib.rs
+++ b/programs/soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod faulty_network;
 pub mod files;
 pub mod history;
+mod malformed_answers;
 pub mod node;
 pub mod operators;
 pub mod process;
