--- a/review/rig.rs
+++ b/review/rig.rs
@@ -231,8 +231,15 @@
     }
 }
 
+/// The processes that were started, so that none outlives a case that could not run.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
 pub fn exit_not_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    for id in lock(&STARTED).iter() {
+        // SAFETY: sends a signal only; ids of processes that were waited for are removed from the list.
+        unsafe { kill(*id as i32, SIGKILL) };
+    }
     std::process::exit(2)
 }
 
@@ -519,7 +526,10 @@
                 .stderr(log)
                 .spawn();
             match child {
-                Ok(child) => self.machines[machine].roles[index].1 = Some(child),
+                Ok(child) => {
+                    lock(&STARTED).push(child.id());
+                    self.machines[machine].roles[index].1 = Some(child);
+                }
                 Err(error) => exit_not_run(&format!("{}: {error}", role.program())),
             }
             self.record.note(format!("start {name} {role:?}"));
@@ -543,6 +553,7 @@
         for (_, child) in &mut self.machines[machine].roles {
             if let Some(mut child) = child.take() {
                 let _ = child.wait();
+                lock(&STARTED).retain(|id| *id != child.id());
             }
         }
     }
