--- a/review/rig.rs
+++ b/review/rig.rs
@@ -6,6 +6,7 @@
 use std::fmt::Write as _;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -22,8 +23,12 @@
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 
+/// The option of `prctl` by which a process gets a signal when the thread that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64, ...) -> i32;
 }
 
 pub fn ms(milliseconds: u64) -> Duration {
@@ -515,7 +520,15 @@
                 exit_not_run("cannot write a settings file");
             }
             let Ok(log) = log else { exit_not_run("cannot write a log") };
-            let child = Command::new(role.program())
+            let mut command = Command::new(role.program());
+            // SAFETY: `prctl` is safe to call between fork and exec. Thus no process outlives a script that is killed.
+            unsafe {
+                command.pre_exec(|| {
+                    prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                    Ok(())
+                });
+            }
+            let child = command
                 .env_clear()
                 .env("PATH", std::env::var_os("PATH").unwrap_or_default())
                 .env("HOME", std::env::var_os("HOME").unwrap_or_default())
