--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,6 +2,11 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 # What was sent, answered and run is written to record.txt beside this script.
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-2/case-6 ] || { echo "run review/build-2.sh first" >&2; exit 2; }
 rm -f review/6/record.txt
-[ -x target/review-2/case-6 ] || { echo "build-2.sh has not been run"; exit 2; }
-TROUBLE="${TROUBLE:-1}" exec target/review-2/case-6
+TROUBLE="${TROUBLE:-1}" timeout --kill-after=5 110 target/review-2/case-6
+case $? in
+    0) exit 0 ;;
+    1) exit 1 ;;
+    *) exit 2 ;;
+esac
