--- a/crates/system-simulator/tests/commands/main.rs
+++ b/crates/system-simulator/tests/commands/main.rs
@@ -1,6 +1,7 @@
 //! Tests of operator commands to simulated controllers without proxies: concurrent, repeated, delayed and conflicting
 //! ones. Time is simulated: a sleep only sets the point of the run at which a step is executed, and takes no real time.
 
+mod inherited_register;
 mod stallable_controller;
 mod stalling_network;
 
--- a/programs/controller/src/replica.rs
+++ b/programs/controller/src/replica.rs
@@ -137,6 +137,13 @@
         self.lease.get().is_some_and(|lease| lease.may_serve(now))
     }
 
+    /// Returns the lease under `ballot` if this process holds it and it has not expired by its clock, whether or not the
+    /// register that was found in the election is committed.
+    fn valid_lease(&self, ballot: Ballot) -> Option<HeldLease> {
+        let now = self.now();
+        self.lease.get().filter(|lease| lease.ballot == ballot && lease.is_valid(now))
+    }
+
     /// Returns the ballot of the lease that this process holds, or 0 if it holds none.
     pub fn ballot(&self) -> Ballot {
         self.lease.get().map_or(Ballot(0), |lease| lease.ballot)
--- a/programs/controller/src/replica/election.rs
+++ b/programs/controller/src/replica/election.rs
@@ -73,21 +73,23 @@
         };
         let ballot = self.ballot_above(highest_promised);
         // The lease duration is counted from before the first voter grants the lease.
-        let requested_at = self.now();
+        let lease = HeldLease::granted(ballot, self.now());
         self.claim.set(BallotClaim::new(ballot));
         let mut election = Election::start(self.address, membership, known_rank);
         let Some(own_vote) = self.vote_for_self(ballot).await else {
             self.back_off().await;
             return NextCampaign::WhenVacant;
         };
-        let inherited = self.collect_lease_votes(&mut election, ballot, own_vote).await;
-        let Some(inherited) = inherited.filter(|_| self.claim.get().is_valid_for(ballot)) else {
+        let inherited = self.collect_lease_votes(&mut election, lease, own_vote).await;
+        // The lease may have expired before it was won, for example while this process was suspended.
+        let may_hold = |_: &Register| self.claim.get().is_valid_for(ballot) && lease.is_valid(self.now());
+        let Some(inherited) = inherited.filter(may_hold) else {
             self.release_lease(election.membership(), ballot).await;
             self.back_off().await;
             return NextCampaign::WhenVacant;
         };
         self.quota_divisor_at_election.set(election.quota_divisor());
-        self.lease.set(Some(HeldLease::granted(ballot, requested_at)));
+        self.lease.set(Some(lease));
         let lease_end = self.hold_lease(ballot, inherited).await;
         self.lease.set(None);
         spdlog::info!("lease ended", kv: { event = "lease_ended", ballot = ballot.0 });
@@ -125,21 +127,24 @@
         matches!(response.vote, Vote::Granted { .. }).then_some(response)
     }
 
-    /// Requests the lease from the other voters. If it is won, returns the newest register that a voter of the majority has
-    /// accepted.
+    /// Requests `lease`, which runs already, from the other voters. If it is won, returns the newest register that a voter of
+    /// the majority has accepted.
     async fn collect_lease_votes(
         self: &Rc<Self>,
         election: &mut Election,
-        ballot: Ballot,
+        lease: HeldLease,
         own_vote: VoteResponse,
     ) -> Option<Register> {
-        let request = VoteRequest::Lease { ballot, candidate: self.address };
+        let request = VoteRequest::Lease { ballot: lease.ballot, candidate: self.address };
         let mut voters = all_voters(election.membership());
         voters.remove(&self.address);
         // If there is no other voter, this response decides the election.
         let mut decided = election.record_response(self.address, own_vote).break_value();
         loop {
             if decided.is_none() {
+                if !lease.is_valid(self.now()) {
+                    return None;
+                }
                 let record_response = |voter, response| election.record_response(voter, response);
                 decided = self.collect_votes(&voters, request.clone(), record_response).await;
             }
--- a/programs/controller/src/replica/renewal.rs
+++ b/programs/controller/src/replica/renewal.rs
@@ -1,5 +1,8 @@
 //! Holding the lease: commits the register inherited from earlier leaseholders, and renews the lease while a majority
 //! agrees.
+//!
+//! A lease that has expired by this process's own clock is never renewed, even if no voter has granted another one in the
+//! meantime: the process may have been suspended, and what it sent under the lease may be lost. It campaigns again.
 
 use super::{Replica, ReplicationOutcome};
 use std::rc::Rc;
@@ -43,7 +46,7 @@
     }
 
     fn begin_serving(&self, register: Register) {
-        let Some(lease) = self.lease.get().filter(|lease| lease.ballot == register.ballot) else {
+        let Some(lease) = self.valid_lease(register.ballot) else {
             return;
         };
         self.lease.set(Some(HeldLease { register_committed: true, ..lease }));
@@ -64,7 +67,7 @@
             if self.renew_lease(ballot).await == RenewalOutcome::Superseded {
                 return LeaseEnd::Lost;
             }
-            if self.lease.get().is_none_or(|lease| !lease.is_valid(self.now())) {
+            if self.valid_lease(ballot).is_none() {
                 return LeaseEnd::Lost;
             }
             let promised_ballot = self.highest_ballot_in_refusals.get();
@@ -78,9 +81,12 @@
         }
     }
 
-    /// Renews the lease at a majority of the current voters.
+    /// Renews the lease at a majority of the current voters. An expired lease is not renewed.
     pub(super) async fn renew_lease(self: &Rc<Self>, ballot: Ballot) -> RenewalOutcome {
         let requested_at = self.now();
+        if self.valid_lease(ballot).is_none() {
+            return RenewalOutcome::Incomplete;
+        }
         let request = VoteRequest::Renew { ballot, leaseholder: self.address };
         let mut round = RenewalRound::start(ballot, self.membership());
         let voters = all_voters(round.membership());
@@ -90,12 +96,14 @@
             return RenewalOutcome::Superseded;
         }
         let outcome = round.outcome();
-        let lease = self.lease.get().filter(|lease| lease.ballot == ballot);
-        if outcome == RenewalOutcome::Renewed
-            && let Some(lease) = lease
-        {
-            self.lease.set(Some(lease.renewed(requested_at)));
+        if outcome != RenewalOutcome::Renewed {
+            return outcome;
         }
-        outcome
+        // The lease may have expired during the round.
+        let Some(lease) = self.valid_lease(ballot) else {
+            return RenewalOutcome::Incomplete;
+        };
+        self.lease.set(Some(lease.renewed(requested_at)));
+        RenewalOutcome::Renewed
     }
 }
--- a/programs/controller/src/replica/replication.rs
+++ b/programs/controller/src/replica/replication.rs
@@ -125,16 +125,17 @@
         }
     }
 
-    /// Sends a register to one voter until the voter accepts or refuses it, or a later register supersedes it.
+    /// Sends a register to one voter until the voter accepts or refuses it, a later register supersedes it, or the lease
+    /// under its ballot has ended.
     async fn request_accept(
         self: Rc<Self>,
         voter: SocketAddr,
         register: Register,
         responses: ResponseSender,
     ) {
-        let revision = register.revision;
+        let (ballot, revision) = (register.ballot, register.revision);
         let request = VoteRequest::Accept { register };
-        loop {
+        while self.valid_lease(ballot).is_some() {
             match self.request_vote(voter, &request, ACCEPT_TIMEOUT).await {
                 Some(response) if matches!(response.vote, Vote::Accepted | Vote::Refused { .. }) => {
                     // The receiver is closed once the outcome is decided.
