--- a/crates/system-simulator/tests/commands/inherited_register.rs
+++ b/crates/system-simulator/tests/commands/inherited_register.rs
@@ -1,12 +1,13 @@
-//! A new leaseholder that cannot commit the register found in its election. The lease must become free again.
+//! A new leaseholder that cannot commit the register found in its election: because it was suspended after it had won, or
+//! because disks refuse writes. In both cases the lease must become free again.
 
-use crate::{leaseholder, with_cluster};
+use crate::{READ, READER, leaseholder, send, set_disk_condition, with_cluster};
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 use vanewharf_system_simulator::cluster::{Cluster, ProgramSelection};
-use vanewharf_system_simulator::disk::SimulatedDisk;
+use vanewharf_system_simulator::disk::{DiskCondition, SimulatedDisk};
 
 /// How long after all machines are back the configuration may be unreadable (`recovery`).
 const RECOVERY: Duration = Duration::from_secs(15);
@@ -14,7 +15,11 @@
 const SUSPENSION: Duration = Duration::from_millis(4950);
 /// How long the voter is down.
 const VOTER_DOWNTIME: Duration = Duration::from_millis(650);
+/// How long after its election a leaseholder that cannot commit may keep the lease: one replication round of 5.5 s, one
+/// renewal interval of 0.4 s, and one vote timeout of 0.6 s.
+const GIVE_UP_TIME: Duration = Duration::from_millis(6500);
 const POLL_INTERVAL: Duration = Duration::from_micros(200);
+const REDIRECT: u16 = 307;
 /// The kill of the voter is delayed by these multiples of `KILL_DELAY_STEP`, as its vote has to arrive before.
 const KILL_DELAYS: std::ops::Range<u32> = 0..24;
 const KILL_DELAY_STEP: Duration = Duration::from_micros(500);
@@ -82,3 +87,26 @@
         "nothing can be read where the voter is killed {blocked:?} after its promise"
     );
 }
+
+/// Guards against a leaseholder that renews its lease for ever although disks refuse the register of its election.
+#[test]
+fn a_leaseholder_that_cannot_commit_gives_the_lease_up_in_time() {
+    for seed in 0..6 {
+        with_cluster(seed, |cluster| async move {
+            let election = kill_leaseholder_and_await_promise(&cluster).await;
+            let both = [election.candidate, election.voter];
+            both.into_iter().for_each(|number| set_disk_condition(&cluster, number, DiskCondition::Full));
+            sleep(Duration::from_secs(1)).await;
+            let status = async || {
+                let response = send(&cluster, READER, election.voter, READ, "").await;
+                response.map(|response| response.status)
+            };
+            assert_eq!(status().await, Some(REDIRECT), "seed {seed}: the voter has granted the lease");
+            sleep(GIVE_UP_TIME).await;
+            assert_ne!(status().await, Some(REDIRECT), "seed {seed}: the lease is still held");
+            both.into_iter().for_each(|number| set_disk_condition(&cluster, number, DiskCondition::Healthy));
+            let recovered = timeout(RECOVERY, leaseholder(&cluster)).await;
+            assert!(recovered.is_ok(), "seed {seed}: nothing can be read after the disks are healthy");
+        });
+    }
+}
--- a/programs/controller/src/replica/election.rs
+++ b/programs/controller/src/replica/election.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::time::sleep;
 use vanewharf_consensus::{
-    BallotClaim, Election, ElectionOutcome, HeldLease, PreVoteRound, all_voters, next_ballot,
+    BallotClaim, Election, ElectionOutcome, HeldLease, LEASE_DURATION, PreVoteRound, all_voters, next_ballot,
 };
 use vanewharf_protocol::messages::{Ballot, Membership, Register, Vote, VoteRequest, VoteResponse};
 
@@ -30,6 +30,8 @@
     WhenVacant,
     /// A voter promised a ballot above that of this process's lease, and no replica has won under that ballot.
     Immediately,
+    /// This process could not commit under its lease; the other replicas may try first.
+    AfterOthers,
 }
 
 impl Replica {
@@ -43,6 +45,10 @@
                 sleep(MEMBERSHIP_CHECK_INTERVAL).await;
                 continue;
             };
+            if next_campaign == NextCampaign::AfterOthers {
+                sleep(LEASE_DURATION).await;
+                next_campaign = NextCampaign::WhenVacant;
+            }
             if next_campaign == NextCampaign::WhenVacant {
                 let delay = CAMPAIGN_STAGGER * position as u32 + jitter;
                 if !self.wait_for_vacancy(delay).await {
@@ -99,6 +105,10 @@
                 self.release_lease(&self.membership(), ballot).await;
                 NextCampaign::WhenVacant
             }
+            LeaseEnd::NotCommitted => {
+                self.release_lease(&self.membership(), ballot).await;
+                NextCampaign::AfterOthers
+            }
         }
     }
 
--- a/programs/controller/src/replica/renewal.rs
+++ b/programs/controller/src/replica/renewal.rs
@@ -6,6 +6,7 @@
 
 use super::{Replica, ReplicationOutcome};
 use std::rc::Rc;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use vanewharf_consensus::{HeldLease, RENEWAL_INTERVAL, RenewalOutcome, RenewalRound, all_voters};
 use vanewharf_protocol::messages::{Ballot, Register, Revision, VoteRequest};
@@ -18,6 +19,8 @@
     /// A voter has promised a higher ballot, which did not win. That voter no longer accepts anything under this lease, so
     /// the lease must be won again under a ballot above that one.
     Preempted,
+    /// The register that was found in the election could not be committed, so this process could not serve.
+    NotCommitted,
 }
 
 impl Replica {
@@ -30,14 +33,16 @@
         self.next_revision.set(Revision(inherited.revision.0 + 1));
         let register = Register { ballot, ..inherited };
         let commit_inherited = tokio::task::spawn_local(Rc::clone(self).commit_inherited_register(register));
-        let lease_end = self.renew_until_end(ballot).await;
+        let lease_end = self.renew_until_end(ballot, &commit_inherited).await;
         // The task is cancelled at an await point, so it publishes the register completely or not at all. Voters may still
         // persist the register; the next election then finds it.
         commit_inherited.abort();
         lease_end
     }
 
-    /// Commits the inherited register under this ballot as well; operator orders may be executed after that.
+    /// Commits the inherited register under this ballot as well; operator orders may be executed after that. If it ends
+    /// without success, which takes at most [`super::replication::REPLICATION_TIMEOUT`], the lease is given up at the next
+    /// renewal.
     async fn commit_inherited_register(self: Rc<Self>, register: Register) {
         let is_initial = register.revision == Revision(0);
         if is_initial || self.replicate(&register).await == ReplicationOutcome::Committed {
@@ -57,7 +62,8 @@
         });
     }
 
-    async fn renew_until_end(self: &Rc<Self>, ballot: Ballot) -> LeaseEnd {
+    /// Renews the lease until it ends. `commit_inherited` is the task that commits the inherited register.
+    async fn renew_until_end(self: &Rc<Self>, ballot: Ballot, commit_inherited: &JoinHandle<()>) -> LeaseEnd {
         loop {
             sleep(RENEWAL_INTERVAL).await;
             let is_voter = self.membership().voters.contains(&self.address);
@@ -67,8 +73,15 @@
             if self.renew_lease(ballot).await == RenewalOutcome::Superseded {
                 return LeaseEnd::Lost;
             }
-            if self.valid_lease(ballot).is_none() {
+            let Some(lease) = self.valid_lease(ballot) else {
                 return LeaseEnd::Lost;
+            };
+            if !lease.register_committed && commit_inherited.is_finished() {
+                spdlog::warn!(
+                    "inherited register not committed; giving up the lease",
+                    kv: { event = "lease_given_up", ballot = ballot.0 }
+                );
+                return LeaseEnd::NotCommitted;
             }
             let promised_ballot = self.highest_ballot_in_refusals.get();
             if promised_ballot > ballot {
--- a/programs/controller/src/replica/replication.rs
+++ b/programs/controller/src/replica/replication.rs
@@ -16,7 +16,7 @@
 /// Timeout of a voter's response, which it sends after it has synced the register to disk.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(2500);
 /// The outcome of a register that no majority has persisted within this time is reported as uncertain.
-const REPLICATION_TIMEOUT: Duration = Duration::from_millis(5500);
+pub(super) const REPLICATION_TIMEOUT: Duration = Duration::from_millis(5500);
 
 /// Sends a voter's address with its response.
 type ResponseSender = mpsc::UnboundedSender<(SocketAddr, VoteResponse)>;
