--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -17,7 +17,7 @@
 const HEARTBEAT_SECONDS: f64 = 0.25;
 /// The factor by which each heartbeat reduces the longest stall seen so far.
 const STALL_DECAY_FACTOR: f64 = 0.99;
-/// Time constant of the average rates of attempts and of successes.
+/// Time constant of the average rates of attempts and of completed work.
 const RATE_EMA_SECONDS: f64 = 2.0;
 /// The shortest ejection, 8 s: long compared with a response, short compared with a failure.
 const MIN_EJECTION_TIME: Ticks = Ticks(80_000);
@@ -39,21 +39,32 @@
 
 impl Balancer {
     /// Returns the policy of a gateway that has just started.
-    pub fn new(config: BalancerConfig) -> Balancer {
-        let initial = |product: &Product| LatencyEstimate::initial(product.sla_time.seconds() / 4.0);
-        let latencies = config.products.iter().map(initial).collect();
-        let (now, retry_budget) = (config.started_at, MAX_RETRY_BUDGET);
-        let success_rate = DecayingRate::new(now);
-        let admission = AdmissionControl { latencies, success_rate, retry_budget, ..Default::default() };
-        let (call_ratio, coverage, counted_ratio) = (1.0, 1.0, 1.0);
-        let grant_ratios = vec![0.5; config.plans.len()];
-        let quota = QuotaEnforcer { call_ratio, coverage, counted_ratio, grant_ratios, ..Default::default() };
-        let (rng, backends) = (SmallRng::seed_from_u64(config.seed), BackendTable::default());
+    pub fn new(mut config: BalancerConfig) -> Balancer {
+        let products = std::mem::take(&mut config.products);
+        let (now, rng) = (config.started_at, SmallRng::seed_from_u64(config.seed));
+        let admission = AdmissionControl { retry_budget: MAX_RETRY_BUDGET, ..Default::default() };
+        let quota = QuotaEnforcer::new(vec![0.5; config.plans.len()]);
+        let backends = BackendTable::default();
         let mut balancer = Balancer { config, now, rng, admission, quota, backends, actions: Vec::new() };
+        products
+            .into_iter()
+            .enumerate()
+            .for_each(|(id, product)| balancer.set_product(ProductId(id), product));
         balancer.heartbeat();
         balancer
     }
 
+    /// Adds a product or replaces one that no open request uses. Nothing is known about its latency.
+    pub fn set_product(&mut self, id: ProductId, product: Product) {
+        self.admission.set_latency(id, LatencyEstimate::initial(product.sla_time.seconds() / 4.0));
+        self.config.set_product(id, product);
+    }
+
+    /// Returns whether an open request uses the product.
+    pub fn uses_product(&self, id: ProductId) -> bool {
+        self.admission.requests.values().any(|request| request.arrival.product == id)
+    }
+
     /// Handles a batch of events that occur at `now`, and returns the actions to carry out, in order.
     pub fn decide(&mut self, now: Ticks, events: Vec<Event>) -> Vec<Action> {
         let last_batch_at = self.now;
--- a/crates/policy/src/decide/account.rs
+++ b/crates/policy/src/decide/account.rs
@@ -113,20 +113,7 @@
         Ok(())
     }
 
-    /// Charges an admitted request, also to the hard limit; the share keeps at least `min_tokens`.
-    pub(super) fn charge(&mut self, cost: f64, min_tokens: f64) {
-        self.hard_limit_tokens -= cost;
-        self.spend(cost);
-        self.tokens = self.tokens.max(min_tokens);
-    }
-
     pub(super) fn exceeds_hard_limit(&self, cost: f64, plan: &Plan) -> bool {
         plan.hard_limit_rate > 0.0 && self.hard_limit_tokens < cost
     }
-
-    pub(super) fn spend(&mut self, cost: f64) {
-        self.tokens -= cost;
-        self.unused_quota -= cost;
-        self.admitted += cost;
-    }
 }
--- a/crates/policy/src/decide/admission.rs
+++ b/crates/policy/src/decide/admission.rs
@@ -6,10 +6,16 @@
 const OWNER_TIMEOUT_RATIO: f64 = 0.1;
 /// The load above which requests of the lowest value are shed; the limit is up to 0.5 higher for more valuable ones.
 const MIN_LOAD_LIMIT: f64 = 0.1;
-/// A client that leaves within this many mean latencies is seldom served, and its retry counts as a new request.
+/// Requests queue if latencies are this many times as long as without queueing: random peaks are lower.
+const QUEUEING_FACTOR: f64 = 1.4;
+/// Under queueing, a client that leaves within this many mean latencies is seldom served, and its retry counts as new.
 const MIN_WAIT_FACTOR: f64 = 3.0;
 /// Averages over fewer responses than this are not used.
 const MIN_SAMPLES: f64 = 8.0;
+/// An average is discarded if it has led to rejections, but to no response for this long.
+const LATENCY_LIFETIME_SECONDS: f64 = 2.0;
+/// Time constant with which the latency without queueing rises: longer than an overload.
+const UNLOADED_RISE_SECONDS: f64 = 60.0;
 /// The least weight of a new response in the average latency.
 const MIN_LATENCY_WEIGHT: f64 = 0.03;
 /// The fraction of a latency assumed to be queueing if too few attempts are in flight to estimate it.
@@ -46,17 +52,19 @@
         if arrival.claim.subset_size == 0 {
             arrival.claim.subset_size = ctx.config.gateway_count.max(1);
         }
-        let (txn, claim, product) = (arrival.txn, arrival.claim, &ctx.config.products[arrival.product.0]);
-        let (latency, time_left) = (self.admission.latencies[arrival.product.0], arrival.deadline - self.now);
-        let plan = ctx.plan(claim.plan);
+        let (txn, claim, ProductId(index)) = (arrival.txn, arrival.claim, arrival.product);
+        let (product, time_left) = (&ctx.config.products[index], arrival.deadline - self.now);
+        let (latency, plan) = (self.admission.latencies[index], ctx.plan(claim.plan));
         // Value per second of work: one long request occupies a backend as long as several short ones.
         let value = product.value * plan.value_factor / latency.mean;
-        let leaves = latency.samples >= MIN_SAMPLES && time_left.seconds() < MIN_WAIT_FACTOR * latency.mean;
         self.admission.update_load(value, ctx);
+        let wait_factor = if self.admission.load > 0.0 { MIN_WAIT_FACTOR } else { 1.0 };
+        let leaves = latency.samples >= MIN_SAMPLES && time_left.seconds() < wait_factor * latency.mean;
         let sheds = self.admission.sheds(value) || leaves;
         let sheds_excess = self.admission.sheds(value * plan.excess_value);
         let request = Request { arrival, arrived_at: self.now, ..Request::default() };
         self.admission.requests.insert(txn, request);
+        self.admission.latencies[index].record_decision(sheds, MIN_SAMPLES, LATENCY_LIFETIME_SECONDS, ctx);
         if sheds || self.admission.backends.is_empty() {
             return self.reject(txn, None);
         }
@@ -103,8 +111,7 @@
         let Some(backend) = request.end_attempt(attempt, outcome) else {
             return;
         };
-        let answered = request.answered;
-        let Arrival { claim, product, .. } = request.arrival;
+        let Request { answered, arrival: Arrival { claim, product, .. }, .. } = *request;
         let succeeded = outcome == Outcome::Succeeded;
         let extra_cost = report.actual_cost.filter(|_| succeeded).map_or(0.0, |cost| cost - claim.cost);
         // A failed connection puts no load on a backend, so its retry is not charged to the budget.
@@ -114,8 +121,9 @@
         let relative_latency = latency / self.admission.latencies[product.0].mean.max(1e-4);
         if succeeded {
             let ctx = Context { now: self.now, config: &self.config };
-            self.admission.latencies[product.0].record(latency, MIN_LATENCY_WEIGHT);
-            self.admission.success_rate.add(1.0, RATE_EMA_SECONDS, ctx);
+            let estimate = &mut self.admission.latencies[product.0];
+            estimate.record(latency, MIN_LATENCY_WEIGHT, UNLOADED_RISE_SECONDS, ctx);
+            self.admission.work_rate.add(estimate.work(), RATE_EMA_SECONDS, ctx);
         }
         self.backends
             .notify(backend, BackendMessage::AttemptEnded { txn, attempt, outcome, relative_latency });
@@ -134,11 +142,10 @@
         let product = &self.config.products[request.arrival.product.0];
         let may_have_run = request.first_that_may_have_run().is_some();
         let sla_deadline = request.arrived_at + product.sla_time;
-        let mean = self.admission.latencies[request.arrival.product.0].mean;
-        let expected_at = self.now + Ticks::SECOND.times(mean);
+        let latency = Ticks::SECOND.times(self.admission.latencies[request.arrival.product.0].mean);
         let allowed = !(may_have_run && product.idempotency == Idempotency::NonIdempotent)
             && request.attempts.len() < self.config.allowed.max_attempts
-            && expected_at <= sla_deadline.min(request.arrival.deadline)
+            && self.now + latency <= sla_deadline.min(request.arrival.deadline)
             && self.admission.retry_budget >= 1.0;
         self.admission.retry_budget -= f64::from(u8::from(allowed));
         allowed
@@ -163,10 +170,8 @@
         let needs_none = idempotency == Idempotency::NonIdempotent || self.config.allowed.hedging;
         let timeout = (!needs_none).then_some(timeout.max(Ticks(10)));
         self.actions.push(Action::SendAttempt { txn: id, backend, timeout });
-        if attempt.0 == 0 {
-            let retry_budget = self.admission.retry_budget + RETRY_RATIO;
-            self.admission.retry_budget = retry_budget.min(MAX_RETRY_BUDGET);
-        }
+        let retry_budget = self.admission.retry_budget + RETRY_RATIO * f64::from(u8::from(attempt.0 == 0));
+        self.admission.retry_budget = retry_budget.min(MAX_RETRY_BUDGET);
         self.backends.notify(backend, BackendMessage::AttemptSent { txn: id, attempt, work: latency.mean });
         Some(backend)
     }
@@ -199,28 +204,27 @@
         Ticks::SECOND.times(longest.fold(0.1, f64::max))
     }
 
-    /// Updates the load. By Little's law a new request waits for the attempts in flight divided by the success rate. All
-    /// products share the queues, so the one whose latency is closest to its SLA time decides.
+    /// Updates the load. By Little's law requests take the work per request times the attempts in flight over the rate of
+    /// work. All products share the queues, so the one whose latency is closest to its SLA time decides.
     fn update_load(&mut self, value: f64, ctx: Context) {
-        let mean =
-            self.latencies.iter().map(|latency| latency.mean).sum::<f64>() / self.latencies.len() as f64;
+        let products = ctx.config.products.iter().zip(&self.latencies);
+        let measured: Vec<_> = products.filter(|(_, latency)| latency.samples >= MIN_SAMPLES).collect();
+        let work = mean_work(measured.iter().map(|(_, latency)| *latency)).max(1e-4);
         self.mean_value += 0.02 * (value - self.mean_value);
         // Stuck attempts delay no others. All others count, also at ejected backends: congestion can cause an ejection.
         let in_flight: f64 = self.backends.values().map(|backend| backend.in_flight - backend.stuck).sum();
-        let weight = 1.0 - ctx.decay(self.in_flight_at, IN_FLIGHT_EMA_LATENCIES * mean);
-        self.mean_in_flight += weight * (in_flight - self.mean_in_flight);
-        self.in_flight_at = ctx.now;
-        let in_flight = in_flight.min(self.mean_in_flight);
-        // The rate is scaled up in a gateway's first seconds: few attempts can have succeeded, which is no overload.
-        let samples: f64 = self.latencies.iter().map(|latency| latency.samples).sum();
-        let age = self.success_rate.at - ctx.config.started_at;
-        let rate = self.success_rate.per_second / (1.0 - (-age.seconds() / RATE_EMA_SECONDS).exp()).max(0.05);
-        let load = in_flight / rate.max(1.0) / mean;
+        let in_flight =
+            in_flight.min(self.mean_in_flight.update(in_flight, IN_FLIGHT_EMA_LATENCIES * work, ctx));
+        // In a gateway's first seconds few attempts can have succeeded, which is no overload.
+        let rate = self.work_rate.value_since(ctx.config.started_at, RATE_EMA_SECONDS);
         // One gateway of many has too few attempts in flight for an estimate; there the latencies show the load.
-        let load = DEFAULT_QUEUED_FRACTION + (load - DEFAULT_QUEUED_FRACTION) * (in_flight / 8.0).min(1.0);
-        let times = ctx.config.products.iter().zip(&self.latencies);
-        let times = times.map(|(product, latency)| latency.mean / product.sla_time.seconds());
-        self.load = if samples >= MIN_SAMPLES { load * times.fold(0.0, f64::max) } else { 0.0 };
+        let weight = (in_flight / 8.0).min(1.0);
+        let load = weight * in_flight / rate.max(work);
+        let queue = measured.iter().filter(|(_, times)| load.max(times.stretch()) >= QUEUEING_FACTOR);
+        let queued = |times: &LatencyEstimate| (1.0 - weight) * DEFAULT_QUEUED_FRACTION * times.mean;
+        let latencies =
+            queue.map(|(product, times)| (load * times.work() + queued(times)) / product.sla_time.seconds());
+        self.load = latencies.fold(0.0, f64::max);
     }
 
     fn sheds(&self, value: f64) -> bool {
--- a/crates/policy/src/decide/quota.rs
+++ b/crates/policy/src/decide/quota.rs
@@ -42,9 +42,7 @@
             QuotaMessage::AttemptEnded { claim, metered_usage, extra_cost } => {
                 let account = self.account(&claim, ctx);
                 account.spend(extra_cost);
-                if let Some(usage) = metered_usage {
-                    (account.meter_reading, account.meter_read_at) = (usage, Some(ctx.now));
-                }
+                account.record_reading(metered_usage, ctx.now);
                 None
             }
             QuotaMessage::CounterReplied(key, reply) => self.handle_counter_reply(key, reply, ctx),
--- a/crates/policy/src/interface/config.rs
+++ b/crates/policy/src/interface/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of a gateway's policy. Rates are in units of quota per second.
 
-use super::{GatewayId, Ticks};
+use super::{GatewayId, ProductId, Ticks};
 
 /// Whether a request for a product may be sent to backends more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,7 +78,7 @@
     pub max_attempts: usize,
 }
 
-/// The configuration of a gateway's policy; it does not change while the gateway runs.
+/// The configuration of a gateway's policy. While the gateway runs, only its products may change.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BalancerConfig {
     /// The seed of the random number generator.
@@ -108,3 +108,13 @@
     /// The highest cost of one request, in units.
     pub max_cost: f64,
 }
+
+impl BalancerConfig {
+    /// Replaces a product, or adds one if `id` is the number of products.
+    pub fn set_product(&mut self, id: ProductId, product: Product) {
+        match self.products.get_mut(id.0) {
+            Some(replaced) => *replaced = product,
+            None => self.products.push(product),
+        }
+    }
+}
--- a/crates/policy/src/measure.rs
+++ b/crates/policy/src/measure.rs
@@ -30,6 +30,31 @@
         self.per_second = self.value(span, ctx) + amount / span;
         self.at = ctx.now;
     }
+
+    /// Returns the current rate as if the additions since `start` were all that count. The correction is at most
+    /// twentyfold.
+    pub fn value_since(&self, start: Ticks, span: f64) -> f64 {
+        let age = (self.at - start).seconds();
+        self.per_second / (1.0 - (-age / span).exp()).max(0.05)
+    }
+}
+
+/// A mean over time, averaged exponentially.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecayingMean {
+    /// The mean at the time `at`.
+    pub value: f64,
+    /// The time of the last update.
+    pub at: Ticks,
+}
+
+impl DecayingMean {
+    /// Updates the mean with the present value, for an averaging time constant of `span` seconds, and returns it.
+    pub fn update(&mut self, present: f64, span: f64, ctx: Context) -> f64 {
+        self.value += (1.0 - ctx.decay(self.at, span)) * (present - self.value);
+        self.at = ctx.now;
+        self.value
+    }
 }
 
 /// An estimate of the latency of a product's responses at this gateway, in seconds.
@@ -39,26 +64,65 @@
     pub mean: f64,
     /// The mean absolute deviation from the mean.
     pub deviation: f64,
-    /// The number of responses.
+    /// The number of responses that the mean is made of.
     pub samples: f64,
+    /// The latency without queueing: the lowest mean, which rises slowly towards higher ones. Infinite if it is unknown.
+    pub unloaded: f64,
+    /// The time of the last response.
+    pub recorded_at: Ticks,
+    /// The number of requests rejected since the last response.
+    pub rejected: f64,
 }
 
 impl LatencyEstimate {
     /// Returns the estimate to use before the first response.
     pub fn initial(mean: f64) -> LatencyEstimate {
-        LatencyEstimate { mean, deviation: mean, samples: 0.0 }
+        let (unloaded, recorded_at) = (f64::INFINITY, Ticks(0));
+        LatencyEstimate { mean, deviation: mean, samples: 0.0, unloaded, recorded_at, rejected: 0.0 }
     }
 
     /// Adds a response. All responses have the same weight until that weight falls below `min_weight`; from then on the
-    /// newest response has `min_weight`.
-    pub fn record(&mut self, latency: f64, min_weight: f64) {
+    /// newest response has `min_weight`, and the latency without queueing is known. It rises towards the mean with a time
+    /// constant of `rise_span` seconds.
+    pub fn record(&mut self, latency: f64, min_weight: f64, rise_span: f64, ctx: Context) {
         self.samples += 1.0;
         let weight = (1.0 / self.samples).max(min_weight);
         self.deviation += weight * ((latency - self.mean).abs() - self.deviation);
         self.mean += weight * (latency - self.mean);
+        if self.samples * min_weight >= 1.0 {
+            let risen = self.mean + (self.unloaded - self.mean) * ctx.decay(self.recorded_at, rise_span);
+            self.unloaded = self.mean.min(risen);
+        }
+        (self.recorded_at, self.rejected) = (ctx.now, 0.0);
+    }
+
+    /// Records whether a request was rejected. The responses are discarded once `max_rejected` requests were rejected since
+    /// the last one, and that one is older than `span` seconds; the latency without queueing is kept.
+    pub fn record_decision(&mut self, rejected: bool, max_rejected: f64, span: f64, ctx: Context) {
+        self.rejected += f64::from(u8::from(rejected));
+        if self.rejected >= max_rejected && ctx.since(self.recorded_at) > span {
+            (self.samples, self.rejected) = (0.0, 0.0);
+        }
+    }
+
+    /// Returns the latency without queueing, or the mean while that is unknown.
+    pub fn work(&self) -> f64 {
+        self.mean.min(self.unloaded)
+    }
+
+    /// Returns how many times as long as without queueing responses take.
+    pub fn stretch(&self) -> f64 {
+        self.mean / self.work()
     }
 }
 
+/// Returns the mean latency without queueing over some products; not a number if there are none.
+pub fn mean_work<'a>(latencies: impl Iterator<Item = &'a LatencyEstimate>) -> f64 {
+    let (sum, count) =
+        latencies.fold((0.0, 0.0), |(sum, count), latency| (sum + latency.work(), count + 1.0));
+    sum / count
+}
+
 /// Pending calls to the shared counter, by key and in the order of the calls.
 #[derive(Clone, Debug, Default)]
 pub struct PendingCounterCalls(BTreeMap<CounterKey, VecDeque<PendingCounterCall>>);
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -2,7 +2,7 @@
 //! methods record and return what has happened.
 
 use crate::interface::*;
-use crate::measure::{DecayingRate, LatencyEstimate, PendingCounterCalls};
+use crate::measure::{DecayingMean, DecayingRate, LatencyEstimate, PendingCounterCalls};
 use crate::messages::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -296,6 +296,29 @@
     pub window_total: f64,
 }
 
+impl Account {
+    /// Records the cost of an admitted request, also against the hard limit; the share keeps at least `min_tokens`.
+    pub fn charge(&mut self, cost: f64, min_tokens: f64) {
+        self.hard_limit_tokens -= cost;
+        self.spend(cost);
+        self.tokens = self.tokens.max(min_tokens);
+    }
+
+    /// Records units that were used, or returned if `cost` is negative.
+    pub fn spend(&mut self, cost: f64) {
+        self.tokens -= cost;
+        self.unused_quota -= cost;
+        self.admitted += cost;
+    }
+
+    /// Records a meter reading, if there is one.
+    pub fn record_reading(&mut self, reading: Option<f64>, now: Ticks) {
+        if let Some(reading) = reading {
+            (self.meter_reading, self.meter_read_at) = (reading, Some(now));
+        }
+    }
+}
+
 /// The state of admission control: the requests that have not ended, and estimates of the load of the backends.
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionControl {
@@ -307,20 +330,29 @@
     pub backends: Snapshots,
     /// Latencies, indexed by [`ProductId`].
     pub latencies: Vec<LatencyEstimate>,
-    /// Successful attempts per second.
-    pub success_rate: DecayingRate,
-    /// The average number of attempts in flight, at the time `in_flight_at`.
-    pub mean_in_flight: f64,
-    /// The time of `mean_in_flight`.
-    pub in_flight_at: Ticks,
+    /// Work of successful attempts, in seconds of latency without queueing per second.
+    pub work_rate: DecayingRate,
+    /// The average number of attempts in flight.
+    pub mean_in_flight: DecayingMean,
     /// The mean value per second of work.
     pub mean_value: f64,
-    /// The expected latency of a new request as a fraction of the SLA time, for the product where it is largest.
+    /// The expected latency of a new request as a fraction of the SLA time, for the product where it is largest; zero if
+    /// requests do not queue.
     pub load: f64,
     /// The number of retries that may be sent.
     pub retry_budget: f64,
 }
 
+impl AdmissionControl {
+    /// Replaces the estimate of a product, or adds one if `id` is the number of estimates.
+    pub fn set_latency(&mut self, id: ProductId, latency: LatencyEstimate) {
+        match self.latencies.get_mut(id.0) {
+            Some(replaced) => *replaced = latency,
+            None => self.latencies.push(latency),
+        }
+    }
+}
+
 /// The state of quota enforcement.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaEnforcer {
@@ -359,3 +391,11 @@
     /// For each plan, the fraction of the answered checks that were granted, averaged.
     pub grant_ratios: Vec<f64>,
 }
+
+impl QuotaEnforcer {
+    /// Returns the state of a gateway that has just started, with these grant ratios.
+    pub fn new(grant_ratios: Vec<f64>) -> QuotaEnforcer {
+        let (call_ratio, coverage, counted_ratio) = (1.0, 1.0, 1.0);
+        QuotaEnforcer { call_ratio, coverage, counted_ratio, grant_ratios, ..QuotaEnforcer::default() }
+    }
+}
