--- a/programs/proxy/src/pools.rs
+++ b/programs/proxy/src/pools.rs
@@ -17,6 +17,7 @@
 mod dispatch;
 mod request;
 mod retry;
+mod route_products;
 mod warm_up;
 
 use crate::gate_state::GateState;
--- a/programs/proxy/src/pools/tests.rs
+++ b/programs/proxy/src/pools/tests.rs
@@ -1,5 +1,7 @@
 //! The routing policy's decisions on updates, requests and the ends of attempts, without sockets.
 
+mod calm;
+
 use super::backend_pool::MAX_STALL;
 use super::backend_table::PooledBackend;
 use super::*;
--- a/programs/proxy/src/routing.rs
+++ b/programs/proxy/src/routing.rs
@@ -24,6 +24,8 @@
 /// One route of the configuration.
 #[derive(Debug, PartialEq)]
 pub struct RouteRule {
+    /// The name of the route in the configuration.
+    pub name: Rc<str>,
     /// The host name of the route's requests, without a port.
     pub host: Rc<str>,
     /// Whether the route's requests have side effects. Read-only requests can be retried freely.
@@ -44,6 +46,13 @@
     pub home_regions: Vec<String>,
 }
 
+impl RouteRule {
+    /// Returns the class of the route's requests.
+    pub fn request_class(&self) -> RequestClass {
+        RequestClass { latency_target: self.latency_target, kind: self.kind, precedence: self.precedence }
+    }
+}
+
 /// A customer with a quota.
 #[derive(Debug)]
 pub struct Tenant {
@@ -55,8 +64,8 @@
     pub quota: Quota,
 }
 
-/// The properties of a route by which the balancers distinguish requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// The properties of a route that its requests have for the balancers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestClass {
     /// The latency objective of the requests.
     pub latency_target: Duration,
@@ -125,7 +134,7 @@
             tenants_by_key: HashMap::new(),
             tenants: BTreeMap::new(),
         };
-        routes.into_values().for_each(|route| tables.add_route(route));
+        routes.into_iter().for_each(|(name, route)| tables.add_route(&name, route));
         for routes in tables.routes_by_host.values_mut() {
             routes.sort_by(|one, other| {
                 let longest_first = other.path_prefix.len().cmp(&one.path_prefix.len());
@@ -138,12 +147,13 @@
         Some(tables)
     }
 
-    fn add_route(&mut self, route: Route) {
+    fn add_route(&mut self, name: &str, route: Route) {
         let service = |weighted: configuration::WeightedService| WeightedService {
             name: Rc::from(weighted.service),
             weight: weighted.weight,
         };
         let rule = RouteRule {
+            name: Rc::from(name),
             host: Rc::from(route.hostname.as_str()),
             kind: route.kind,
             deadline: route.deadline,
@@ -189,18 +199,6 @@
     pub fn quota(&self, tenant: &str) -> Quota {
         self.tenants.get(tenant).map_or(Quota::UNLIMITED, |tenant| tenant.quota)
     }
-
-    /// Returns the classes of all routes.
-    pub fn request_classes(&self) -> BTreeSet<RequestClass> {
-        let rules = self.routes_by_host.values().flatten().map(|route| &route.rule);
-        rules
-            .map(|rule| RequestClass {
-                latency_target: rule.latency_target,
-                kind: rule.kind,
-                precedence: rule.precedence,
-            })
-            .collect()
-    }
 }
 
 #[cfg(test)]
