--- a/programs/proxy/src/pools/route_products.rs
+++ b/programs/proxy/src/pools/route_products.rs
@@ -85,3 +85,6 @@
         },
     }
 }
+
+#[cfg(test)]
+mod tests;
