--- a/crates/policy/src/interface/config.rs
+++ b/crates/policy/src/interface/config.rs
@@ -89,7 +89,7 @@
     pub gateway: GatewayId,
     /// The number of gateways.
     pub gateway_count: u32,
-    /// The products, indexed by [`ProductId`](super::ProductId).
+    /// The products, indexed by [`ProductId`].
     pub products: Vec<Product>,
     /// The plans, indexed by [`PlanId`](super::PlanId).
     pub plans: Vec<Plan>,
