--- a/programs/proxy/src/pools/tests.rs
+++ b/programs/proxy/src/pools/tests.rs
@@ -382,8 +382,8 @@
 #[test]
 fn a_stalled_balancer_is_replaced() {
     let mut fixture = Fixture::start(vec![backend("e1", "s", "east-a"), backend("e2", "s", "east-b")], None);
-    // All answers are too late for any latency target. The balancer learns to reject every request, and without
-    // attempts it cannot learn that answers have become faster.
+    // All answers come later than clients wait. The balancer learns to reject every request, and without attempts it
+    // cannot learn that answers have become faster.
     for _ in 0..12 {
         let (txn, actions) = fixture.send_request("/write/x");
         if fixture.chosen_backend(&actions).is_some() {
@@ -391,7 +391,7 @@
                 txn,
                 attempt: AttemptNumber(0),
                 outcome: Outcome::Succeeded,
-                latency: SECOND + SECOND,
+                latency: SECOND + SECOND + SECOND,
                 complete: true,
                 metered_usage: None,
                 actual_cost: None,
