--- a/programs/controller/src/replica/replication.rs
+++ b/programs/controller/src/replica/replication.rs
@@ -125,8 +125,8 @@
         }
     }
 
-    /// Sends a register to one voter until the voter accepts or refuses it, a later register supersedes it, or the lease
-    /// under its ballot has ended.
+    /// Sends a register to one voter until the voter accepts or refuses it, or a later register supersedes it. Nothing is sent
+    /// after the lease under the register's ballot has ended; the task then ends with the round.
     async fn request_accept(
         self: Rc<Self>,
         voter: SocketAddr,
@@ -135,16 +135,21 @@
     ) {
         let (ballot, revision) = (register.ballot, register.revision);
         let request = VoteRequest::Accept { register };
-        while self.valid_lease(ballot).is_some() {
-            match self.request_vote(voter, &request, ACCEPT_TIMEOUT).await {
-                Some(response) if matches!(response.vote, Vote::Accepted | Vote::Refused { .. }) => {
-                    // The receiver is closed once the outcome is decided.
-                    let _ = responses.send((voter, response));
-                    return;
+        loop {
+            if self.valid_lease(ballot).is_some() {
+                match self.request_vote(voter, &request, ACCEPT_TIMEOUT).await {
+                    Some(response) if matches!(response.vote, Vote::Accepted | Vote::Refused { .. }) => {
+                        // The receiver is closed once the outcome is decided.
+                        let _ = responses.send((voter, response));
+                        return;
+                    }
+                    _ if self.is_superseded(revision) => return,
+                    _ => {}
                 }
-                _ if self.is_superseded(revision) => return,
-                _ => sleep(PERSIST_RETRY_INTERVAL).await,
+            } else if responses.is_closed() {
+                return;
             }
+            sleep(PERSIST_RETRY_INTERVAL).await;
         }
     }
 }
